--- /dev/null
+++ b/programs/verbenacove_control.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- /dev/null
+++ b/tests/support/placeholder.cpp
@@ -0,0 +1,1 @@
+// Keeps the support library from being empty.
