--- /dev/null
+++ b/source/verbenacove/connection/rpc_client.cpp
@@ -0,0 +1,114 @@
+#include "verbenacove/connection/rpc_client.hpp"
+
+#include <utility>
+
+namespace verbenacove
+{
+
+namespace
+{
+
+auto const id_key = QLatin1String("id");
+
+} // namespace
+
+rpc_client::rpc_client(socket_address address)
+    : address_(std::move(address))
+{
+}
+
+rpc_client::~rpc_client() = default;
+
+void rpc_client::call(QCborMap request, milliseconds timeout, callback done)
+{
+    if (pending_.size() >= maximum_pending_calls)
+    {
+        fail_later(std::move(done));
+        return;
+    }
+    ensure_connected();
+    auto const id = next_id_++;
+    auto waiting = std::make_shared<pending_call>();
+    waiting->done = std::move(done);
+    waiting->received_bytes = socket_->received_bytes();
+    waiting->timeout = timers_.call_after(timeout, [this, id] { expire(id); });
+    pending_.insert(id, std::move(waiting));
+    request[id_key] = id;
+    socket_->send(request);
+}
+
+void rpc_client::ensure_connected()
+{
+    if (socket_)
+    {
+        return;
+    }
+    auto socket = std::make_unique<QTcpSocket>();
+    auto* const raw_socket = socket.get();
+    auto const number = ++connection_number_;
+    socket_ = std::make_unique<frame_socket>(
+        std::move(socket),
+        frame_socket::listener{
+            [this](QCborMap const& reply) { take_reply(reply); },
+            // Deferred: the end may come while a call is being sent.
+            [this, number]
+            {
+                QMetaObject::invokeMethod(
+                    &context_, [this, number] { end_connection(number); },
+                    Qt::QueuedConnection);
+            }});
+    raw_socket->connectToHost(address_.host, address_.port);
+}
+
+void rpc_client::take_reply(QCborMap const& reply)
+{
+    auto const waiting = pending_.take(reply.value(id_key).toInteger());
+    if (waiting)
+    {
+        waiting->done(reply);
+    }
+}
+
+void rpc_client::expire(qint64 id)
+{
+    auto const waiting = pending_.take(id);
+    if (!waiting)
+    {
+        return;
+    }
+    bool const was_silent =
+        socket_ && socket_->received_bytes() == waiting->received_bytes;
+    if (was_silent)
+    {
+        fail_all();
+    }
+    waiting->done(std::nullopt);
+}
+
+void rpc_client::end_connection(qint64 number)
+{
+    if (number == connection_number_)
+    {
+        fail_all();
+    }
+}
+
+void rpc_client::fail_all()
+{
+    socket_.reset();
+    auto const failed = std::exchange(pending_, {});
+    for (auto const& waiting : failed)
+    {
+        waiting->timeout.cancel();
+        waiting->done(std::nullopt);
+    }
+}
+
+void rpc_client::fail_later(callback done)
+{
+    QMetaObject::invokeMethod(
+        &context_, [done = std::move(done)] { done(std::nullopt); },
+        Qt::QueuedConnection);
+}
+
+} // namespace verbenacove
