--- /dev/null
+++ b/source/verbenacove/request/lookup_ranking.cpp
@@ -0,0 +1,94 @@
+#include "verbenacove/request/lookup_ranking.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace verbenacove
+{
+
+namespace
+{
+
+constexpr milliseconds news_lease{3000};
+constexpr double scarce_headroom = 0.1;
+constexpr double smallest_weight = 0.01;
+
+enum tier : int
+{
+    same_zone,
+    same_region,
+    elsewhere,
+    /** Near or far, an entry that is nearly full comes after the others. */
+    scarce
+};
+
+double headroom_of(entry_view const& entry)
+{
+    return std::isfinite(entry.headroom) ? std::clamp(entry.headroom, 0.0, 1.0)
+                                         : 0.0;
+}
+
+int tier_of(caller_place const& caller, entry_view const& entry)
+{
+    if (headroom_of(entry) < scarce_headroom)
+    {
+        return scarce;
+    }
+    if (entry.region != caller.region)
+    {
+        return elsewhere;
+    }
+    return entry.zone == caller.zone ? same_zone : same_region;
+}
+
+} // namespace
+
+lookup_ranking::lookup_ranking(clock_source const& clock, quint64 seed)
+    : clock_(clock)
+    , random_(seed)
+{
+}
+
+std::vector<entry_view>
+lookup_ranking::rank(caller_place const& caller, entry_view const& self,
+                     std::vector<entry_view> const& others)
+{
+    auto const now = clock_.now();
+    std::vector<ranked> order;
+    if (self.is_serving)
+    {
+        order.push_back(place(caller, self));
+    }
+    auto const count = std::min(others.size(), largest_set);
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        auto const& other = others[i];
+        auto const is_fresh = now - other.reported_at <= news_lease;
+        if (other.id != self.id && other.is_serving && is_fresh)
+        {
+            order.push_back(place(caller, other));
+        }
+    }
+    std::sort(order.begin(), order.end(),
+              [](ranked const& a, ranked const& b) {
+                  return a.tier != b.tier ? a.tier < b.tier : a.order < b.order;
+              });
+    std::vector<entry_view> result;
+    for (std::size_t i = 0; i < std::min(order.size(), largest_list); ++i)
+    {
+        result.push_back(*order[i].entry);
+    }
+    return result;
+}
+
+lookup_ranking::ranked lookup_ranking::place(caller_place const& caller,
+                                             entry_view const& entry)
+{
+    // The smallest of exponential draws is each entry with a probability in
+    // proportion to its weight.
+    auto const weight = std::max(smallest_weight, headroom_of(entry));
+    std::exponential_distribution<double> draw(weight);
+    return {&entry, tier_of(caller, entry), draw(random_)};
+}
+
+} // namespace verbenacove
--- /dev/null
+++ b/source/verbenacove/request/upstream_chooser.cpp
@@ -0,0 +1,490 @@
+#include "verbenacove/request/upstream_chooser.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <utility>
+
+namespace verbenacove
+{
+
+namespace
+{
+
+using std::chrono::microseconds;
+using milliseconds_double = std::chrono::duration<double, std::milli>;
+
+constexpr milliseconds missing_lease{30000};
+constexpr std::size_t largest_memory = 2 * upstream_chooser::largest_set;
+constexpr int in_flight_per_slot = 16;
+constexpr double failure_cost_ms = 1000;
+constexpr double non_idempotent_failure_cost_ms = 4000;
+
+double bounded_load(double load)
+{
+    return std::isfinite(load) ? std::clamp(load, 0.0, 1.0) : 1.0;
+}
+
+int slots_of(upstream_view const& view)
+{
+    return std::max(1, view.slots.value());
+}
+
+bool contains(std::vector<upstream_id> const& ids, upstream_id const& id)
+{
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+} // namespace
+
+upstream_chooser::choice::choice(std::shared_ptr<upstream_record> record,
+                                 std::shared_ptr<class_latency> latencies,
+                                 clock_source const& clock, request_class kind,
+                                 bool is_other_region)
+    : record_(std::move(record))
+    , latencies_(std::move(latencies))
+    , clock_(&clock)
+    , kind_(kind)
+    , is_other_region_(is_other_region)
+    , started_(clock.now())
+    , expected_(latencies_->average(kind))
+{
+    record_->start(started_, expected_);
+}
+
+upstream_chooser::choice::~choice()
+{
+    if (latencies_)
+    {
+        finish(
+            attempt_outcome::cancelled,
+            std::chrono::duration_cast<microseconds>(clock_->now() - started_));
+    }
+}
+
+upstream_chooser::choice::choice(choice&&) noexcept = default;
+
+upstream_chooser::choice&
+upstream_chooser::choice::operator=(choice&& other) noexcept
+{
+    if (this != &other)
+    {
+        choice ended(std::move(*this));
+        record_ = std::move(other.record_);
+        latencies_ = std::move(other.latencies_);
+        clock_ = other.clock_;
+        kind_ = other.kind_;
+        is_other_region_ = other.is_other_region_;
+        started_ = other.started_;
+        expected_ = other.expected_;
+    }
+    return *this;
+}
+
+upstream_view const& upstream_chooser::choice::upstream() const
+{
+    return record_->view();
+}
+
+void upstream_chooser::choice::finish(attempt_outcome outcome,
+                                      microseconds latency)
+{
+    if (!latencies_)
+    {
+        return;
+    }
+    record_->finish(clock_->now(), started_, expected_, outcome, latency);
+    if (outcome == attempt_outcome::answered)
+    {
+        latencies_->add(kind_, latency);
+    }
+    latencies_.reset();
+}
+
+void upstream_chooser::group::clear()
+{
+    usable.clear();
+    ejected.clear();
+}
+
+bool upstream_chooser::group::has_free_slot() const
+{
+    return std::any_of(usable.begin(), usable.end(),
+                       [](candidate const& one)
+                       { return one.has_free_slot(); });
+}
+
+upstream_chooser::upstream_chooser(chooser_settings settings,
+                                   clock_source const& clock, quint64 seed)
+    : settings_(std::move(settings))
+    , clock_(clock)
+    , random_(seed)
+    , latencies_(std::make_shared<class_latency>())
+    , pick_(pick_of(settings_.policy))
+{
+}
+
+std::size_t
+upstream_chooser::update(std::vector<upstream_view> const& upstreams)
+{
+    auto const now = clock_.now();
+    auto const count = std::min(upstreams.size(), largest_set);
+    for (auto& known : members_)
+    {
+        known.is_listed = false;
+    }
+    for (std::size_t i = 0; i < count; ++i)
+    {
+        auto const& view = upstreams[i];
+        auto found = std::find_if(
+            members_.begin(), members_.end(),
+            [&](member const& known)
+            {
+                auto const& old = known.record->view();
+                return old.id == view.id && old.incarnation == view.incarnation;
+            });
+        if (found == members_.end())
+        {
+            members_.push_back({std::make_shared<upstream_record>(view)});
+            found = std::prev(members_.end());
+        }
+        found->record->renew(view);
+        found->away = distance_of(view);
+        found->is_listed = true;
+        found->last_listed = now;
+    }
+    std::erase_if(members_, [&](member const& known)
+                  { return now - known.last_listed > missing_lease; });
+    // Listed ones come first, so that the bound drops only missing ones.
+    std::stable_partition(members_.begin(), members_.end(),
+                          [](member const& known) { return known.is_listed; });
+    members_.resize(std::min(members_.size(), largest_memory));
+    return upstreams.size() - count;
+}
+
+std::optional<upstream_chooser::choice>
+upstream_chooser::choose(request_class kind,
+                         std::vector<upstream_id> const& excluded,
+                         region_permit const& allow_other_regions)
+{
+    auto const now = clock_.now();
+    collect(excluded, now);
+    if (auto const* target = probe_target(kind, now))
+    {
+        return take(*target, kind);
+    }
+    assess(local_, kind, now);
+    auto const* chosen = local_.usable.empty() ? nullptr : pick_from(local_);
+    if (allow_other_regions && !local_.has_free_slot())
+    {
+        assess(remote_, kind, now);
+        if (auto const* far = pick_remote(kind, chosen, allow_other_regions))
+        {
+            chosen = far;
+        }
+    }
+    if (!chosen)
+    {
+        return std::nullopt;
+    }
+    return take(*chosen->upstream, kind);
+}
+
+upstream_chooser::distance
+upstream_chooser::distance_of(upstream_view const& view) const
+{
+    if (view.region != settings_.region)
+    {
+        return distance::other_region;
+    }
+    return view.zone == settings_.zone ? distance::same_zone
+                                       : distance::same_region;
+}
+
+bool upstream_chooser::is_usable(member const& upstream,
+                                 monotonic_time now) const
+{
+    auto const& view = upstream.record->view();
+    return upstream.is_listed && view.state == upstream_state::serving &&
+           now - view.reported_at <= settings_.news_lease &&
+           upstream.record->in_flight() < in_flight_per_slot * slots_of(view);
+}
+
+void upstream_chooser::collect(std::vector<upstream_id> const& excluded,
+                               monotonic_time now)
+{
+    local_.clear();
+    remote_.clear();
+    for (auto const& known : members_)
+    {
+        if (!is_usable(known, now) ||
+            contains(excluded, known.record->view().id))
+        {
+            continue;
+        }
+        auto& of = known.away == distance::other_region ? remote_ : local_;
+        if (settings_.parts.ejection && known.record->is_ejected())
+        {
+            of.ejected.push_back(&known);
+        }
+        else
+        {
+            of.usable.push_back({&known});
+        }
+    }
+    release_over_bound(local_, now);
+    release_over_bound(remote_, now);
+}
+
+void upstream_chooser::release_over_bound(group& of, monotonic_time now) const
+{
+    auto const count = of.usable.size() + of.ejected.size();
+    auto const bound =
+        std::size_t(settings_.largest_ejected_share * double(count));
+    if (of.ejected.size() <= bound)
+    {
+        return;
+    }
+    std::sort(of.ejected.begin(), of.ejected.end(),
+              [now](member const* a, member const* b) {
+                  return a->record->failure_share(now) >
+                         b->record->failure_share(now);
+              });
+    while (of.ejected.size() > bound)
+    {
+        of.usable.push_back({of.ejected.back()});
+        of.ejected.pop_back();
+    }
+}
+
+void upstream_chooser::assess(group& of, request_class kind,
+                              monotonic_time now) const
+{
+    double load_sum = 0;
+    double largest_share = 0;
+    for (auto const& one : of.usable)
+    {
+        auto const& view = one.upstream->record->view();
+        load_sum += bounded_load(view.load);
+        largest_share = std::max(largest_share, ramp_share(view, now));
+    }
+    auto const average_load =
+        load_sum / double(std::max<std::size_t>(1, of.usable.size()));
+    for (auto& one : of.usable)
+    {
+        auto const& record = *one.upstream->record;
+        auto const& view = record.view();
+        one.occupancy = occupancy(record, average_load, now);
+        // Where all are new, none of them has to be spared.
+        one.capacity = slots_of(view) * ramp_share(view, now) / largest_share;
+        one.cost_ms = cost_ms(one, kind, now);
+    }
+}
+
+double upstream_chooser::ramp_share(upstream_view const& view,
+                                    monotonic_time now) const
+{
+    if (!settings_.parts.ramp || settings_.ramp_time <= milliseconds(0))
+    {
+        return 1;
+    }
+    auto const age = milliseconds_double(now - view.first_seen).count();
+    auto const part = age / double(settings_.ramp_time.count());
+    return std::clamp(part, settings_.first_ramp_share, 1.0);
+}
+
+double upstream_chooser::occupancy(upstream_record const& record,
+                                   double average_load,
+                                   monotonic_time now) const
+{
+    auto const own =
+        settings_.parts.in_flight ? double(record.in_flight()) : 0.0;
+    if (!settings_.parts.reported_load)
+    {
+        return own;
+    }
+    // An old report says little of this upstream, but the pool's average
+    // still says what all entries together do.
+    auto const& view = record.view();
+    auto const age = milliseconds_double(now - view.reported_at).count();
+    auto const trust =
+        std::exp(-std::max(0.0, age) / double(settings_.report_fade.count()));
+    auto const load =
+        trust * bounded_load(view.load) + (1 - trust) * average_load;
+    return std::max(own, load * slots_of(view));
+}
+
+double upstream_chooser::cost_ms(candidate const& target, request_class kind,
+                                 monotonic_time now) const
+{
+    auto const use = (target.occupancy + 1) / target.capacity;
+    auto cost = latency_ms(target, kind, now) * (1 + use * use);
+    if (settings_.parts.failures)
+    {
+        auto const failure_cost = kind == request_class::non_idempotent
+                                      ? non_idempotent_failure_cost_ms
+                                      : failure_cost_ms;
+        cost += target.upstream->record->failure_share(now) * failure_cost;
+    }
+    return cost;
+}
+
+double upstream_chooser::latency_ms(candidate const& target, request_class kind,
+                                    monotonic_time now) const
+{
+    auto const& record = *target.upstream->record;
+    auto const average = milliseconds_double(latencies_->average(kind)).count();
+    if (settings_.parts.latency && record.has_latency())
+    {
+        return average * record.slowness(now);
+    }
+    auto const slowness = settings_.parts.latency ? record.slowness(now) : 1.0;
+    return average * slowness + round_trip_ms(target.upstream->away);
+}
+
+double upstream_chooser::round_trip_ms(distance away) const
+{
+    if (!settings_.parts.zone_distance || away == distance::same_zone)
+    {
+        return 0;
+    }
+    return double(away == distance::same_region
+                      ? settings_.zone_round_trip.count()
+                      : settings_.region_round_trip.count());
+}
+
+upstream_chooser::member const*
+upstream_chooser::probe_target(request_class kind, monotonic_time now) const
+{
+    if (kind == request_class::non_idempotent)
+    {
+        return nullptr;
+    }
+    auto const found = std::find_if(
+        local_.ejected.begin(), local_.ejected.end(),
+        [now](member const* one) { return one->record->needs_probe(now); });
+    return found == local_.ejected.end() ? nullptr : *found;
+}
+
+upstream_chooser::candidate const* upstream_chooser::pick_from(group const& of)
+{
+    return &of.usable[(this->*pick_)(of.usable)];
+}
+
+upstream_chooser::candidate const*
+upstream_chooser::pick_remote(request_class kind, candidate const* nearest,
+                              region_permit const& permit)
+{
+    // Bulk work waits for its own region while that has an upstream at all.
+    if (nearest && kind == request_class::bulk)
+    {
+        return nullptr;
+    }
+    std::erase_if(remote_.usable,
+                  [nearest](candidate const& one)
+                  {
+                      return nearest && (!one.has_free_slot() ||
+                                         one.cost_ms >= nearest->cost_ms);
+                  });
+    while (!remote_.usable.empty())
+    {
+        auto const* far = pick_from(remote_);
+        auto const region = far->upstream->record->view().region;
+        if (permit(region))
+        {
+            return far;
+        }
+        std::erase_if(remote_.usable,
+                      [&](candidate const& one) {
+                          return one.upstream->record->view().region == region;
+                      });
+    }
+    return nullptr;
+}
+
+upstream_chooser::choice upstream_chooser::take(member const& target,
+                                                request_class kind)
+{
+    return {target.record, latencies_, clock_, kind,
+            target.away == distance::other_region};
+}
+
+upstream_chooser::pick_function upstream_chooser::pick_of(chooser_policy policy)
+{
+    static constexpr std::array<pick_function, 5> picks = {
+        &upstream_chooser::pick_lowest_cost,
+        &upstream_chooser::pick_random,
+        &upstream_chooser::pick_round_robin,
+        &upstream_chooser::pick_least_reported_load,
+        &upstream_chooser::pick_least_in_flight,
+    };
+    return picks.at(std::size_t(policy));
+}
+
+std::size_t
+upstream_chooser::pick_lowest_cost(std::vector<candidate> const& from)
+{
+    auto const sample_size =
+        settings_.sample_size > 0 ? std::size_t(settings_.sample_size) : 0;
+    return pick_least(from, sample_size,
+                      [](candidate const& one) { return one.cost_ms; });
+}
+
+std::size_t upstream_chooser::pick_random(std::vector<candidate> const& from)
+{
+    return draw(from.size());
+}
+
+std::size_t
+upstream_chooser::pick_round_robin(std::vector<candidate> const& from)
+{
+    return round_robin_++ % from.size();
+}
+
+std::size_t
+upstream_chooser::pick_least_reported_load(std::vector<candidate> const& from)
+{
+    return pick_least(from, 0,
+                      [](candidate const& one)
+                      { return one.upstream->record->view().load; });
+}
+
+std::size_t
+upstream_chooser::pick_least_in_flight(std::vector<candidate> const& from)
+{
+    return pick_least(from, 0,
+                      [](candidate const& one)
+                      {
+                          auto const& record = *one.upstream->record;
+                          return double(record.in_flight()) /
+                                 slots_of(record.view());
+                      });
+}
+
+template <class Score>
+std::size_t upstream_chooser::pick_least(std::vector<candidate> const& from,
+                                         std::size_t sample_size, Score score)
+{
+    auto const is_sampled = sample_size > 0 && sample_size < from.size();
+    auto const count = is_sampled ? sample_size : from.size();
+    // A random first one, so that equal scores share the work.
+    auto const offset = draw(from.size());
+    auto best = offset;
+    for (std::size_t i = 1; i < count; ++i)
+    {
+        auto const next =
+            is_sampled ? draw(from.size()) : (offset + i) % from.size();
+        if (score(from[next]) < score(from[best]))
+        {
+            best = next;
+        }
+    }
+    return best;
+}
+
+std::size_t upstream_chooser::draw(std::size_t count)
+{
+    return std::uniform_int_distribution<std::size_t>(0, count - 1)(random_);
+}
+
+} // namespace verbenacove
--- /dev/null
+++ b/source/verbenacove/request/upstream_record.cpp
@@ -0,0 +1,170 @@
+#include "verbenacove/request/upstream_record.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace verbenacove
+{
+
+namespace
+{
+
+using std::chrono::microseconds;
+
+constexpr microseconds default_latency{20000};
+constexpr double class_average_weight = 0.02;
+constexpr double latency_weight = 0.2;
+constexpr double failure_weight = 0.25;
+constexpr double refusal_failure = 0.5;
+constexpr double largest_slowness = 1000;
+constexpr milliseconds latency_fade{10000};
+constexpr milliseconds failure_fade{10000};
+constexpr int failures_to_eject = 3;
+constexpr milliseconds first_ejection{1000};
+constexpr int largest_ejection_doubling = 5;
+
+double fade(monotonic_time since, monotonic_time now, milliseconds span)
+{
+    std::chrono::duration<double, std::milli> const age = now - since;
+    return std::exp(-std::max(0.0, age.count()) / double(span.count()));
+}
+
+double ratio_of(std::chrono::nanoseconds span, microseconds expected)
+{
+    auto const expected_ns = double(std::chrono::nanoseconds(expected).count());
+    return double(span.count()) / std::max(1.0, expected_ns);
+}
+
+} // namespace
+
+microseconds class_latency::average(request_class kind) const
+{
+    auto const average_us = average_us_.at(std::size_t(kind));
+    return average_us > 0 ? microseconds(std::llround(average_us))
+                          : default_latency;
+}
+
+void class_latency::add(request_class kind, microseconds latency)
+{
+    auto& average_us = average_us_.at(std::size_t(kind));
+    auto const sample_us = std::max(1.0, double(latency.count()));
+    average_us = average_us > 0 ? average_us + class_average_weight *
+                                                   (sample_us - average_us)
+                                : sample_us;
+}
+
+upstream_record::upstream_record(upstream_view view)
+    : view_(std::move(view))
+{
+}
+
+void upstream_record::renew(upstream_view view)
+{
+    view_ = std::move(view);
+}
+
+void upstream_record::start(monotonic_time now, microseconds expected)
+{
+    ++in_flight_;
+    started_sum_ += now.time_since_epoch();
+    expected_sum_ += expected;
+    if (is_ejected_)
+    {
+        // One probe at a time: the next only after another span.
+        ejected_until_ = now + first_ejection;
+    }
+}
+
+void upstream_record::finish(monotonic_time now, monotonic_time started,
+                             microseconds expected, attempt_outcome outcome,
+                             microseconds latency)
+{
+    --in_flight_;
+    started_sum_ -= started.time_since_epoch();
+    expected_sum_ -= expected;
+    auto const ratio = ratio_of(latency, expected);
+    switch (outcome)
+    {
+    case attempt_outcome::answered:
+        add_latency(now, ratio);
+        add_failure(now, 0);
+        readmit();
+        break;
+    case attempt_outcome::failed:
+        add_failure(now, 1);
+        ++consecutive_failures_;
+        if (is_ejected_ || consecutive_failures_ >= failures_to_eject)
+        {
+            eject(now);
+        }
+        break;
+    case attempt_outcome::refused:
+        add_failure(now, refusal_failure);
+        break;
+    case attempt_outcome::cancelled:
+        // A short life says nothing; a long one says that it is slow.
+        if (ratio > slowness(now))
+        {
+            add_latency(now, ratio);
+        }
+        break;
+    }
+}
+
+double upstream_record::slowness(monotonic_time now) const
+{
+    auto const seen =
+        1 + (slowness_ - 1) * fade(latency_at_, now, latency_fade);
+    if (in_flight_ == 0)
+    {
+        return seen;
+    }
+    auto const age_sum = in_flight_ * now.time_since_epoch() - started_sum_;
+    return std::max(seen, ratio_of(age_sum, expected_sum_));
+}
+
+double upstream_record::failure_share(monotonic_time now) const
+{
+    return failure_share_ * fade(failure_at_, now, failure_fade);
+}
+
+bool upstream_record::needs_probe(monotonic_time now) const
+{
+    return is_ejected_ && now >= ejected_until_;
+}
+
+void upstream_record::add_latency(monotonic_time now, double ratio)
+{
+    auto const bounded = std::min(ratio, largest_slowness);
+    auto const before =
+        1 + (slowness_ - 1) * fade(latency_at_, now, latency_fade);
+    slowness_ =
+        has_latency_ ? before + latency_weight * (bounded - before) : bounded;
+    has_latency_ = true;
+    latency_at_ = now;
+}
+
+void upstream_record::add_failure(monotonic_time now, double weight)
+{
+    auto const before = failure_share(now);
+    failure_share_ = before + failure_weight * (weight - before);
+    failure_at_ = now;
+}
+
+void upstream_record::eject(monotonic_time now)
+{
+    auto const doubling = std::min(ejections_, largest_ejection_doubling);
+    is_ejected_ = true;
+    ejected_until_ = now + first_ejection * (1 << doubling);
+    ejections_ = std::min(ejections_ + 1, largest_ejection_doubling);
+}
+
+void upstream_record::readmit()
+{
+    consecutive_failures_ = 0;
+    is_ejected_ = false;
+    ejections_ = std::max(0, ejections_ - 1);
+}
+
+} // namespace verbenacove
