--- a/source/verbenacove/core/setting_reader.cpp
+++ b/source/verbenacove/core/setting_reader.cpp
@@ -160,6 +160,25 @@
     return result;
 }
 
+log_level setting_reader::level(char const* section, char const* key)
+{
+    static QStringList const words{
+        QStringLiteral("debug"), QStringLiteral("info"),
+        QStringLiteral("warn"), QStringLiteral("error")};
+    auto const* entry = find(section, key);
+    if (entry == nullptr)
+    {
+        return log_level::info;
+    }
+    auto const position = words.indexOf(entry->value);
+    if (position < 0)
+    {
+        fail(*entry, QStringLiteral("must be debug, info, warn or error"));
+        return log_level::info;
+    }
+    return static_cast<log_level>(position);
+}
+
 void setting_reader::report(char const* section, char const* key,
                             QString const& allowed)
 {
--- a/source/verbenacove/core/setting_reader.hpp
+++ b/source/verbenacove/core/setting_reader.hpp
@@ -3,6 +3,7 @@
 
 #include "verbenacove/core/clock.hpp"
 #include "verbenacove/core/ini_document.hpp"
+#include "verbenacove/core/log.hpp"
 #include "verbenacove/core/socket_address.hpp"
 
 #include <QSet>
@@ -50,6 +51,10 @@
     /** Returns the addresses of a comma-separated list, each given once. */
     std::vector<socket_address> addresses(char const* section, char const* key);
 
+    /** Returns the least severe lines to log: debug, info, warn or error;
+        info when the key is missing. */
+    log_level level(char const* section, char const* key);
+
     /** Reports a fault that only the caller can see, at a key's line. */
     void report(char const* section, char const* key, QString const& allowed);
 
--- /dev/null
+++ b/source/verbenacove/process/control_server.cpp
@@ -0,0 +1,247 @@
+#include "verbenacove/process/control_server.hpp"
+
+#include "verbenacove/core/cbor.hpp"
+#include "verbenacove/core/log.hpp"
+
+#include <QDateTime>
+#include <QMetaObject>
+
+#include <algorithm>
+#include <array>
+#include <random>
+#include <utility>
+
+namespace verbenacove
+{
+
+namespace
+{
+
+log_part const control_log{"control"};
+
+constexpr milliseconds tick_interval{20};
+constexpr milliseconds stop_poll_interval{20};
+constexpr milliseconds longest_hand_over{3000};
+constexpr std::size_t maximum_entry_reports = 20000;
+
+raft_settings seeded(raft_settings settings)
+{
+    settings.seed = std::random_device{}();
+    return settings;
+}
+
+} // namespace
+
+control_server::control_server(control_settings settings,
+                               raft_storage& storage)
+    : settings_(std::move(settings))
+    , node_(seeded(settings_.raft), storage, transport_, state_, clock_,
+            settings_.listen, settings_.name)
+    , rpc_([this](QCborMap const& request, reply_function const& reply)
+           { handle(request, reply); })
+{
+}
+
+bool control_server::start()
+{
+    if (!rpc_.listen(settings_.listen))
+    {
+        return false;
+    }
+    tick_ = timers_.call_every(tick_interval, [this] { node_.tick(); });
+    return true;
+}
+
+void control_server::stop(std::function<void()> stopped)
+{
+    auto const deadline = clock_.now() + longest_hand_over;
+    node_.hand_over_leadership();
+    stopping_ = timers_.call_every(
+        stop_poll_interval,
+        [this, deadline, stopped = std::move(stopped)]
+        {
+            bool const is_alone = node_.members().size() <= 1;
+            if (!node_.is_leader() || is_alone || clock_.now() >= deadline)
+            {
+                stopping_.cancel();
+                stopped();
+            }
+        });
+}
+
+void control_server::submit_change(QCborMap const& change,
+                                   raft_node::proposal_callback done)
+{
+    propose(control_state::change_command(change), std::move(done));
+}
+
+void control_server::confirm_current(raft_node::confirm_callback done)
+{
+    node_.confirm_leadership(std::move(done));
+}
+
+QString control_server::leader_name() const
+{
+    auto const leader = node_.leader();
+    return leader ? leader->name : QString();
+}
+
+void control_server::handle(QCborMap const& request,
+                            reply_function const& reply)
+{
+    struct named_handler
+    {
+        QLatin1String name;
+        handler handle;
+    };
+    static std::array<named_handler, 2> const handlers{
+        {{QLatin1String("sync"), &control_server::handle_sync},
+         {QLatin1String("claim"), &control_server::handle_claim}}};
+    auto const name = cbor_text(request, "m");
+    if (name.startsWith(QLatin1String("raft.")))
+    {
+        reply(node_.handle(request));
+        return;
+    }
+    auto const found =
+        std::find_if(handlers.begin(), handlers.end(),
+                     [&name](named_handler const& candidate)
+                     { return candidate.name == name; });
+    if (found == handlers.end())
+    {
+        reply({{QLatin1String("status"), QLatin1String("unknown-method")}});
+        return;
+    }
+    (this->*found->handle)(request, reply);
+}
+
+void control_server::handle_sync(QCborMap const& request,
+                                 reply_function const& reply)
+{
+    note_entry(request);
+    // What an entry takes first must not be older than what is in force.
+    if (cbor_flag(request, "first"))
+    {
+        node_.confirm_leadership(
+            [this, request, reply](bool is_confirmed)
+            {
+                if (!is_confirmed)
+                {
+                    reply(refusal());
+                    return;
+                }
+                abandon_former(request);
+                answer_sync(request, reply);
+            });
+        return;
+    }
+    if (!node_.has_live_leader())
+    {
+        reply(refusal());
+        return;
+    }
+    answer_sync(request, reply);
+}
+
+void control_server::answer_sync(QCborMap const& request,
+                                 reply_function const& reply)
+{
+    config_version const have(cbor_number(request, "config_version"));
+    QCborMap answer{{QLatin1String("status"), QLatin1String("ok")},
+                    {QLatin1String("config_version"),
+                     state_.config().version().value()}};
+    if (have < state_.config().version() || cbor_flag(request, "first"))
+    {
+        answer[QLatin1String("config")] = state_.config().delta_since(have);
+    }
+    reply(answer);
+}
+
+void control_server::note_entry(QCborMap const& request)
+{
+    auto const name = cbor_text(request, "entry");
+    if (entries_.size() >= maximum_entry_reports && entries_.count(name) == 0)
+    {
+        return;
+    }
+    entries_[name] = {name, cbor_number(request, "incarnation"),
+                      cbor_number(request, "config_version"), clock_.now()};
+}
+
+void control_server::abandon_former(QCborMap const& request)
+{
+    claim_log_command const command{
+        log_time(next_log_time()),
+        abandon_command{
+            entry_id(cbor_text(request, "entry")),
+            incarnation(cbor_number(request, "incarnation") - 1)}};
+    propose(control_state::claim_command(to_cbor(command)),
+            [](raft_node::proposal_end, QCborMap const&) {});
+}
+
+void control_server::handle_claim(QCborMap const& request,
+                                  reply_function const& reply)
+{
+    auto parsed = parse_claim_log_command(cbor_map(request, "command"));
+    if (!parsed)
+    {
+        reply({{QLatin1String("status"), QLatin1String("malformed")}});
+        return;
+    }
+    parsed->at = log_time(next_log_time());
+    propose(control_state::claim_command(to_cbor(*parsed)),
+            [this, reply](raft_node::proposal_end end, QCborMap const& result)
+            {
+                if (end != raft_node::proposal_end::committed)
+                {
+                    reply(refusal());
+                    return;
+                }
+                reply({{QLatin1String("status"), QLatin1String("ok")},
+                       {QLatin1String("answer"), result}});
+            });
+}
+
+void control_server::propose(QCborMap command,
+                             raft_node::proposal_callback done)
+{
+    node_.propose(std::move(command), std::move(done));
+    schedule_flush();
+}
+
+void control_server::schedule_flush()
+{
+    if (is_flush_due_)
+    {
+        return;
+    }
+    is_flush_due_ = true;
+    // After the events at hand, so that they share one sync.
+    QMetaObject::invokeMethod(
+        &context_,
+        [this]
+        {
+            is_flush_due_ = false;
+            node_.flush();
+        },
+        Qt::QueuedConnection);
+}
+
+QCborMap control_server::refusal() const
+{
+    QCborMap answer{{QLatin1String("status"), QLatin1String("not-leader")}};
+    auto const leader = node_.leader();
+    if (leader && !node_.is_leader())
+    {
+        answer[QLatin1String("leader")] = leader->address.text();
+    }
+    return answer;
+}
+
+qint64 control_server::next_log_time() const
+{
+    return std::max(QDateTime::currentMSecsSinceEpoch(),
+                    state_.claims().now().value());
+}
+
+} // namespace verbenacove
--- /dev/null
+++ b/source/verbenacove/process/control_server.hpp
@@ -0,0 +1,106 @@
+#ifndef VERBENACOVE_PROCESS_CONTROL_SERVER_HPP
+#define VERBENACOVE_PROCESS_CONTROL_SERVER_HPP
+
+#include "verbenacove/connection/rpc_server.hpp"
+#include "verbenacove/core/timer_service.hpp"
+#include "verbenacove/process/control_settings.hpp"
+#include "verbenacove/process/control_state.hpp"
+#include "verbenacove/process/raft_node.hpp"
+#include "verbenacove/process/raft_rpc_transport.hpp"
+
+#include <QHash>
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace verbenacove
+{
+
+/** A control replica at work: the log, the state that it drives, and the door
+    for entries and other replicas. It lives on the control thread.
+
+    @see operator_backend
+*/
+class control_server
+{
+public:
+    /** What a status question gets, beside the log's own state. */
+    struct entry_report
+    {
+        QString entry;
+        qint64 incarnation = 0;
+        qint64 config_version = 0;
+        monotonic_time heard{};
+    };
+
+    /** The storage must outlive the server. */
+    control_server(control_settings settings, raft_storage& storage);
+    control_server(control_server const&) = delete;
+    control_server& operator=(control_server const&) = delete;
+
+    /** Opens the door; false when the address cannot be had. */
+    bool start();
+
+    /** Returns why `start` failed. */
+    QString error_text() const { return rpc_.error_text(); }
+
+    /** Hands leadership over and calls back when it is gone, or when that
+        took too long. */
+    void stop(std::function<void()> stopped);
+
+    /** Proposes an operator's change; the result is that of config_store.
+        @see raft_node::propose */
+    void submit_change(QCborMap const& change,
+                       raft_node::proposal_callback done);
+
+    /** Calls back with true when this replica's state holds all that was
+        accepted before the question. */
+    void confirm_current(raft_node::confirm_callback done);
+
+    control_settings const& settings() const { return settings_; }
+    raft_node const& node() const { return node_; }
+    control_state const& state() const { return state_; }
+
+    /** Returns what the entries that ask this replica said last. */
+    std::map<QString, entry_report> const& entries() const
+    {
+        return entries_;
+    }
+
+    /** Returns the operators' address of the leader, or nothing. */
+    QString leader_name() const;
+
+private:
+    using reply_function = rpc_server::reply_function;
+    using handler = void (control_server::*)(QCborMap const&,
+                                             reply_function const&);
+
+    void handle(QCborMap const& request, reply_function const& reply);
+    void handle_sync(QCborMap const& request, reply_function const& reply);
+    void handle_claim(QCborMap const& request, reply_function const& reply);
+    void answer_sync(QCborMap const& request, reply_function const& reply);
+    void note_entry(QCborMap const& request);
+    void abandon_former(QCborMap const& request);
+    void propose(QCborMap command, raft_node::proposal_callback done);
+    void schedule_flush();
+    QCborMap refusal() const;
+    qint64 next_log_time() const;
+
+    control_settings settings_;
+    steady_clock_source clock_;
+    control_state state_;
+    raft_rpc_transport transport_;
+    raft_node node_;
+    rpc_server rpc_;
+    timer_service timers_;
+    timer_service::subscription tick_;
+    timer_service::subscription stopping_;
+    std::map<QString, entry_report> entries_;
+    bool is_flush_due_ = false;
+    QObject context_;
+};
+
+} // namespace verbenacove
+
+#endif
--- a/source/verbenacove/process/raft_node.hpp
+++ b/source/verbenacove/process/raft_node.hpp
@@ -155,6 +155,10 @@
     /** Returns whether this replica's vote counts. */
     bool is_voter() const;
 
+    /** Returns whether a leader was heard of within the election timeout; on
+        the leader, whether a majority answered it within that time. */
+    bool has_live_leader() const;
+
     /** Returns the leader as last heard of, nothing when there is none. */
     std::optional<raft_member> leader() const;
 
@@ -208,7 +212,6 @@
     bool adopt_term(log_term term);
     QCborMap handle_vote(QCborMap const& message, bool is_pre_vote);
     bool has_current_log(QCborMap const& message) const;
-    bool has_live_leader() const;
 
     // Replication by the leader.
     void replicate();
