--- a/tests/support/placeholder.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-// Keeps the support library from being empty.
