Add the HTTP server for callers and the client for upstreams

Cause: an entry needs both HTTP sides with bounds that Qt's HTTP server and network access do not have.

Change: http_server reads requests with Boost.Beast's grammar on Qt's sockets, within http_limits, and writes answers in order; upstream_client carries requests by libcurl on Qt's event loop and lets libcurl send each only once.

--- /dev/null
+++ b/source/verbenacove/connection/http_connection.hpp
@@ -0,0 +1,128 @@
+#ifndef VERBENACOVE_CONNECTION_HTTP_CONNECTION_HPP
+#define VERBENACOVE_CONNECTION_HTTP_CONNECTION_HPP
+
+#include "verbenacove/connection/http_exchange.hpp"
+#include "verbenacove/connection/http_limits.hpp"
+#include "verbenacove/connection/http_request_parser.hpp"
+
+#include <QObject>
+
+#include <deque>
+#include <memory>
+#include <optional>
+
+class QTcpSocket;
+
+namespace verbenacove
+{
+
+/** One caller's connection to an http_server.
+
+    It reads requests within the limits, hands them over, and writes the
+    answers in the order of the requests. It reads no further while the
+    caller leaves answers unread, so that what it holds stays bounded. A
+    request that is refused gets its answer after those before it; then the
+    connection closes.
+*/
+class http_connection : public QObject
+{
+public:
+    /** What a connection needs of its server. */
+    class listener
+    {
+    public:
+        virtual ~listener() = default;
+
+        /** Called with each whole request. */
+        virtual void request_arrived(std::shared_ptr<http_exchange>) = 0;
+
+        /** Called once, when the connection is closed; it may be deleted
+            later, but not within the call. */
+        virtual void connection_closed(http_connection*) = 0;
+
+        /** Called when the connection holds more, or fewer, bytes of
+            request bodies; returns false when that is too much. */
+        virtual bool hold_bytes(qint64 change) = 0;
+
+        /** Returns true when no further request is to be taken. */
+        virtual bool is_stopping() const = 0;
+    };
+
+    /** Takes over a connected socket.
+
+        @param limits    must outlive the connection
+        @param receiver  must outlive the connection
+    */
+    http_connection(std::unique_ptr<QTcpSocket> socket,
+                    http_limits const& limits, listener& receiver,
+                    monotonic_time now);
+    ~http_connection() override;
+
+    /** Gives the answer to the request of this number. */
+    void answer(quint64 sequence, http_response response);
+
+    /** Sends an error after the answers still to come, and closes. */
+    void refuse(http_response const& response);
+
+    /** Ends what has taken longer than the limits allow. */
+    void check_time(monotonic_time now);
+
+    /** Closes at once, without what is still to be sent. */
+    void abort();
+
+    /** Returns true when no request is in hand or on its way. */
+    bool is_idle() const;
+
+    /** Returns since when the connection is as it is: idle, in a request's
+        headers, or in its body. */
+    monotonic_time phase_start() const;
+
+    /** Returns how many requests are in hand. */
+    int open_exchanges() const;
+
+private:
+    struct pending_answer
+    {
+        std::weak_ptr<http_exchange> exchange;
+        std::optional<QByteArray> bytes;
+        qint64 body_bytes = 0;
+        bool is_head = false;
+        bool is_http_1_1 = true;
+        bool is_last = false;
+    };
+
+    void read();
+    void parse();
+    void take_request();
+    void send_continue();
+    void send_answers();
+    void start_lingering();
+    void finish();
+    void hold(qint64 bytes);
+    void reset_parser();
+    bool may_take_more() const;
+    void start_phase();
+    milliseconds phase_limit() const;
+
+    std::unique_ptr<QTcpSocket> socket_;
+    http_limits const& limits_;
+    listener& listener_;
+    std::unique_ptr<http_request_parser> parser_;
+    QByteArray input_;
+    std::deque<pending_answer> pending_;
+    quint64 first_sequence_ = 0;
+    qint64 held_bytes_ = 0;
+    monotonic_time phase_start_;
+    std::optional<monotonic_time> unsent_since_;
+    http_request_parser::progress phase_ =
+        http_request_parser::progress::nothing;
+    bool is_reading_ = false;
+    bool takes_requests_ = true;
+    bool is_lingering_ = false;
+    bool is_finished_ = false;
+    bool has_sent_continue_ = false;
+};
+
+} // namespace verbenacove
+
+#endif
--- /dev/null
+++ b/source/verbenacove/connection/http_server.cpp
@@ -0,0 +1,205 @@
+#include "verbenacove/connection/http_server.hpp"
+
+#include "verbenacove/connection/http_connection.hpp"
+#include "verbenacove/core/timer_service.hpp"
+
+#include <QTcpServer>
+#include <QTcpSocket>
+
+#include <algorithm>
+#include <unordered_set>
+#include <utility>
+
+namespace verbenacove
+{
+
+namespace
+{
+
+constexpr int listen_backlog = 1024;
+constexpr milliseconds check_interval{50};
+
+// Connections over the bound that may wait for their 503 to be read.
+constexpr std::size_t maximum_refused_connections = 64;
+
+} // namespace
+
+class http_server::core : public QTcpServer, public http_connection::listener
+{
+public:
+    core(http_limits limits, handler handle)
+        : limits_(limits)
+        , handle_(std::move(handle))
+    {
+        setListenBacklogSize(listen_backlog);
+        check_timer_ =
+            timers_.call_every(check_interval, [this] { check_connections(); });
+        connect(this, &QTcpServer::acceptError, this,
+                [this] { wait_to_accept(); });
+    }
+
+    ~core() override
+    {
+        close();
+        for (auto* const connection : std::exchange(connections_, {}))
+        {
+            delete connection;
+        }
+    }
+
+    void stop_accepting()
+    {
+        is_stopping_ = true;
+        close();
+    }
+
+    int open_exchanges() const
+    {
+        int result = 0;
+        for (auto const* const connection : connections_)
+        {
+            result += connection->open_exchanges();
+        }
+        return result;
+    }
+
+    void request_arrived(std::shared_ptr<http_exchange> exchange) override
+    {
+        handle_(std::move(exchange));
+    }
+
+    void connection_closed(http_connection* connection) override
+    {
+        connections_.erase(connection);
+        connection->deleteLater();
+    }
+
+    bool hold_bytes(qint64 change) override
+    {
+        held_bytes_ += change;
+        return held_bytes_ <= limits_.maximum_held_bytes;
+    }
+
+    bool is_stopping() const override { return is_stopping_; }
+
+protected:
+    void incomingConnection(qintptr descriptor) override
+    {
+        auto socket = std::make_unique<QTcpSocket>();
+        if (!socket->setSocketDescriptor(descriptor))
+        {
+            return;
+        }
+        bool const has_room = make_room();
+        if (!has_room && connections_.size() >= maximum_connections() +
+                                                    maximum_refused_connections)
+        {
+            socket->abort();
+            return;
+        }
+        auto* const connection = new http_connection(std::move(socket), limits_,
+                                                     *this, clock_.now());
+        connections_.insert(connection);
+        if (!has_room)
+        {
+            connection->refuse(not_run_response(
+                503, "overloaded", "There are too many connections."));
+        }
+    }
+
+private:
+    std::size_t maximum_connections() const
+    {
+        return static_cast<std::size_t>(limits_.maximum_connections);
+    }
+
+    // A caller that does something goes before one that does nothing.
+    bool make_room()
+    {
+        if (connections_.size() < maximum_connections())
+        {
+            return true;
+        }
+        http_connection* longest_idle = nullptr;
+        for (auto* const connection : connections_)
+        {
+            if (connection->is_idle() &&
+                (longest_idle == nullptr ||
+                 connection->phase_start() < longest_idle->phase_start()))
+            {
+                longest_idle = connection;
+            }
+        }
+        if (longest_idle != nullptr)
+        {
+            longest_idle->abort();
+        }
+        return longest_idle != nullptr;
+    }
+
+    void check_connections()
+    {
+        auto const now = clock_.now();
+        std::vector<http_connection*> const all(connections_.begin(),
+                                                connections_.end());
+        for (auto* const connection : all)
+        {
+            if (connections_.contains(connection))
+            {
+                connection->check_time(now);
+            }
+        }
+    }
+
+    // Qt stops accepting for good when it runs out of descriptors.
+    void wait_to_accept()
+    {
+        pauseAccepting();
+        accept_timer_ =
+            timers_.call_after(check_interval, [this] { resumeAccepting(); });
+    }
+
+    http_limits const limits_;
+    handler const handle_;
+    steady_clock_source clock_;
+    timer_service timers_;
+    timer_service::subscription check_timer_;
+    timer_service::subscription accept_timer_;
+    std::unordered_set<http_connection*> connections_;
+    qint64 held_bytes_ = 0;
+    bool is_stopping_ = false;
+};
+
+http_server::http_server(http_limits limits, handler handle)
+    : core_(std::make_unique<core>(limits, std::move(handle)))
+{
+}
+
+http_server::~http_server() = default;
+
+bool http_server::listen(socket_address const& address)
+{
+    return core_->listen(address.host, address.port);
+}
+
+quint16 http_server::port() const
+{
+    return core_->serverPort();
+}
+
+QString http_server::error_text() const
+{
+    return core_->errorString();
+}
+
+void http_server::stop_accepting()
+{
+    core_->stop_accepting();
+}
+
+int http_server::open_exchanges() const
+{
+    return core_->open_exchanges();
+}
+
+} // namespace verbenacove
--- /dev/null
+++ b/source/verbenacove/connection/upstream_attempt.cpp
@@ -0,0 +1,275 @@
+#include "verbenacove/connection/upstream_attempt.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace verbenacove
+{
+
+namespace
+{
+
+// How long an answer that has begun may stand still.
+constexpr milliseconds stall_timeout{5000};
+
+// An idle connection that is older may have gone silent unnoticed.
+constexpr long maximum_idle_seconds = 10;
+
+constexpr milliseconds shortest_timeout{1};
+
+long timeout_ms(milliseconds timeout)
+{
+    return static_cast<long>(std::max(timeout, shortest_timeout).count());
+}
+
+bool is_target(QByteArrayView target)
+{
+    return !target.isEmpty() &&
+           std::all_of(target.begin(), target.end(),
+                       [](char character)
+                       {
+                           auto const code =
+                               static_cast<unsigned char>(character);
+                           return code > 32 && code != 127;
+                       });
+}
+
+bool is_writable(http_header const& header)
+{
+    return is_header_token(header.name) && is_header_text(header.value);
+}
+
+} // namespace
+
+upstream_attempt::upstream_attempt(attempt_request request,
+                                   upstream_client::callback call,
+                                   monotonic_time now)
+    : request_(std::move(request))
+    , call_(std::move(call))
+    , start_(now)
+    , answer_(request_.method == "HEAD", request_.maximum_response_bytes)
+    , handle_(curl_easy_init())
+    , last_progress_(now)
+{
+    set_target();
+    set_connection();
+    set_method();
+    set_headers();
+    curl_easy_setopt(handle_, CURLOPT_PRIVATE, this);
+    curl_easy_setopt(handle_, CURLOPT_ERRORBUFFER, error_text_);
+    curl_easy_setopt(handle_, CURLOPT_PREREQFUNCTION, &before_send);
+    curl_easy_setopt(handle_, CURLOPT_PREREQDATA, this);
+    curl_easy_setopt(handle_, CURLOPT_HEADERFUNCTION, &take_header);
+    curl_easy_setopt(handle_, CURLOPT_HEADERDATA, this);
+    curl_easy_setopt(handle_, CURLOPT_WRITEFUNCTION, &take_body);
+    curl_easy_setopt(handle_, CURLOPT_WRITEDATA, this);
+}
+
+upstream_attempt::~upstream_attempt()
+{
+    curl_easy_cleanup(handle_);
+    curl_slist_free_all(header_lines_);
+}
+
+CURL* upstream_attempt::handle() const
+{
+    return handle_;
+}
+
+bool upstream_attempt::is_valid() const
+{
+    return is_header_token(request_.method) && is_target(request_.target) &&
+           std::all_of(request_.headers.begin(), request_.headers.end(),
+                       is_writable);
+}
+
+bool upstream_attempt::is_sent() const
+{
+    return send_count_ > 0;
+}
+
+void upstream_attempt::set_target()
+{
+    auto const url =
+        QByteArray("http://") + request_.address.text().toLatin1() + '/';
+    curl_easy_setopt(handle_, CURLOPT_URL, url.constData());
+    curl_easy_setopt(handle_, CURLOPT_REQUEST_TARGET,
+                     request_.target.constData());
+}
+
+void upstream_attempt::set_connection()
+{
+    long const fresh = request_.may_reuse_connection ? 0 : 1;
+    curl_easy_setopt(handle_, CURLOPT_FRESH_CONNECT, fresh);
+    curl_easy_setopt(handle_, CURLOPT_FORBID_REUSE, fresh);
+    curl_easy_setopt(handle_, CURLOPT_MAXAGE_CONN, maximum_idle_seconds);
+    curl_easy_setopt(handle_, CURLOPT_HTTP_VERSION,
+                     static_cast<long>(CURL_HTTP_VERSION_1_1));
+    curl_easy_setopt(handle_, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(handle_, CURLOPT_PROXY, "");
+    curl_easy_setopt(handle_, CURLOPT_NOPROXY, "*");
+    curl_easy_setopt(handle_, CURLOPT_FOLLOWLOCATION, 0L);
+    curl_easy_setopt(handle_, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle_, CURLOPT_HTTP_CONTENT_DECODING, 0L);
+    curl_easy_setopt(handle_, CURLOPT_CONNECTTIMEOUT_MS,
+                     timeout_ms(request_.connect_timeout));
+    curl_easy_setopt(handle_, CURLOPT_TIMEOUT_MS,
+                     timeout_ms(request_.time_left));
+    curl_easy_setopt(handle_, CURLOPT_MAXFILESIZE_LARGE,
+                     static_cast<curl_off_t>(
+                         std::max(request_.maximum_response_bytes, qint64{1})));
+}
+
+void upstream_attempt::set_method()
+{
+    bool const sends_length =
+        !request_.body.isEmpty() || request_.method == "POST" ||
+        request_.method == "PUT" || request_.method == "PATCH";
+    if (sends_length)
+    {
+        curl_easy_setopt(handle_, CURLOPT_POST, 1L);
+        curl_easy_setopt(handle_, CURLOPT_POSTFIELDS,
+                         request_.body.constData());
+        curl_easy_setopt(handle_, CURLOPT_POSTFIELDSIZE_LARGE,
+                         static_cast<curl_off_t>(request_.body.size()));
+    }
+    if (request_.method == "HEAD")
+    {
+        curl_easy_setopt(handle_, CURLOPT_NOBODY, 1L);
+    }
+    curl_easy_setopt(handle_, CURLOPT_CUSTOMREQUEST,
+                     request_.method.constData());
+}
+
+void upstream_attempt::set_headers()
+{
+    auto const headers = end_to_end_headers(request_.headers);
+    for (auto const& header : headers)
+    {
+        // libcurl takes an empty value for an order to leave the header out.
+        append_header_line(header.value.isEmpty()
+                               ? header.name + ';'
+                               : header.name + ": " + header.value);
+    }
+    // What libcurl would add by itself.
+    append_header_line("Expect:");
+    for (char const* const name : {"Accept", "User-Agent", "Content-Type"})
+    {
+        if (!has_http_header(headers, name))
+        {
+            append_header_line(QByteArray(name) + ':');
+        }
+    }
+    curl_easy_setopt(handle_, CURLOPT_HTTPHEADER, header_lines_);
+}
+
+void upstream_attempt::append_header_line(QByteArray const& line)
+{
+    header_lines_ = curl_slist_append(header_lines_, line.constData());
+}
+
+// Called for each send, with the connection open and nothing written yet. A
+// second call would be libcurl's own resend, on a new connection, of what the
+// first may have run.
+int upstream_attempt::before_send(void* attempt, char*, char*, int, int)
+{
+    auto& self = *static_cast<upstream_attempt*>(attempt);
+    if (self.send_count_ > 0)
+    {
+        return CURL_PREREQFUNC_ABORT;
+    }
+    ++self.send_count_;
+    return CURL_PREREQFUNC_OK;
+}
+
+size_t upstream_attempt::take_header(char* bytes, size_t size, size_t count,
+                                     void* attempt)
+{
+    auto& self = *static_cast<upstream_attempt*>(attempt);
+    auto const length = size * count;
+    self.last_progress_ = std::chrono::steady_clock::now();
+    bool const is_taken =
+        self.answer_.take_header_line({bytes, static_cast<qsizetype>(length)});
+    return is_taken ? length : 0;
+}
+
+size_t upstream_attempt::take_body(char* bytes, size_t size, size_t count,
+                                   void* attempt)
+{
+    auto& self = *static_cast<upstream_attempt*>(attempt);
+    auto const length = size * count;
+    self.last_progress_ = std::chrono::steady_clock::now();
+    bool const is_taken =
+        self.answer_.take_body({bytes, static_cast<qsizetype>(length)});
+    return is_taken ? length : 0;
+}
+
+attempt_result upstream_attempt::finish(CURLcode code, monotonic_time now)
+{
+    attempt_result result;
+    result.duration = elapsed(start_, now);
+    result.end = end_of(code);
+    result.reason = reason_of(code);
+    if (result.end == attempt_end::answered)
+    {
+        result.response = answer_.take_response();
+    }
+    return result;
+}
+
+attempt_end upstream_attempt::end_of(CURLcode code) const
+{
+    if (code == CURLE_OPERATION_TIMEDOUT)
+    {
+        return is_sent() ? attempt_end::timed_out_after_send
+                         : attempt_end::timed_out_before_send;
+    }
+    if (!is_sent())
+    {
+        return attempt_end::connect_failed;
+    }
+    if (answer_.is_oversized() || code == CURLE_FILESIZE_EXCEEDED)
+    {
+        return attempt_end::oversized;
+    }
+    bool const is_whole = code == CURLE_OK && answer_.fault().isEmpty();
+    return is_whole ? attempt_end::answered : attempt_end::failed_after_send;
+}
+
+QString upstream_attempt::reason_of(CURLcode code) const
+{
+    if (answer_.is_oversized() || code == CURLE_FILESIZE_EXCEEDED)
+    {
+        return QStringLiteral("The answer is over the bound.");
+    }
+    if (code == CURLE_OK)
+    {
+        return answer_.fault();
+    }
+    return QString::fromUtf8(error_text_[0] != '\0' ? error_text_
+                                                    : curl_easy_strerror(code));
+}
+
+attempt_result upstream_attempt::give_up(attempt_end before_send,
+                                         attempt_end after_send,
+                                         QString const& reason,
+                                         monotonic_time now)
+{
+    attempt_result result;
+    result.end = is_sent() ? after_send : before_send;
+    result.reason = reason;
+    result.duration = elapsed(start_, now);
+    return result;
+}
+
+bool upstream_attempt::is_stalled(monotonic_time now) const
+{
+    return answer_.has_begun() && elapsed(last_progress_, now) > stall_timeout;
+}
+
+void upstream_attempt::call_back(attempt_result result)
+{
+    call_(std::move(result));
+}
+
+} // namespace verbenacove
--- /dev/null
+++ b/source/verbenacove/connection/upstream_client.cpp
@@ -0,0 +1,315 @@
+#include "verbenacove/connection/upstream_client.hpp"
+
+#include "verbenacove/connection/upstream_attempt.hpp"
+#include "verbenacove/core/timer_service.hpp"
+
+#include <QSocketNotifier>
+#include <QTimer>
+
+#include <curl/curl.h>
+
+#include <map>
+#include <unordered_map>
+#include <utility>
+
+namespace verbenacove
+{
+
+namespace
+{
+
+constexpr long maximum_kept_connections = 256;
+constexpr milliseconds stall_check_interval{250};
+
+void start_library()
+{
+    static CURLcode const started = curl_global_init(CURL_GLOBAL_NOTHING);
+    Q_ASSERT(started == CURLE_OK);
+    Q_UNUSED(started)
+}
+
+} // namespace
+
+/** Drives libcurl's multi interface by Qt's event loop. */
+class upstream_client::core
+{
+public:
+    core()
+    {
+        start_library();
+        multi_ = curl_multi_init();
+        curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &watch_socket);
+        curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
+        curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &set_timer);
+        curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
+        curl_multi_setopt(multi_, CURLMOPT_PIPELINING,
+                          static_cast<long>(CURLPIPE_NOTHING));
+        curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS,
+                          maximum_kept_connections);
+        timer_.setSingleShot(true);
+        timer_.setTimerType(Qt::PreciseTimer);
+        QObject::connect(&timer_, &QTimer::timeout, &context_,
+                         [this] { act(CURL_SOCKET_TIMEOUT, 0); });
+        stall_timer_ =
+            timers_.call_every(stall_check_interval, [this] { end_stalled(); });
+    }
+
+    ~core()
+    {
+        for (auto const& [id, attempt] : attempts_)
+        {
+            curl_multi_remove_handle(multi_, attempt->handle());
+        }
+        attempts_.clear();
+        curl_multi_cleanup(multi_);
+    }
+
+    core(core const&) = delete;
+    core& operator=(core const&) = delete;
+
+    attempt_id start(attempt_request request, callback call)
+    {
+        attempt_id const id(++last_id_);
+        bool const has_time = request.time_left.count() > 0;
+        auto attempt = std::make_unique<upstream_attempt>(
+            std::move(request), std::move(call), clock_.now());
+        auto& started = *attempt;
+        attempts_.emplace(id.value(), std::move(attempt));
+        if (!started.is_valid())
+        {
+            end_later(id, attempt_end::connect_failed,
+                      QStringLiteral("The request cannot be written."));
+        }
+        else if (!has_time)
+        {
+            end_later(id, attempt_end::timed_out_before_send,
+                      QStringLiteral("No time is left."));
+        }
+        else
+        {
+            // libcurl only sets its timer here; nothing is sent within start.
+            ids_.emplace(started.handle(), id.value());
+            curl_multi_add_handle(multi_, started.handle());
+        }
+        return id;
+    }
+
+    void cancel(attempt_id id)
+    {
+        auto const found = attempts_.find(id.value());
+        if (found == attempts_.end() || is_ending(id))
+        {
+            return;
+        }
+        bool const is_sent = found->second->is_sent();
+        end_later(id,
+                  is_sent ? attempt_end::cancelled_after_send
+                          : attempt_end::cancelled_before_send,
+                  QStringLiteral("The attempt was cancelled."));
+    }
+
+    int attempts_in_flight() const
+    {
+        return static_cast<int>(attempts_.size());
+    }
+
+private:
+    struct watched_socket
+    {
+        std::unique_ptr<QSocketNotifier> reads;
+        std::unique_ptr<QSocketNotifier> writes;
+    };
+
+    bool is_ending(attempt_id id) const
+    {
+        return attempts_.contains(id.value()) &&
+               !ids_.contains(attempts_.at(id.value())->handle());
+    }
+
+    // Closes the connection now, and calls back from the event loop.
+    void end_later(attempt_id id, attempt_end end, QString const& reason)
+    {
+        auto& attempt = *attempts_.at(id.value());
+        remove(attempt);
+        auto result = attempt.give_up(end, end, reason, clock_.now());
+        QMetaObject::invokeMethod(
+            &context_,
+            [this, id, result = std::move(result)] { call_back(id, result); },
+            Qt::QueuedConnection);
+    }
+
+    void remove(upstream_attempt& attempt)
+    {
+        if (ids_.erase(attempt.handle()) > 0)
+        {
+            curl_multi_remove_handle(multi_, attempt.handle());
+        }
+    }
+
+    void call_back(attempt_id id, attempt_result result)
+    {
+        auto node = attempts_.extract(id.value());
+        if (!node.empty())
+        {
+            node.mapped()->call_back(std::move(result));
+        }
+    }
+
+    void act(curl_socket_t socket, int events)
+    {
+        int running = 0;
+        curl_multi_socket_action(multi_, socket, events, &running);
+        take_ended();
+    }
+
+    // All results are taken before the first callback, which may start or
+    // cancel attempts, or delete the client.
+    void take_ended()
+    {
+        int left = 0;
+        while (auto const* const message = curl_multi_info_read(multi_, &left))
+        {
+            if (message->msg != CURLMSG_DONE)
+            {
+                continue;
+            }
+            auto const code = message->data.result;
+            attempt_id const id(ids_.at(message->easy_handle));
+            auto& attempt = *attempts_.at(id.value());
+            remove(attempt);
+            auto result = attempt.finish(code, clock_.now());
+            QMetaObject::invokeMethod(
+                &context_,
+                [this, id, result = std::move(result)]
+                { call_back(id, result); },
+                Qt::QueuedConnection);
+        }
+    }
+
+    void end_stalled()
+    {
+        auto const now = clock_.now();
+        std::vector<attempt_id> stalled;
+        for (auto const& [id, attempt] : attempts_)
+        {
+            if (ids_.contains(attempt->handle()) && attempt->is_stalled(now))
+            {
+                stalled.emplace_back(id);
+            }
+        }
+        for (auto const id : stalled)
+        {
+            end_later(id, attempt_end::timed_out_after_send,
+                      QStringLiteral("The answer stopped half-way."));
+        }
+    }
+
+    static int watch_socket(CURL*, curl_socket_t socket, int events,
+                            void* client, void*)
+    {
+        static_cast<core*>(client)->watch(socket, events);
+        return 0;
+    }
+
+    void watch(curl_socket_t socket, int events)
+    {
+        if (events == CURL_POLL_REMOVE)
+        {
+            release(socket);
+            return;
+        }
+        auto& watched = sockets_[socket];
+        if (!watched.reads)
+        {
+            watched.reads =
+                notifier(socket, QSocketNotifier::Read, CURL_CSELECT_IN);
+            watched.writes =
+                notifier(socket, QSocketNotifier::Write, CURL_CSELECT_OUT);
+        }
+        watched.reads->setEnabled((events & CURL_POLL_IN) != 0);
+        watched.writes->setEnabled((events & CURL_POLL_OUT) != 0);
+    }
+
+    std::unique_ptr<QSocketNotifier>
+    notifier(curl_socket_t socket, QSocketNotifier::Type type, int event)
+    {
+        auto result = std::make_unique<QSocketNotifier>(socket, type);
+        result->setEnabled(false);
+        QObject::connect(result.get(), &QSocketNotifier::activated, &context_,
+                         [this, socket, event] { act(socket, event); });
+        return result;
+    }
+
+    // A notifier may be in the middle of its own call.
+    void release(curl_socket_t socket)
+    {
+        auto node = sockets_.extract(socket);
+        if (node.empty())
+        {
+            return;
+        }
+        for (auto* const each : {&node.mapped().reads, &node.mapped().writes})
+        {
+            (*each)->setEnabled(false);
+            each->release()->deleteLater();
+        }
+    }
+
+    static int set_timer(CURLM*, long delay_ms, void* client)
+    {
+        auto& timer = static_cast<core*>(client)->timer_;
+        if (delay_ms < 0)
+        {
+            timer.stop();
+        }
+        else
+        {
+            timer.start(milliseconds(delay_ms));
+        }
+        return 0;
+    }
+
+    QObject context_;
+    QTimer timer_;
+    CURLM* multi_ = nullptr;
+    steady_clock_source clock_;
+    timer_service timers_;
+    timer_service::subscription stall_timer_;
+    quint64 last_id_ = 0;
+    std::map<quint64, std::unique_ptr<upstream_attempt>> attempts_;
+    /** The attempts that libcurl still works on. */
+    std::unordered_map<CURL*, quint64> ids_;
+    std::unordered_map<curl_socket_t, watched_socket> sockets_;
+};
+
+bool may_have_been_sent(attempt_end end)
+{
+    return end != attempt_end::connect_failed &&
+           end != attempt_end::timed_out_before_send &&
+           end != attempt_end::cancelled_before_send;
+}
+
+upstream_client::upstream_client()
+    : core_(std::make_unique<core>())
+{
+}
+
+upstream_client::~upstream_client() = default;
+
+upstream_client::attempt_id upstream_client::start(attempt_request request,
+                                                   callback call)
+{
+    return core_->start(std::move(request), std::move(call));
+}
+
+void upstream_client::cancel(attempt_id id)
+{
+    core_->cancel(id);
+}
+
+int upstream_client::attempts_in_flight() const
+{
+    return core_->attempts_in_flight();
+}
+
+} // namespace verbenacove
--- /dev/null
+++ b/source/verbenacove/connection/upstream_client.hpp
@@ -0,0 +1,115 @@
+#ifndef VERBENACOVE_CONNECTION_UPSTREAM_CLIENT_HPP
+#define VERBENACOVE_CONNECTION_UPSTREAM_CLIENT_HPP
+
+#include "verbenacove/connection/http_message.hpp"
+#include "verbenacove/core/clock.hpp"
+#include "verbenacove/core/socket_address.hpp"
+#include "verbenacove/core/strong_type.hpp"
+
+#include <functional>
+#include <memory>
+
+namespace verbenacove
+{
+
+/** How an attempt ended, and so whether the request may have run.
+
+    @see may_have_been_sent
+*/
+enum class attempt_end
+{
+    /** The whole answer is here. */
+    answered,
+    /** No byte of the request was sent. */
+    connect_failed,
+    /** The connection broke, or the answer was not whole. */
+    failed_after_send,
+    /** The time ran out before the connection was open. */
+    timed_out_before_send,
+    /** The time ran out, or the answer stopped half-way. */
+    timed_out_after_send,
+    cancelled_before_send,
+    cancelled_after_send,
+    /** The answer was over the bound. */
+    oversized
+};
+
+/** Returns true when the upstream may have seen the request. */
+bool may_have_been_sent(attempt_end end);
+
+/** One request to one upstream. */
+struct attempt_request
+{
+    socket_address address;
+    QByteArray method;
+    /** The path and the query, as they go out: `/grade?lot=7`. */
+    QByteArray target;
+    /** Hop-by-hop headers among them are left out. */
+    std::vector<http_header> headers;
+    QByteArray body;
+    /** The bound for opening a connection. */
+    milliseconds connect_timeout{1000};
+    /** The bound for the whole attempt. */
+    milliseconds time_left{10000};
+    /** The bound for the answer's body. */
+    qint64 maximum_response_bytes = qint64{1024} * 1024;
+    /** Only for an idempotent request: the connection may be an old one, and
+        may be kept. */
+    bool may_reuse_connection = false;
+};
+
+/** What became of an attempt. */
+struct attempt_result
+{
+    attempt_end end = attempt_end::connect_failed;
+    /** The answer, without hop-by-hop headers; empty but when answered. */
+    http_response response;
+    /** Why there is no answer, as a short sentence. */
+    QString reason;
+    /** How long it took. */
+    milliseconds duration{0};
+};
+
+/** Carries requests to upstreams, each sent at most once.
+
+    It runs on the event loop of the thread it was created in. It never sends
+    a request a second time by itself, also not on a connection that turns out
+    to be closed: that is the caller's to decide.
+*/
+class upstream_client
+{
+public:
+    /** What is called with an attempt's result. */
+    using callback = std::function<void(attempt_result)>;
+
+    /** Identifies a started attempt. */
+    using attempt_id = strong_type<struct attempt_id_tag, quint64>;
+
+    upstream_client();
+
+    /** Closes all connections; nobody is called back. */
+    ~upstream_client();
+    upstream_client(upstream_client const&) = delete;
+    upstream_client& operator=(upstream_client const&) = delete;
+
+    /** Starts an attempt.
+
+        @param call  called exactly once, never from within start
+    */
+    attempt_id start(attempt_request request, callback call);
+
+    /** Ends an attempt by closing its connection; its callback is called
+        later. It does nothing when the attempt has ended. */
+    void cancel(attempt_id id);
+
+    /** Returns how many attempts have not called back. */
+    int attempts_in_flight() const;
+
+private:
+    class core;
+    std::unique_ptr<core> core_;
+};
+
+} // namespace verbenacove
+
+#endif
