--- /dev/null
+++ b/source/verbenacove/process/traffic_server.cpp
@@ -0,0 +1,262 @@
+#include "verbenacove/process/traffic_server.hpp"
+
+#include "verbenacove/process/upstream_directory.hpp"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+#include <QUrlQuery>
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <algorithm>
+#include <array>
+#include <random>
+#include <utility>
+
+namespace verbenacove
+{
+
+namespace
+{
+
+constexpr int announcement_interval_ms = 1000;
+constexpr qsizetype longest_announcement = 4096;
+QByteArray const call_prefix = "/v1/call/";
+
+http_response json_response(int status, QByteArray body)
+{
+    return {status, {{"Content-Type", "application/json"}}, std::move(body)};
+}
+
+QByteArray json_bytes(QJsonObject const& object)
+{
+    return QJsonDocument(object).toJson(QJsonDocument::Compact);
+}
+
+} // namespace
+
+traffic_server::traffic_server(entry_settings settings, incarnation started,
+                               announcement_listener announced)
+    : settings_(std::move(settings))
+    , announced_(std::move(announced))
+    , ranking_(clock_, std::random_device{}())
+    , claims_(settings_.control, settings_.name, started)
+    , http_(settings_.limits,
+            [this](exchange_ptr const& exchange) { handle(exchange); })
+{
+}
+
+bool traffic_server::start()
+{
+    return http_.listen(settings_.http);
+}
+
+void traffic_server::update(steering_view_ptr const& view)
+{
+    view_ = view;
+    // A service that is no more keeps no pool; its requests in hand do.
+    pools_.removeIf(
+        [this](auto const& item)
+        { return view_->config->service(item.key()) == nullptr; });
+    for (auto const& name : view_->config->services())
+    {
+        pool(name)->chooser.update(view_->upstreams.value(name));
+    }
+}
+
+void traffic_server::handle(exchange_ptr const& exchange)
+{
+    struct route
+    {
+        QByteArrayView method;
+        QByteArrayView path;
+        handler handle;
+    };
+    static std::array<route, 4> const routes{
+        {{"GET", "/v1/lookup", &traffic_server::handle_lookup},
+         {"POST", "/v1/announce", &traffic_server::handle_announcement},
+         {"GET", "/healthz", &traffic_server::handle_health},
+         {"GET", "/readyz", &traffic_server::handle_readiness}}};
+    auto const& request = exchange->request();
+    if (request.path.startsWith(call_prefix))
+    {
+        handle_call(exchange);
+        return;
+    }
+    auto const found = std::find_if(
+        routes.begin(), routes.end(),
+        [&request](route const& candidate)
+        {
+            return candidate.method == request.method &&
+                   candidate.path == request.path;
+        });
+    if (found == routes.end())
+    {
+        handle_unknown(exchange);
+        return;
+    }
+    (this->*found->handle)(exchange);
+}
+
+void traffic_server::handle_lookup(exchange_ptr const& exchange)
+{
+    QUrlQuery const query(QString::fromLatin1(exchange->request().query));
+    service_name const service(
+        query.queryItemValue(QStringLiteral("service")));
+    if (!view_->is_ready)
+    {
+        handle_readiness(exchange);
+        return;
+    }
+    if (view_->config->service(service) == nullptr)
+    {
+        exchange->respond(not_run_response(404, "unknown-service",
+                                           "There is no such service."));
+        return;
+    }
+    caller_place const caller{
+        region_name(query.queryItemValue(QStringLiteral("region"))),
+        zone_name(query.queryItemValue(QStringLiteral("zone")))};
+    exchange->respond(json_response(200, lookup_body(service, caller)));
+}
+
+QByteArray traffic_server::lookup_body(service_name const& service,
+                                       caller_place const& caller)
+{
+    QJsonArray entries;
+    for (auto const& entry :
+         ranking_.rank(caller, view_->self, view_->entries))
+    {
+        entries.append(QJsonObject{
+            {QStringLiteral("entry"), entry.id.value()},
+            {QStringLiteral("address"), entry.address.text()},
+            {QStringLiteral("region"), entry.region.value()},
+            {QStringLiteral("zone"), entry.zone.value()}});
+    }
+    return json_bytes(
+        {{QStringLiteral("service"), service.value()},
+         {QStringLiteral("ttl_ms"),
+          static_cast<qint64>(settings_.lookup_ttl.count())},
+         {QStringLiteral("entries"), entries}});
+}
+
+void traffic_server::handle_call(exchange_ptr const& exchange)
+{
+    auto const& path = exchange->request().path;
+    auto const name_end = path.indexOf('/', call_prefix.size());
+    auto const name_size =
+        name_end < 0 ? -1 : name_end - call_prefix.size();
+    service_name const name(
+        QString::fromLatin1(path.mid(call_prefix.size(), name_size)));
+    auto const* service = view_->config->service(name);
+    if (!view_->is_ready)
+    {
+        handle_readiness(exchange);
+        return;
+    }
+    if (service == nullptr)
+    {
+        exchange->respond(not_run_response(404, "unknown-service",
+                                           "There is no such service."));
+        return;
+    }
+    request_services const services{upstreams_, claims_, clock_, timers_,
+                                    settings_.connect_timeout};
+    request_flow::start(services, exchange, *service,
+                        name_end < 0 ? QByteArray("/") : path.mid(name_end),
+                        pool(name));
+}
+
+void traffic_server::handle_announcement(exchange_ptr const& exchange)
+{
+    auto const& body = exchange->request().body;
+    QJsonParseError error;
+    auto const document = body.size() <= longest_announcement
+                              ? QJsonDocument::fromJson(body, &error)
+                              : QJsonDocument();
+    if (!document.isObject())
+    {
+        exchange->respond(not_run_response(
+            400, "bad-announcement",
+            "The body must be a JSON object of at most 4096 bytes."));
+        return;
+    }
+    boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<void>
+        {
+            BOOST_LEAF_AUTO(upstream, parse_announcement(document.object(),
+                                                         clock_.now()));
+            announced_(std::move(upstream));
+            QJsonArray entries;
+            for (auto const& entry : ranking_.rank(
+                     {settings_.region, settings_.zone}, view_->self,
+                     view_->entries))
+            {
+                entries.append(entry.address.text());
+            }
+            exchange->respond(json_response(
+                200,
+                json_bytes({{QStringLiteral("next_ms"),
+                             announcement_interval_ms},
+                            {QStringLiteral("entries"), entries}})));
+            return {};
+        },
+        [&](announcement_error const& wrong)
+        {
+            exchange->respond(not_run_response(
+                400, "bad-announcement",
+                (wrong.key + QStringLiteral(" must be ") + wrong.allowed)
+                    .toUtf8()));
+        },
+        [&]
+        {
+            exchange->respond(not_run_response(400, "bad-announcement",
+                                               "The body is not valid."));
+        });
+}
+
+void traffic_server::handle_health(exchange_ptr const& exchange)
+{
+    exchange->respond(json_response(200, "{\"status\":\"ok\"}"));
+}
+
+void traffic_server::handle_readiness(exchange_ptr const& exchange)
+{
+    if (!view_->is_ready)
+    {
+        exchange->respond(not_run_response(
+            503, "not-ready", "No configuration has been read yet."));
+        return;
+    }
+    if (!view_->self.is_serving)
+    {
+        exchange->respond(
+            not_run_response(503, "stopping", "This entry is to stop."));
+        return;
+    }
+    exchange->respond(json_response(200, "{\"status\":\"ready\"}"));
+}
+
+void traffic_server::handle_unknown(exchange_ptr const& exchange)
+{
+    exchange->respond(
+        not_run_response(404, "unknown-path", "There is nothing here."));
+}
+
+std::shared_ptr<service_pool> traffic_server::pool(service_name const& service)
+{
+    auto& found = pools_[service];
+    if (!found)
+    {
+        chooser_settings chooser;
+        chooser.region = settings_.region;
+        chooser.zone = settings_.zone;
+        chooser.news_lease = settings_.upstream_lease;
+        found = std::make_shared<service_pool>(service_pool{
+            upstream_chooser(chooser, clock_, std::random_device{}()),
+            retry_budget({}, clock_)});
+    }
+    return found;
+}
+
+} // namespace verbenacove
--- /dev/null
+++ b/source/verbenacove/process/traffic_server.hpp
@@ -0,0 +1,78 @@
+#ifndef VERBENACOVE_PROCESS_TRAFFIC_SERVER_HPP
+#define VERBENACOVE_PROCESS_TRAFFIC_SERVER_HPP
+
+#include "verbenacove/connection/http_server.hpp"
+#include "verbenacove/process/control_claim_service.hpp"
+#include "verbenacove/process/entry_settings.hpp"
+#include "verbenacove/process/steering_view.hpp"
+#include "verbenacove/request/request_flow.hpp"
+
+#include <QHash>
+
+#include <functional>
+#include <memory>
+
+namespace verbenacove
+{
+
+/** An entry's door to callers and upstreams, at work on the traffic thread.
+
+    It answers from the steering_view that the control thread published last,
+    and hands announcements to that thread.
+*/
+class traffic_server
+{
+public:
+    /** What is called for an upstream's announcement, on this thread. */
+    using announcement_listener = std::function<void(upstream_view)>;
+
+    traffic_server(entry_settings settings, incarnation started,
+                   announcement_listener announced);
+    traffic_server(traffic_server const&) = delete;
+    traffic_server& operator=(traffic_server const&) = delete;
+
+    /** Opens the door; false when the address cannot be had. */
+    bool start();
+
+    /** Returns why `start` failed. */
+    QString error_text() const { return http_.error_text(); }
+
+    /** Steers by another view from now on. */
+    void update(steering_view_ptr const& view);
+
+    /** Takes no new connections; what is in hand goes on. */
+    void stop_accepting() { http_.stop_accepting(); }
+
+    /** Returns how many requests are in hand. */
+    int open_exchanges() const { return http_.open_exchanges(); }
+
+private:
+    using exchange_ptr = std::shared_ptr<http_exchange>;
+    using handler = void (traffic_server::*)(exchange_ptr const&);
+
+    void handle(exchange_ptr const& exchange);
+    void handle_lookup(exchange_ptr const& exchange);
+    void handle_call(exchange_ptr const& exchange);
+    void handle_announcement(exchange_ptr const& exchange);
+    void handle_health(exchange_ptr const& exchange);
+    void handle_readiness(exchange_ptr const& exchange);
+    void handle_unknown(exchange_ptr const& exchange);
+    QByteArray lookup_body(service_name const& service,
+                           caller_place const& caller);
+    std::shared_ptr<service_pool> pool(service_name const& service);
+
+    entry_settings settings_;
+    steady_clock_source clock_;
+    timer_service timers_;
+    announcement_listener announced_;
+    steering_view_ptr view_ = std::make_shared<steering_view const>();
+    lookup_ranking ranking_;
+    QHash<service_name, std::shared_ptr<service_pool>> pools_;
+    control_claim_service claims_;
+    upstream_client upstreams_;
+    http_server http_;
+};
+
+} // namespace verbenacove
+
+#endif
--- /dev/null
+++ b/source/verbenacove/request/attempt_loop.cpp
@@ -0,0 +1,239 @@
+#include "verbenacove/request/attempt_loop.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace verbenacove
+{
+
+namespace
+{
+
+/** The part of the time left that the first of several attempts may use. */
+constexpr double first_attempt_share = 0.5;
+constexpr milliseconds shortest_shared_time{200};
+
+bool is_shed(http_response const& answer)
+{
+    return answer.status == 503 &&
+           find_http_header(answer.headers, "Run-Verdict") == "not-run";
+}
+
+bool is_server_failure(http_response const& answer)
+{
+    return answer.status == 500 || answer.status == 502 ||
+           answer.status == 503 || answer.status == 504;
+}
+
+} // namespace
+
+std::shared_ptr<attempt_loop>
+attempt_loop::start(outgoing_request request,
+                    std::shared_ptr<service_pool> pool,
+                    upstream_client& client, clock_source const& clock,
+                    callback done)
+{
+    std::shared_ptr<attempt_loop> loop(
+        new attempt_loop(std::move(request), std::move(pool), client, clock,
+                         std::move(done)));
+    loop->pool_->retries.count_request();
+    loop->try_next();
+    return loop;
+}
+
+attempt_loop::attempt_loop(outgoing_request request,
+                           std::shared_ptr<service_pool> pool,
+                           upstream_client& client, clock_source const& clock,
+                           callback done)
+    : request_(std::move(request))
+    , pool_(std::move(pool))
+    , client_(client)
+    , clock_(clock)
+    , done_(std::move(done))
+{
+}
+
+void attempt_loop::cancel()
+{
+    is_cancelled_ = true;
+    if (running_)
+    {
+        client_.cancel(*running_);
+    }
+}
+
+void attempt_loop::try_next()
+{
+    auto const time_left = elapsed(clock_.now(), request_.deadline);
+    if (is_cancelled_)
+    {
+        finish_without_answer("cancelled", "The caller has left.");
+        return;
+    }
+    if (time_left <= milliseconds(0))
+    {
+        finish_without_answer("deadline", "The deadline has passed.");
+        return;
+    }
+    auto choice = pool_->chooser.choose(
+        request_.kind, tried_, [](region_name const&) { return true; });
+    if (!choice)
+    {
+        finish_without_answer(worst_ == run_verdict::not_run
+                                  ? "no-upstream"
+                                  : "upstream-failed",
+                              "No upstream can take the request.");
+        return;
+    }
+    send_to(std::move(*choice), time_left);
+}
+
+void attempt_loop::send_to(upstream_chooser::choice choice,
+                           milliseconds time_left)
+{
+    ++attempts_;
+    tried_.push_back(choice.upstream().id);
+    attempt_request attempt;
+    attempt.address = choice.upstream().address;
+    attempt.method = request_.method;
+    attempt.target = request_.target;
+    attempt.headers = request_.headers;
+    attempt.headers.push_back(
+        {"Deadline-Ms", QByteArray::number(qint64(time_left.count()))});
+    attempt.body = request_.body;
+    attempt.time_left = attempt_time(time_left);
+    attempt.connect_timeout =
+        std::min(request_.connect_timeout, attempt.time_left);
+    attempt.may_reuse_connection = request_.may_run_again;
+    choice_ = std::move(choice);
+    attempt_started_ = clock_.now();
+    running_ = client_.start(std::move(attempt),
+                             [self = shared_from_this()](attempt_result result)
+                             { self->take_result(std::move(result)); });
+}
+
+void attempt_loop::take_result(attempt_result result)
+{
+    running_.reset();
+    bool const is_sent = may_have_been_sent(result.end);
+    if (is_sent)
+    {
+        ++sent_;
+    }
+    if (result.end == attempt_end::answered)
+    {
+        take_answer(std::move(result));
+        return;
+    }
+    bool const is_cancelled =
+        result.end == attempt_end::cancelled_before_send ||
+        result.end == attempt_end::cancelled_after_send;
+    note(is_cancelled ? attempt_outcome::cancelled : attempt_outcome::failed);
+    if (is_sent)
+    {
+        worst_ = run_verdict::may_have_run;
+    }
+    if (!is_cancelled &&
+        may_try_again(is_sent ? run_verdict::may_have_run
+                              : run_verdict::not_run))
+    {
+        try_next();
+        return;
+    }
+    bool const is_late = result.end == attempt_end::timed_out_after_send ||
+                         result.end == attempt_end::timed_out_before_send;
+    finish_without_answer(is_late      ? "deadline"
+                          : is_sent    ? "upstream-failed"
+                                       : "no-upstream",
+                          result.reason.toUtf8());
+}
+
+void attempt_loop::take_answer(attempt_result result)
+{
+    auto& answer = result.response;
+    if (is_shed(answer))
+    {
+        note(attempt_outcome::refused);
+        --sent_;
+        if (may_try_again(run_verdict::not_run))
+        {
+            try_next();
+            return;
+        }
+        finish_without_answer("overloaded", "All upstreams are at their limit.");
+        return;
+    }
+    bool const is_failure = is_server_failure(answer);
+    note(is_failure ? attempt_outcome::failed : attempt_outcome::answered);
+    if (is_failure && request_.may_run_again &&
+        may_try_again(run_verdict::may_have_run))
+    {
+        worst_ = run_verdict::may_have_run;
+        try_next();
+        return;
+    }
+    attempts_end end;
+    end.verdict = run_verdict::ran;
+    end.answer = std::move(answer);
+    finish(std::move(end));
+}
+
+bool attempt_loop::may_try_again(run_verdict verdict)
+{
+    bool const has_time = clock_.now() < request_.deadline;
+    if (is_cancelled_ || attempts_ >= maximum_attempts || !has_time)
+    {
+        return false;
+    }
+    if (verdict == run_verdict::not_run)
+    {
+        return true;
+    }
+    return request_.may_run_again && pool_->retries.take_retry();
+}
+
+milliseconds attempt_loop::attempt_time(milliseconds time_left) const
+{
+    // A silent upstream must leave time for another one.
+    bool const is_shared = request_.may_run_again &&
+                           attempts_ < maximum_attempts &&
+                           time_left > shortest_shared_time;
+    if (!is_shared)
+    {
+        return time_left;
+    }
+    return std::chrono::duration_cast<milliseconds>(time_left *
+                                                    first_attempt_share);
+}
+
+void attempt_loop::note(attempt_outcome outcome)
+{
+    if (choice_)
+    {
+        choice_->finish(outcome,
+                        std::chrono::duration_cast<std::chrono::microseconds>(
+                            clock_.now() - attempt_started_));
+        choice_.reset();
+    }
+}
+
+void attempt_loop::finish_without_answer(QByteArray code, QByteArray message)
+{
+    attempts_end end;
+    end.verdict = worst_;
+    end.code = std::move(code);
+    end.message = std::move(message);
+    finish(std::move(end));
+}
+
+void attempt_loop::finish(attempts_end end)
+{
+    end.sent = sent_;
+    auto const done = std::exchange(done_, nullptr);
+    if (done)
+    {
+        done(std::move(end));
+    }
+}
+
+} // namespace verbenacove
--- /dev/null
+++ b/source/verbenacove/request/attempt_loop.hpp
@@ -0,0 +1,110 @@
+#ifndef VERBENACOVE_REQUEST_ATTEMPT_LOOP_HPP
+#define VERBENACOVE_REQUEST_ATTEMPT_LOOP_HPP
+
+#include "verbenacove/connection/upstream_client.hpp"
+#include "verbenacove/core/verdict.hpp"
+#include "verbenacove/request/retry_budget.hpp"
+#include "verbenacove/request/upstream_chooser.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace verbenacove
+{
+
+/** What an entry keeps for one service, for all its requests. */
+struct service_pool
+{
+    upstream_chooser chooser;
+    retry_budget retries;
+};
+
+/** One request as it is to reach an upstream. */
+struct outgoing_request
+{
+    request_class kind = request_class::interactive;
+    QByteArray method;
+    QByteArray target;
+    std::vector<http_header> headers;
+    QByteArray body;
+    monotonic_time deadline;
+    /** Whether a request that may have run may be sent again. */
+    bool may_run_again = false;
+    milliseconds connect_timeout{500};
+};
+
+/** How the attempts at a request ended. */
+struct attempts_end
+{
+    run_verdict verdict = run_verdict::not_run;
+    /** The upstream's answer; there is one whenever the verdict is `ran`. */
+    std::optional<http_response> answer;
+    /** The error code for the caller when there is no answer. */
+    QByteArray code;
+    QByteArray message;
+    /** How many upstreams the request was sent to. */
+    int sent = 0;
+};
+
+/** Sends a request to one upstream after another until it is answered, or
+    until it must not be sent again.
+
+    A request that an upstream cannot have seen goes to another one; one that
+    may have run goes on only when it may run again and the retry budget has
+    something left. The deadline is checked before each attempt.
+*/
+class attempt_loop : public std::enable_shared_from_this<attempt_loop>
+{
+public:
+    /** Gets the end of the attempts, once. */
+    using callback = std::function<void(attempts_end)>;
+
+    /** The most attempts for a request. */
+    static constexpr int maximum_attempts = 4;
+
+    /** Starts the attempts; the loop keeps itself alive until their end.
+
+        The client and the clock must outlive the loop.
+    */
+    static std::shared_ptr<attempt_loop>
+    start(outgoing_request request, std::shared_ptr<service_pool> pool,
+          upstream_client& client, clock_source const& clock, callback done);
+
+    /** Ends the attempts: the caller has left. What runs is cancelled. */
+    void cancel();
+
+private:
+    attempt_loop(outgoing_request request, std::shared_ptr<service_pool> pool,
+                 upstream_client& client, clock_source const& clock,
+                 callback done);
+
+    void try_next();
+    void send_to(upstream_chooser::choice choice, milliseconds time_left);
+    void take_result(attempt_result result);
+    void take_answer(attempt_result result);
+    bool may_try_again(run_verdict verdict);
+    milliseconds attempt_time(milliseconds time_left) const;
+    void note(attempt_outcome outcome);
+    void finish(attempts_end end);
+    void finish_without_answer(QByteArray code, QByteArray message);
+
+    outgoing_request request_;
+    std::shared_ptr<service_pool> pool_;
+    upstream_client& client_;
+    clock_source const& clock_;
+    callback done_;
+    std::vector<upstream_id> tried_;
+    std::optional<upstream_chooser::choice> choice_;
+    std::optional<upstream_client::attempt_id> running_;
+    monotonic_time attempt_started_{};
+    run_verdict worst_ = run_verdict::not_run;
+    int attempts_ = 0;
+    int sent_ = 0;
+    bool is_cancelled_ = false;
+};
+
+} // namespace verbenacove
+
+#endif
--- /dev/null
+++ b/source/verbenacove/request/request_flow.cpp
@@ -0,0 +1,433 @@
+#include "verbenacove/request/request_flow.hpp"
+
+#include "verbenacove/core/log.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace verbenacove
+{
+
+namespace
+{
+
+log_part const request_log{"request"};
+
+constexpr qint64 longest_deadline_ms = 600000;
+constexpr qsizetype longest_key = 128;
+/** How long an entry goes on to have an outcome or a release committed. */
+constexpr milliseconds settle_time{60000};
+/** How long a caller waits for the commit of an outcome. */
+constexpr milliseconds longest_outcome_wait{1500};
+constexpr milliseconds claim_poll_interval{150};
+constexpr milliseconds longest_claim_wait{5000};
+
+constexpr std::array<char const*, 4> replaced_headers{
+    "Host", "Deadline-Ms", "Expect", "Run-Verdict"};
+
+bool is_replaced(http_header const& header)
+{
+    return std::any_of(replaced_headers.begin(), replaced_headers.end(),
+                       [&header](char const* name)
+                       { return header.name.compare(
+                                    name, Qt::CaseInsensitive) == 0; });
+}
+
+bool is_printable(QByteArray const& text)
+{
+    return std::all_of(text.begin(), text.end(),
+                       [](char character)
+                       { return character > 0x20 && character < 0x7f; });
+}
+
+request_class class_of(service_class kind)
+{
+    switch (kind)
+    {
+    case service_class::interactive:
+        return request_class::interactive;
+    case service_class::non_idempotent:
+        return request_class::non_idempotent;
+    case service_class::batch:
+        break;
+    }
+    return request_class::bulk;
+}
+
+int status_of(QByteArray const& code)
+{
+    if (code == "deadline")
+    {
+        return 504;
+    }
+    return code == "upstream-failed" ? 502 : 503;
+}
+
+http_response with_verdict(http_response response, run_verdict verdict)
+{
+    std::erase_if(response.headers,
+                  [](http_header const& header) {
+                      return header.name.compare("Run-Verdict",
+                                                 Qt::CaseInsensitive) == 0;
+                  });
+    response.headers.push_back({"Run-Verdict", verdict_word(verdict)});
+    return response;
+}
+
+} // namespace
+
+void request_flow::start(request_services const& services,
+                         std::shared_ptr<http_exchange> exchange,
+                         service_record const& service, QByteArray const& path,
+                         std::shared_ptr<service_pool> pool)
+{
+    std::shared_ptr<request_flow> flow(
+        new request_flow(services, std::move(exchange), service, path,
+                         std::move(pool)));
+    flow->begin();
+}
+
+request_flow::request_flow(request_services const& services,
+                           std::shared_ptr<http_exchange> exchange,
+                           service_record service, QByteArray path,
+                           std::shared_ptr<service_pool> pool)
+    : services_(services)
+    , exchange_(std::move(exchange))
+    , service_(std::move(service))
+    , path_(std::move(path))
+    , pool_(std::move(pool))
+{
+}
+
+void request_flow::begin()
+{
+    auto const& request = exchange_->request();
+    policy_ = policy_for(service_, request.method, path_);
+    if (!read_deadline())
+    {
+        return;
+    }
+    if (request.body.size() > service_.max_body_bytes)
+    {
+        answer_error(413, "body-too-large",
+                     "The body is over the service's bound.",
+                     run_verdict::not_run);
+        return;
+    }
+    if (policy_.request_class != service_class::non_idempotent)
+    {
+        send();
+        return;
+    }
+    if (read_key())
+    {
+        claim();
+    }
+}
+
+bool request_flow::read_deadline()
+{
+    auto left = service_.timeout;
+    auto const& request = exchange_->request();
+    if (request.has_header("Deadline-Ms"))
+    {
+        bool is_number = false;
+        auto const value =
+            request.header("Deadline-Ms").toLongLong(&is_number);
+        if (!is_number || value < 1 || value > longest_deadline_ms)
+        {
+            answer_error(400, "bad-deadline",
+                         "Deadline-Ms must be a whole number from 1 to "
+                         "600000.",
+                         run_verdict::not_run);
+            return false;
+        }
+        left = milliseconds(value);
+    }
+    deadline_ = services_.clock.now() + left;
+    return true;
+}
+
+bool request_flow::read_key()
+{
+    auto const& request = exchange_->request();
+    QByteArray key;
+    if (policy_.key.segment > 0)
+    {
+        key = path_segments(path_).value(policy_.key.segment - 1);
+    }
+    else
+    {
+        key = request.header(policy_.key.header.toLatin1());
+    }
+    if (key.isEmpty() || key.size() > longest_key || !is_printable(key))
+    {
+        answer_error(400, "key-required",
+                     "A non-idempotent request needs a key of 1 to 128 "
+                     "printable characters.",
+                     run_verdict::not_run);
+        return false;
+    }
+    auto target = path_;
+    if (!request.query.isEmpty())
+    {
+        target += '?' + request.query;
+    }
+    key_ = {service_.name, request_key(QString::fromLatin1(key))};
+    fingerprint_ = fingerprint_of(request.method, target, request.body);
+    return true;
+}
+
+outgoing_request request_flow::outgoing() const
+{
+    auto const& request = exchange_->request();
+    outgoing_request out;
+    out.kind = class_of(policy_.request_class);
+    out.method = request.method;
+    out.target = path_.isEmpty() ? QByteArray("/") : path_;
+    if (!request.query.isEmpty())
+    {
+        out.target += '?' + request.query;
+    }
+    for (auto const& header : end_to_end_headers(request.headers))
+    {
+        if (!is_replaced(header))
+        {
+            out.headers.push_back(header);
+        }
+    }
+    out.body = request.body;
+    out.deadline = deadline_;
+    out.connect_timeout = services_.connect_timeout;
+    out.may_run_again =
+        policy_.request_class != service_class::non_idempotent &&
+        service_.retry;
+    return out;
+}
+
+// An idempotent request.
+
+void request_flow::send()
+{
+    auto const loop = attempt_loop::start(
+        outgoing(), pool_, services_.upstreams, services_.clock,
+        [self = shared_from_this()](attempts_end const& end)
+        { self->answer_attempts(end); });
+    exchange_->on_cancelled(
+        [loop = std::weak_ptr(loop)]
+        {
+            if (auto const running = loop.lock())
+            {
+                running->cancel();
+            }
+        });
+}
+
+void request_flow::answer_attempts(attempts_end const& end)
+{
+    answer_end(end);
+}
+
+// A non-idempotent one.
+
+void request_flow::claim()
+{
+    if (time_left() <= milliseconds(0))
+    {
+        answer_error(504, "deadline", "The deadline has passed.",
+                     run_verdict::not_run);
+        return;
+    }
+    holder_ = services_.claims.next_holder();
+    services_.claims.propose(
+        claim_command{key_, fingerprint_, holder_},
+        std::min(time_left(), longest_claim_wait),
+        [self = shared_from_this()](std::optional<claim_answer> const& answer)
+        { self->take_claim(answer); });
+}
+
+void request_flow::take_claim(std::optional<claim_answer> const& answer)
+{
+    if (!answer)
+    {
+        // The claim may yet be committed, but only its holder may send, and
+        // the holder gives up here.
+        release();
+        answer_error(503, "no-quorum",
+                     "No majority of the control replicas answers.",
+                     run_verdict::not_run);
+        return;
+    }
+    switch (answer->result)
+    {
+    case claim_result::granted:
+    {
+        auto request = outgoing();
+        attempt_loop::start(
+            std::move(request), pool_, services_.upstreams, services_.clock,
+            [self = shared_from_this()](attempts_end const& end)
+            { self->take_claimed_end(end); });
+        return;
+    }
+    case claim_result::held:
+        wait_for_holder();
+        return;
+    case claim_result::finished:
+        replay(answer->outcome.value_or(claim_outcome{}));
+        return;
+    case claim_result::mismatch:
+        answer_error(409, "key-reused",
+                     "The key came before with another request.",
+                     run_verdict::not_run);
+        return;
+    case claim_result::abandoned:
+        answer_error(502, "upstream-failed",
+                     "The entry that held the request is gone.",
+                     run_verdict::may_have_run);
+        return;
+    default:
+        break;
+    }
+    answer_error(503, "overloaded", "The request cannot be claimed now.",
+                 run_verdict::not_run);
+}
+
+void request_flow::wait_for_holder()
+{
+    if (exchange_->is_cancelled() || time_left() <= claim_poll_interval)
+    {
+        answer_error(409, "in-progress",
+                     "An earlier copy of the request is under way.",
+                     run_verdict::may_have_run);
+        return;
+    }
+    waiting_ = services_.timers.call_after(
+        claim_poll_interval,
+        [self = shared_from_this()]
+        {
+            // Moved out first: it keeps the flow alive by its callback.
+            auto const ended = std::move(self->waiting_);
+            self->claim();
+        });
+}
+
+void request_flow::replay(claim_outcome const& outcome)
+{
+    if (outcome.verdict != run_verdict::ran)
+    {
+        answer_error(502, "upstream-failed",
+                     "An earlier copy of the request may have run.",
+                     run_verdict::may_have_run);
+        return;
+    }
+    http_response response;
+    response.status = outcome.status;
+    response.body = outcome.body;
+    for (auto const& header : outcome.headers)
+    {
+        response.headers.push_back({header.name, header.value});
+    }
+    if (!outcome.is_stored)
+    {
+        response.headers.push_back({"Run-Outcome", "not-stored"});
+    }
+    response.headers.push_back({"Run-Replayed", "true"});
+    exchange_->respond(with_verdict(std::move(response), run_verdict::ran));
+}
+
+void request_flow::take_claimed_end(attempts_end const& end)
+{
+    if (end.verdict == run_verdict::not_run)
+    {
+        release();
+        answer_end(end);
+        return;
+    }
+    store_outcome(end);
+}
+
+void request_flow::store_outcome(attempts_end const& end)
+{
+    claim_outcome outcome;
+    outcome.verdict = end.verdict;
+    if (end.answer)
+    {
+        outcome.status = end.answer->status;
+        outcome.body = end.answer->body;
+        for (auto const& header : end.answer->headers)
+        {
+            outcome.headers.push_back({header.name, header.value});
+        }
+    }
+    if (outcome.body.size() > service_.max_response_store_bytes)
+    {
+        outcome.is_stored = false;
+        outcome.headers.clear();
+        outcome.body.clear();
+    }
+    // The caller hears of it once it is committed, or when that takes long.
+    auto const answer_once = std::make_shared<std::function<void()>>(
+        [self = shared_from_this(), end] { self->answer_end(end); });
+    auto const answer = [answer_once]
+    {
+        auto const call = std::exchange(*answer_once, nullptr);
+        if (call)
+        {
+            call();
+        }
+    };
+    waiting_ = services_.timers.call_after(
+        longest_outcome_wait,
+        [self = shared_from_this(), answer]
+        {
+            auto const ended = std::move(self->waiting_);
+            answer();
+        });
+    services_.claims.propose(
+        outcome_command{key_, holder_, std::move(outcome)}, settle_time,
+        [self = shared_from_this(),
+         answer](std::optional<claim_answer> const& stored)
+        {
+            if (!stored)
+            {
+                request_log.warn(QStringLiteral(
+                    "The outcome of a claim could not be committed."));
+            }
+            self->waiting_.cancel();
+            answer();
+        });
+}
+
+void request_flow::release()
+{
+    services_.claims.propose(release_command{key_, holder_}, settle_time,
+                             [](std::optional<claim_answer> const&) {});
+}
+
+// Both kinds.
+
+void request_flow::answer_end(attempts_end const& end)
+{
+    if (end.answer)
+    {
+        exchange_->respond(with_verdict(*end.answer, end.verdict));
+        return;
+    }
+    answer_error(status_of(end.code), end.code, end.message, end.verdict);
+}
+
+void request_flow::answer_error(int status, QByteArray const& code,
+                                QByteArray const& message,
+                                run_verdict verdict)
+{
+    exchange_->respond(
+        with_verdict(not_run_response(status, code, message), verdict));
+}
+
+milliseconds request_flow::time_left() const
+{
+    return elapsed(services_.clock.now(), deadline_);
+}
+
+} // namespace verbenacove
--- /dev/null
+++ b/source/verbenacove/request/request_flow.hpp
@@ -0,0 +1,88 @@
+#ifndef VERBENACOVE_REQUEST_REQUEST_FLOW_HPP
+#define VERBENACOVE_REQUEST_REQUEST_FLOW_HPP
+
+#include "verbenacove/connection/http_exchange.hpp"
+#include "verbenacove/core/timer_service.hpp"
+#include "verbenacove/request/attempt_loop.hpp"
+#include "verbenacove/request/claim_service.hpp"
+#include "verbenacove/version/service_record.hpp"
+
+#include <memory>
+
+namespace verbenacove
+{
+
+/** What requests use of their entry; all of it outlives them. */
+struct request_services
+{
+    upstream_client& upstreams;
+    claim_service& claims;
+    clock_source const& clock;
+    timer_service& timers;
+    milliseconds connect_timeout{500};
+};
+
+/** One caller's request, from its arrival to its answer.
+
+    An idempotent request goes to upstreams at once. A non-idempotent one is
+    claimed first; it is sent by the holder of the claim alone, at most once,
+    and its outcome is committed before the caller hears of it.
+*/
+class request_flow : public std::enable_shared_from_this<request_flow>
+{
+public:
+    /** Starts a request; the flow keeps itself alive until its answer.
+
+        @param path  the path behind the service's name, as received
+    */
+    static void start(request_services const& services,
+                      std::shared_ptr<http_exchange> exchange,
+                      service_record const& service, QByteArray const& path,
+                      std::shared_ptr<service_pool> pool);
+
+private:
+    request_flow(request_services const& services,
+                 std::shared_ptr<http_exchange> exchange,
+                 service_record service, QByteArray path,
+                 std::shared_ptr<service_pool> pool);
+
+    void begin();
+    bool read_deadline();
+    bool read_key();
+    void send();
+    outgoing_request outgoing() const;
+
+    // An idempotent request.
+    void answer_attempts(attempts_end const& end);
+
+    // A non-idempotent one.
+    void claim();
+    void take_claim(std::optional<claim_answer> const& answer);
+    void wait_for_holder();
+    void replay(claim_outcome const& outcome);
+    void take_claimed_end(attempts_end const& end);
+    void store_outcome(attempts_end const& end);
+    void release();
+
+    void answer_error(int status, QByteArray const& code,
+                      QByteArray const& message, run_verdict verdict);
+    void answer_end(attempts_end const& end);
+    milliseconds time_left() const;
+
+    request_services services_;
+    std::shared_ptr<http_exchange> exchange_;
+    service_record service_;
+    QByteArray path_;
+    std::shared_ptr<service_pool> pool_;
+    request_policy policy_;
+    monotonic_time deadline_{};
+    claim_key key_;
+    claim_holder holder_;
+    request_fingerprint fingerprint_;
+    timer_service::subscription waiting_;
+    std::weak_ptr<attempt_loop> loop_;
+};
+
+} // namespace verbenacove
+
+#endif
