--- a/source/verbenacove/process/control_server.cpp
+++ b/source/verbenacove/process/control_server.cpp
@@ -148,6 +148,7 @@
 {
     config_version const have(cbor_number(request, "config_version"));
     QCborMap answer{{QLatin1String("status"), QLatin1String("ok")},
+                    {QLatin1String("term"), node_.term().value()},
                     {QLatin1String("config_version"),
                      state_.config().version().value()}};
     if (have < state_.config().version() || cbor_flag(request, "first"))
