--- a/source/verbenacove/core/setting_reader.cpp
+++ b/source/verbenacove/core/setting_reader.cpp
@@ -163,8 +163,8 @@
 log_level setting_reader::level(char const* section, char const* key)
 {
     static QStringList const words{
-        QStringLiteral("debug"), QStringLiteral("info"),
-        QStringLiteral("warn"), QStringLiteral("error")};
+        QStringLiteral("debug"), QStringLiteral("info"), QStringLiteral("warn"),
+        QStringLiteral("error")};
     auto const* entry = find(section, key);
     if (entry == nullptr)
     {
--- a/source/verbenacove/process/control_client.cpp
+++ b/source/verbenacove/process/control_client.cpp
@@ -30,8 +30,8 @@
                                  callback done)
 {
     auto const now = std::chrono::steady_clock::now();
-    try_leader(std::make_shared<search>(search{
-        std::move(request), now + time_left, std::move(done)}));
+    try_leader(std::make_shared<search>(
+        search{std::move(request), now + time_left, std::move(done)}));
 }
 
 void control_client::call_any(QCborMap request, milliseconds timeout,
@@ -62,10 +62,10 @@
         return;
     }
     auto const asked = leader_;
-    clients_[asked]->call(wanted->request, std::min(left, try_timeout),
-                          [this, wanted, asked](
-                              std::optional<QCborMap> const& reply)
-                          { take_reply(wanted, asked, reply); });
+    clients_[asked]->call(
+        wanted->request, std::min(left, try_timeout),
+        [this, wanted, asked](std::optional<QCborMap> const& reply)
+        { take_reply(wanted, asked, reply); });
 }
 
 void control_client::take_reply(std::shared_ptr<search> const& wanted,
@@ -77,13 +77,12 @@
         wanted->done(reply);
         return;
     }
-    auto const named =
-        reply ? parse_socket_address(cbor_text(*reply, "leader"))
-              : std::nullopt;
-    auto const found = std::find_if(
-        clients_.begin(), clients_.end(),
-        [&named](auto const& client)
-        { return named && client->address() == *named; });
+    auto const named = reply ? parse_socket_address(cbor_text(*reply, "leader"))
+                             : std::nullopt;
+    auto const found =
+        std::find_if(clients_.begin(), clients_.end(),
+                     [&named](auto const& client)
+                     { return named && client->address() == *named; });
     if (found != clients_.end() && leader_ == asked)
     {
         leader_ = static_cast<std::size_t>(found - clients_.begin());
--- a/source/verbenacove/process/control_process.cpp
+++ b/source/verbenacove/process/control_process.cpp
@@ -71,8 +71,8 @@
     return reason_of(
         [&]
         {
-            return raft_storage::create(
-                settings.data_folder, first_identity(settings.name), members);
+            return raft_storage::create(settings.data_folder,
+                                        first_identity(settings.name), members);
         });
 }
 
@@ -97,8 +97,7 @@
                server_->error_text();
     }
     http_ = std::make_unique<http_server>(
-        http_limits{},
-        [this](std::shared_ptr<http_exchange> const& exchange)
+        http_limits{}, [this](std::shared_ptr<http_exchange> const& exchange)
         { handle_http(exchange); });
     if (!http_->listen(settings_.http))
     {
@@ -123,8 +122,8 @@
                 control_log.warn(QStringLiteral(
                     "No replica's files here; starting as a new replica that "
                     "learns from the others."));
-                BOOST_LEAF_CHECK(raft_storage::create(
-                    settings_.data_folder, new_identity(), {}));
+                BOOST_LEAF_CHECK(raft_storage::create(settings_.data_folder,
+                                                      new_identity(), {}));
             }
             BOOST_LEAF_ASSIGN(storage_,
                               raft_storage::open(settings_.data_folder));
@@ -140,15 +139,14 @@
         server_->node().is_voter() && server_->node().has_live_leader();
     if (path == "/readyz" && !is_ready)
     {
-        exchange->respond(not_run_response(
-            503, "not-ready", "This replica hears of no leader."));
+        exchange->respond(not_run_response(503, "not-ready",
+                                           "This replica hears of no leader."));
         return;
     }
     if (path == "/healthz" || path == "/readyz")
     {
-        exchange->respond({200,
-                           {{"Content-Type", "application/json"}},
-                           status_body()});
+        exchange->respond(
+            {200, {{"Content-Type", "application/json"}}, status_body()});
         return;
     }
     exchange->respond(
--- a/source/verbenacove/process/control_server.cpp
+++ b/source/verbenacove/process/control_server.cpp
@@ -32,8 +32,7 @@
 
 } // namespace
 
-control_server::control_server(control_settings settings,
-                               raft_storage& storage)
+control_server::control_server(control_settings settings, raft_storage& storage)
     : settings_(std::move(settings))
     , node_(seeded(settings_.raft), storage, transport_, state_, clock_,
             settings_.listen, settings_.name)
@@ -103,10 +102,9 @@
         reply(node_.handle(request));
         return;
     }
-    auto const found =
-        std::find_if(handlers.begin(), handlers.end(),
-                     [&name](named_handler const& candidate)
-                     { return candidate.name == name; });
+    auto const found = std::find_if(handlers.begin(), handlers.end(),
+                                    [&name](named_handler const& candidate)
+                                    { return candidate.name == name; });
     if (found == handlers.end())
     {
         reply({{QLatin1String("status"), QLatin1String("unknown-method")}});
@@ -147,10 +145,10 @@
                                  reply_function const& reply)
 {
     config_version const have(cbor_number(request, "config_version"));
-    QCborMap answer{{QLatin1String("status"), QLatin1String("ok")},
-                    {QLatin1String("term"), node_.term().value()},
-                    {QLatin1String("config_version"),
-                     state_.config().version().value()}};
+    QCborMap answer{
+        {QLatin1String("status"), QLatin1String("ok")},
+        {QLatin1String("term"), node_.term().value()},
+        {QLatin1String("config_version"), state_.config().version().value()}};
     if (have < state_.config().version() || cbor_flag(request, "first"))
     {
         answer[QLatin1String("config")] = state_.config().delta_since(have);
@@ -173,9 +171,8 @@
 {
     claim_log_command const command{
         log_time(next_log_time()),
-        abandon_command{
-            entry_id(cbor_text(request, "entry")),
-            incarnation(cbor_number(request, "incarnation") - 1)}};
+        abandon_command{entry_id(cbor_text(request, "entry")),
+                        incarnation(cbor_number(request, "incarnation") - 1)}};
     propose(control_state::claim_command(to_cbor(command)),
             [](raft_node::proposal_end, QCborMap const&) {});
 }
--- a/source/verbenacove/process/control_server.hpp
+++ b/source/verbenacove/process/control_server.hpp
@@ -63,10 +63,7 @@
     control_state const& state() const { return state_; }
 
     /** Returns what the entries that ask this replica said last. */
-    std::map<QString, entry_report> const& entries() const
-    {
-        return entries_;
-    }
+    std::map<QString, entry_report> const& entries() const { return entries_; }
 
     /** Returns the operators' address of the leader, or nothing. */
     QString leader_name() const;
--- a/source/verbenacove/process/control_settings.cpp
+++ b/source/verbenacove/process/control_settings.cpp
@@ -53,23 +53,22 @@
 
 void check_own_place(setting_reader& reader, control_settings const& settings)
 {
-    bool const is_listed = std::any_of(
-        settings.replicas.begin(), settings.replicas.end(),
-        [&settings](replica_address const& replica)
-        { return replica.name == settings.name; });
+    bool const is_listed =
+        std::any_of(settings.replicas.begin(), settings.replicas.end(),
+                    [&settings](replica_address const& replica)
+                    { return replica.name == settings.name; });
     if (!is_listed)
     {
-        reader.report("replicas", "members",
-                      QStringLiteral("must name this replica, %1")
-                          .arg(settings.name));
+        reader.report(
+            "replicas", "members",
+            QStringLiteral("must name this replica, %1").arg(settings.name));
     }
     if (settings.operators == settings.listen)
     {
         reader.report("control", "operator",
                       QStringLiteral("is the address of [control] listen"));
     }
-    if (settings.http == settings.listen ||
-        settings.http == settings.operators)
+    if (settings.http == settings.listen || settings.http == settings.operators)
     {
         reader.report("control", "http",
                       QStringLiteral("is the address of another door"));
@@ -103,10 +102,9 @@
     settings.raft.election_timeout = reader.duration(
         "replicas", "election_timeout", settings.raft.election_timeout,
         settings.raft.heartbeat * 3, longest_timeout);
-    settings.raft.snapshot_after_bytes =
-        reader.size("replicas", "snapshot_after",
-                    settings.raft.snapshot_after_bytes, 4096,
-                    1024 * one_mebibyte);
+    settings.raft.snapshot_after_bytes = reader.size(
+        "replicas", "snapshot_after", settings.raft.snapshot_after_bytes, 4096,
+        1024 * one_mebibyte);
     check_own_place(reader, settings);
     BOOST_LEAF_CHECK(reader.finish());
     for (auto const& replica : settings.replicas)
--- a/source/verbenacove/process/daemon_command_line.cpp
+++ b/source/verbenacove/process/daemon_command_line.cpp
@@ -52,8 +52,8 @@
     command_line_result result;
     opterr = 0;
     int option = 0;
-    while ((option = getopt_long(argc, argv, "c:hV", options.data(),
-                                 nullptr)) != -1)
+    while ((option =
+                getopt_long(argc, argv, "c:hV", options.data(), nullptr)) != -1)
     {
         switch (option)
         {
--- a/source/verbenacove/process/entry_process.cpp
+++ b/source/verbenacove/process/entry_process.cpp
@@ -36,7 +36,10 @@
             {[this](upstream_view const& upstream) { take_news(upstream); },
              [this] { publish(); }, [](QCborMap const&) {},
              [this] { return status(); }, [this] { return own_upstreams(); },
-             [] { return QCborMap(); }})
+             []
+             {
+                 return QCborMap();
+             }})
     , directory_(clock_)
 {
 }
@@ -158,9 +161,9 @@
                                  return;
                              }
                              take_configuration(*reply, true);
-                             read_timer_ = timers_.call_every(
-                                 read_interval,
-                                 [this] { read_configuration(); });
+                             read_timer_ =
+                                 timers_.call_every(read_interval, [this]
+                                                    { read_configuration(); });
                          });
 }
 
@@ -276,8 +279,7 @@
         return;
     }
     is_publish_due_ = true;
-    publish_timer_ =
-        timers_.call_after(publish_delay, [this] { publish(); });
+    publish_timer_ = timers_.call_after(publish_delay, [this] { publish(); });
 }
 
 void entry_process::publish()
--- a/source/verbenacove/process/entry_settings.cpp
+++ b/source/verbenacove/process/entry_settings.cpp
@@ -13,15 +13,12 @@
 
 void parse_limits(setting_reader& reader, http_limits& limits)
 {
-    limits.maximum_body_bytes =
-        reader.size("limits", "body", limits.maximum_body_bytes, 1024,
-                    16 * one_mebibyte);
-    limits.maximum_header_bytes =
-        reader.size("limits", "headers", limits.maximum_header_bytes, 1024,
-                    one_mebibyte);
-    limits.maximum_connections = static_cast<int>(
-        reader.number("limits", "connections", limits.maximum_connections, 1,
-                      65536));
+    limits.maximum_body_bytes = reader.size(
+        "limits", "body", limits.maximum_body_bytes, 1024, 16 * one_mebibyte);
+    limits.maximum_header_bytes = reader.size(
+        "limits", "headers", limits.maximum_header_bytes, 1024, one_mebibyte);
+    limits.maximum_connections = static_cast<int>(reader.number(
+        "limits", "connections", limits.maximum_connections, 1, 65536));
     limits.header_timeout =
         reader.duration("limits", "header_timeout", limits.header_timeout,
                         milliseconds(100), one_minute);
@@ -56,8 +53,7 @@
                         milliseconds(500), one_minute);
     settings.connect_timeout =
         reader.duration("upstreams", "connect_timeout",
-                        settings.connect_timeout, milliseconds(10),
-                        one_minute);
+                        settings.connect_timeout, milliseconds(10), one_minute);
     parse_limits(reader, settings.limits);
     BOOST_LEAF_CHECK(reader.finish());
     return settings;
--- a/source/verbenacove/process/peer_mesh.cpp
+++ b/source/verbenacove/process/peer_mesh.cpp
@@ -27,8 +27,7 @@
     , clock_(clock)
     , calls_(std::move(calls))
 {
-    QObject::connect(&socket_, &QUdpSocket::readyRead,
-                     [this] { receive(); });
+    QObject::connect(&socket_, &QUdpSocket::readyRead, [this] { receive(); });
 }
 
 bool peer_mesh::start(socket_address const& address)
@@ -103,9 +102,8 @@
     auto targets = addresses_;
     for (auto const& [id, other] : peers_)
     {
-        bool const is_listed =
-            std::find(targets.begin(), targets.end(), other.address) !=
-            targets.end();
+        bool const is_listed = std::find(targets.begin(), targets.end(),
+                                         other.address) != targets.end();
         if (!is_listed && is_live(other))
         {
             targets.push_back(other.address);
@@ -130,8 +128,7 @@
             {QLatin1String("r"), status.view.region.value()},
             {QLatin1String("z"), status.view.zone.value()},
             {QLatin1String("on"), status.view.is_serving},
-            {QLatin1String("h"),
-             static_cast<int>(status.view.headroom * 1000)},
+            {QLatin1String("h"), static_cast<int>(status.view.headroom * 1000)},
             {QLatin1String("v"), status.config_version}};
 }
 
@@ -204,8 +201,7 @@
     other.view.region = region_name(cbor_text(message, "r"));
     other.view.zone = zone_name(cbor_text(message, "z"));
     other.view.is_serving = cbor_flag(message, "on");
-    other.view.headroom =
-        static_cast<double>(cbor_number(message, "h")) / 1000;
+    other.view.headroom = static_cast<double>(cbor_number(message, "h")) / 1000;
     other.view.reported_at = clock_.now();
     if (!was_live || was_serving != other.view.is_serving)
     {
@@ -216,13 +212,12 @@
 void peer_mesh::forget_silent()
 {
     auto const now = clock_.now();
-    auto const count = std::erase_if(
-        peers_,
-        [now](auto const& item)
-        {
-            return elapsed(item.second.view.reported_at, now) >
-                   forget_entry_after;
-        });
+    auto const count =
+        std::erase_if(peers_,
+                      [now](auto const& item) {
+                          return elapsed(item.second.view.reported_at, now) >
+                                 forget_entry_after;
+                      });
     if (count > 0)
     {
         calls_.entries_changed();
--- a/source/verbenacove/process/shutdown_signal.cpp
+++ b/source/verbenacove/process/shutdown_signal.cpp
@@ -28,8 +28,8 @@
     auto const signals = stop_signals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     descriptor_ = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
-    notifier_ = std::make_unique<QSocketNotifier>(descriptor_,
-                                                  QSocketNotifier::Read);
+    notifier_ =
+        std::make_unique<QSocketNotifier>(descriptor_, QSocketNotifier::Read);
     QObject::connect(notifier_.get(), &QSocketNotifier::activated,
                      [this, call = std::move(call)]
                      {
--- a/source/verbenacove/process/traffic_server.cpp
+++ b/source/verbenacove/process/traffic_server.cpp
@@ -55,9 +55,8 @@
 {
     view_ = view;
     // A service that is no more keeps no pool; its requests in hand do.
-    pools_.removeIf(
-        [this](auto const& item)
-        { return view_->config->service(item.key()) == nullptr; });
+    pools_.removeIf([this](auto const& item)
+                    { return view_->config->service(item.key()) == nullptr; });
     for (auto const& name : view_->config->services())
     {
         pool(name)->chooser.update(view_->upstreams.value(name));
@@ -83,13 +82,13 @@
         handle_call(exchange);
         return;
     }
-    auto const found = std::find_if(
-        routes.begin(), routes.end(),
-        [&request](route const& candidate)
-        {
-            return candidate.method == request.method &&
-                   candidate.path == request.path;
-        });
+    auto const found =
+        std::find_if(routes.begin(), routes.end(),
+                     [&request](route const& candidate)
+                     {
+                         return candidate.method == request.method &&
+                                candidate.path == request.path;
+                     });
     if (found == routes.end())
     {
         handle_unknown(exchange);
@@ -101,8 +100,7 @@
 void traffic_server::handle_lookup(exchange_ptr const& exchange)
 {
     QUrlQuery const query(QString::fromLatin1(exchange->request().query));
-    service_name const service(
-        query.queryItemValue(QStringLiteral("service")));
+    service_name const service(query.queryItemValue(QStringLiteral("service")));
     if (!view_->is_ready)
     {
         handle_readiness(exchange);
@@ -124,28 +122,25 @@
                                        caller_place const& caller)
 {
     QJsonArray entries;
-    for (auto const& entry :
-         ranking_.rank(caller, view_->self, view_->entries))
+    for (auto const& entry : ranking_.rank(caller, view_->self, view_->entries))
     {
-        entries.append(QJsonObject{
-            {QStringLiteral("entry"), entry.id.value()},
-            {QStringLiteral("address"), entry.address.text()},
-            {QStringLiteral("region"), entry.region.value()},
-            {QStringLiteral("zone"), entry.zone.value()}});
+        entries.append(
+            QJsonObject{{QStringLiteral("entry"), entry.id.value()},
+                        {QStringLiteral("address"), entry.address.text()},
+                        {QStringLiteral("region"), entry.region.value()},
+                        {QStringLiteral("zone"), entry.zone.value()}});
     }
-    return json_bytes(
-        {{QStringLiteral("service"), service.value()},
-         {QStringLiteral("ttl_ms"),
-          static_cast<qint64>(settings_.lookup_ttl.count())},
-         {QStringLiteral("entries"), entries}});
+    return json_bytes({{QStringLiteral("service"), service.value()},
+                       {QStringLiteral("ttl_ms"),
+                        static_cast<qint64>(settings_.lookup_ttl.count())},
+                       {QStringLiteral("entries"), entries}});
 }
 
 void traffic_server::handle_call(exchange_ptr const& exchange)
 {
     auto const& path = exchange->request().path;
     auto const name_end = path.indexOf('/', call_prefix.size());
-    auto const name_size =
-        name_end < 0 ? -1 : name_end - call_prefix.size();
+    auto const name_size = name_end < 0 ? -1 : name_end - call_prefix.size();
     service_name const name(
         QString::fromLatin1(path.mid(call_prefix.size(), name_size)));
     auto const* service = view_->config->service(name);
@@ -184,21 +179,20 @@
     boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<void>
         {
-            BOOST_LEAF_AUTO(upstream, parse_announcement(document.object(),
-                                                         clock_.now()));
+            BOOST_LEAF_AUTO(
+                upstream, parse_announcement(document.object(), clock_.now()));
             announced_(std::move(upstream));
             QJsonArray entries;
-            for (auto const& entry : ranking_.rank(
-                     {settings_.region, settings_.zone}, view_->self,
-                     view_->entries))
+            for (auto const& entry :
+                 ranking_.rank({settings_.region, settings_.zone}, view_->self,
+                               view_->entries))
             {
                 entries.append(entry.address.text());
             }
             exchange->respond(json_response(
-                200,
-                json_bytes({{QStringLiteral("next_ms"),
-                             announcement_interval_ms},
-                            {QStringLiteral("entries"), entries}})));
+                200, json_bytes(
+                         {{QStringLiteral("next_ms"), announcement_interval_ms},
+                          {QStringLiteral("entries"), entries}})));
             return {};
         },
         [&](announcement_error const& wrong)
--- a/source/verbenacove/process/upstream_directory.cpp
+++ b/source/verbenacove/process/upstream_directory.cpp
@@ -91,9 +91,13 @@
                                                       monotonic_time now)
 {
     auto const text = [&object](char const* key)
-    { return object.value(QLatin1String(key)).toString(); };
+    {
+        return object.value(QLatin1String(key)).toString();
+    };
     auto const number = [&object](char const* key)
-    { return object.value(QLatin1String(key)).toInteger(-1); };
+    {
+        return object.value(QLatin1String(key)).toInteger(-1);
+    };
     upstream_view view;
     view.id = upstream_id(text("upstream"));
     view.service = service_name(text("service"));
@@ -101,8 +105,8 @@
         parse_socket_address(text("address")).value_or(socket_address{});
     view.region = region_name(text("region"));
     view.zone = zone_name(text("zone"));
-    view.slots = slot_count(static_cast<int>(
-        std::min<qint64>(number("slots"), maximum_slots + 1)));
+    view.slots = slot_count(
+        static_cast<int>(std::min<qint64>(number("slots"), maximum_slots + 1)));
     view.connections = static_cast<int>(
         std::min<qint64>(number("connections"), maximum_connections + 1));
     view.load = object.value(QLatin1String("load")).toDouble(-1);
@@ -120,19 +124,18 @@
 
 QCborMap to_cbor(upstream_view const& upstream, monotonic_time now)
 {
-    return {
-        {QLatin1String("u"), upstream.id.value()},
-        {QLatin1String("s"), upstream.service.value()},
-        {QLatin1String("a"), upstream.address.text()},
-        {QLatin1String("r"), upstream.region.value()},
-        {QLatin1String("z"), upstream.zone.value()},
-        {QLatin1String("n"), upstream.slots.value()},
-        {QLatin1String("c"), upstream.connections},
-        {QLatin1String("l"), static_cast<int>(upstream.load * 1000)},
-        {QLatin1String("st"), static_cast<int>(upstream.state)},
-        {QLatin1String("i"), upstream.incarnation.value()},
-        {QLatin1String("age"),
-         static_cast<qint64>(elapsed(upstream.reported_at, now).count())}};
+    return {{QLatin1String("u"), upstream.id.value()},
+            {QLatin1String("s"), upstream.service.value()},
+            {QLatin1String("a"), upstream.address.text()},
+            {QLatin1String("r"), upstream.region.value()},
+            {QLatin1String("z"), upstream.zone.value()},
+            {QLatin1String("n"), upstream.slots.value()},
+            {QLatin1String("c"), upstream.connections},
+            {QLatin1String("l"), static_cast<int>(upstream.load * 1000)},
+            {QLatin1String("st"), static_cast<int>(upstream.state)},
+            {QLatin1String("i"), upstream.incarnation.value()},
+            {QLatin1String("age"),
+             static_cast<qint64>(elapsed(upstream.reported_at, now).count())}};
 }
 
 boost::leaf::result<upstream_view> parse_upstream_news(QCborMap const& map,
@@ -141,8 +144,8 @@
     upstream_view view;
     view.id = upstream_id(cbor_text(map, "u"));
     view.service = service_name(cbor_text(map, "s"));
-    view.address = parse_socket_address(cbor_text(map, "a"))
-                       .value_or(socket_address{});
+    view.address =
+        parse_socket_address(cbor_text(map, "a")).value_or(socket_address{});
     view.region = region_name(cbor_text(map, "r"));
     view.zone = zone_name(cbor_text(map, "z"));
     view.slots = slot_count(static_cast<int>(cbor_number(map, "n")));
@@ -155,8 +158,8 @@
         return wrong("st", "0 to 2");
     }
     view.state = static_cast<upstream_state>(state);
-    auto const age = std::clamp<qint64>(cbor_number(map, "age"), 0,
-                                        longest_age_ms);
+    auto const age =
+        std::clamp<qint64>(cbor_number(map, "age"), 0, longest_age_ms);
     view.reported_at = now - milliseconds(age);
     view.first_seen = view.reported_at;
     return check(std::move(view));
--- a/source/verbenacove/request/attempt_loop.cpp
+++ b/source/verbenacove/request/attempt_loop.cpp
@@ -29,13 +29,11 @@
 
 std::shared_ptr<attempt_loop>
 attempt_loop::start(outgoing_request request,
-                    std::shared_ptr<service_pool> pool,
-                    upstream_client& client, clock_source const& clock,
-                    callback done)
+                    std::shared_ptr<service_pool> pool, upstream_client& client,
+                    clock_source const& clock, callback done)
 {
-    std::shared_ptr<attempt_loop> loop(
-        new attempt_loop(std::move(request), std::move(pool), client, clock,
-                         std::move(done)));
+    std::shared_ptr<attempt_loop> loop(new attempt_loop(
+        std::move(request), std::move(pool), client, clock, std::move(done)));
     loop->pool_->retries.count_request();
     loop->try_next();
     return loop;
@@ -79,10 +77,9 @@
         request_.kind, tried_, [](region_name const&) { return true; });
     if (!choice)
     {
-        finish_without_answer(worst_ == run_verdict::not_run
-                                  ? "no-upstream"
-                                  : "upstream-failed",
-                              "No upstream can take the request.");
+        finish_without_answer(
+            worst_ == run_verdict::not_run ? "no-upstream" : "upstream-failed",
+            "No upstream can take the request.");
         return;
     }
     send_to(std::move(*choice), time_left);
@@ -133,18 +130,17 @@
     {
         worst_ = run_verdict::may_have_run;
     }
-    if (!is_cancelled &&
-        may_try_again(is_sent ? run_verdict::may_have_run
-                              : run_verdict::not_run))
+    if (!is_cancelled && may_try_again(is_sent ? run_verdict::may_have_run
+                                               : run_verdict::not_run))
     {
         try_next();
         return;
     }
     bool const is_late = result.end == attempt_end::timed_out_after_send ||
                          result.end == attempt_end::timed_out_before_send;
-    finish_without_answer(is_late      ? "deadline"
-                          : is_sent    ? "upstream-failed"
-                                       : "no-upstream",
+    finish_without_answer(is_late   ? "deadline"
+                          : is_sent ? "upstream-failed"
+                                    : "no-upstream",
                           result.reason.toUtf8());
 }
 
@@ -160,7 +156,8 @@
             try_next();
             return;
         }
-        finish_without_answer("overloaded", "All upstreams are at their limit.");
+        finish_without_answer("overloaded",
+                              "All upstreams are at their limit.");
         return;
     }
     bool const is_failure = is_server_failure(answer);
--- a/source/verbenacove/request/request_flow.cpp
+++ b/source/verbenacove/request/request_flow.cpp
@@ -23,15 +23,15 @@
 constexpr milliseconds claim_poll_interval{150};
 constexpr milliseconds longest_claim_wait{5000};
 
-constexpr std::array<char const*, 4> replaced_headers{
-    "Host", "Deadline-Ms", "Expect", "Run-Verdict"};
+constexpr std::array<char const*, 4> replaced_headers{"Host", "Deadline-Ms",
+                                                      "Expect", "Run-Verdict"};
 
 bool is_replaced(http_header const& header)
 {
-    return std::any_of(replaced_headers.begin(), replaced_headers.end(),
-                       [&header](char const* name)
-                       { return header.name.compare(
-                                    name, Qt::CaseInsensitive) == 0; });
+    return std::any_of(
+        replaced_headers.begin(), replaced_headers.end(),
+        [&header](char const* name)
+        { return header.name.compare(name, Qt::CaseInsensitive) == 0; });
 }
 
 bool is_printable(QByteArray const& text)
@@ -82,9 +82,8 @@
                          service_record const& service, QByteArray const& path,
                          std::shared_ptr<service_pool> pool)
 {
-    std::shared_ptr<request_flow> flow(
-        new request_flow(services, std::move(exchange), service, path,
-                         std::move(pool)));
+    std::shared_ptr<request_flow> flow(new request_flow(
+        services, std::move(exchange), service, path, std::move(pool)));
     flow->begin();
 }
 
@@ -133,8 +132,7 @@
     if (request.has_header("Deadline-Ms"))
     {
         bool is_number = false;
-        auto const value =
-            request.header("Deadline-Ms").toLongLong(&is_number);
+        auto const value = request.header("Deadline-Ms").toLongLong(&is_number);
         if (!is_number || value < 1 || value > longest_deadline_ms)
         {
             answer_error(400, "bad-deadline",
@@ -264,10 +262,10 @@
     case claim_result::granted:
     {
         auto request = outgoing();
-        attempt_loop::start(
-            std::move(request), pool_, services_.upstreams, services_.clock,
-            [self = shared_from_this()](attempts_end const& end)
-            { self->take_claimed_end(end); });
+        attempt_loop::start(std::move(request), pool_, services_.upstreams,
+                            services_.clock,
+                            [self = shared_from_this()](attempts_end const& end)
+                            { self->take_claimed_end(end); });
         return;
     }
     case claim_result::held:
@@ -302,14 +300,15 @@
                      run_verdict::may_have_run);
         return;
     }
-    waiting_ = services_.timers.call_after(
-        claim_poll_interval,
-        [self = shared_from_this()]
-        {
-            // Moved out first: it keeps the flow alive by its callback.
-            auto const ended = std::move(self->waiting_);
-            self->claim();
-        });
+    waiting_ = services_.timers.call_after(claim_poll_interval,
+                                           [self = shared_from_this()]
+                                           {
+                                               // Moved out first: it keeps the
+                                               // flow alive by its callback.
+                                               auto const ended =
+                                                   std::move(self->waiting_);
+                                               self->claim();
+                                           });
 }
 
 void request_flow::replay(claim_outcome const& outcome)
@@ -377,13 +376,13 @@
             call();
         }
     };
-    waiting_ = services_.timers.call_after(
-        longest_outcome_wait,
-        [self = shared_from_this(), answer]
-        {
-            auto const ended = std::move(self->waiting_);
-            answer();
-        });
+    waiting_ = services_.timers.call_after(longest_outcome_wait,
+                                           [self = shared_from_this(), answer]
+                                           {
+                                               auto const ended =
+                                                   std::move(self->waiting_);
+                                               answer();
+                                           });
     services_.claims.propose(
         outcome_command{key_, holder_, std::move(outcome)}, settle_time,
         [self = shared_from_this(),
@@ -418,8 +417,7 @@
 }
 
 void request_flow::answer_error(int status, QByteArray const& code,
-                                QByteArray const& message,
-                                run_verdict verdict)
+                                QByteArray const& message, run_verdict verdict)
 {
     exchange_->respond(
         with_verdict(not_run_response(status, code, message), verdict));
--- a/tests/support/cluster_fixture.cpp
+++ b/tests/support/cluster_fixture.cpp
@@ -4,10 +4,18 @@
 #include "wait_until.hpp"
 
 #include <QDir>
+#include <QProcess>
 
 namespace verbenacove::support
 {
 
+namespace
+{
+
+constexpr int client_bound_ms = 30000;
+
+} // namespace
+
 cluster_fixture::cluster_fixture(QString binaries)
     : binaries_(std::move(binaries))
 {
@@ -176,7 +184,6 @@
             upstream_arguments(starting), log);
     }
     bool const is_control = starting.what == kind::control;
-    QDir().mkpath(path(name, QStringLiteral("data")));
     QFile file(path(name, QStringLiteral("ini")));
     if (!file.open(QIODevice::WriteOnly))
     {
@@ -186,6 +193,10 @@
         is_control ? control_settings(starting) : entry_settings(starting);
     file.write((settings + starting.settings).toUtf8());
     file.close();
+    if (is_control && !initialize(starting, file.fileName()))
+    {
+        return false;
+    }
     auto const program = is_control ? QStringLiteral("/verbenacove-control")
                                     : QStringLiteral("/verbenacove-entry");
     return starting.process.start(binaries_ + program,
@@ -193,6 +204,44 @@
                                   log);
 }
 
+bool cluster_fixture::initialize(member& of, QString const& settings_file) const
+{
+    if (of.is_initialized)
+    {
+        return true;
+    }
+    child_process initializing;
+    of.is_initialized =
+        initializing.start(binaries_ + QStringLiteral("/verbenacove-control"),
+                           {QStringLiteral("--config"), settings_file,
+                            QStringLiteral("--initialize")},
+                           path(of.name, QStringLiteral("log"))) &&
+        wait_until([&] { return initializing.exit_code() == 0; });
+    return of.is_initialized;
+}
+
+void cluster_fixture::lose_disk(QString const& name)
+{
+    QDir(path(name, QStringLiteral("data"))).removeRecursively();
+}
+
+cluster_fixture::client_result
+cluster_fixture::run_client(QStringList const& arguments) const
+{
+    QProcess client;
+    client.start(
+        binaries_ + QStringLiteral("/verbenactl"),
+        QStringList{
+            QStringLiteral("--control"),
+            list(kind::control, door::operators, {}, false).remove(u' ')} +
+            arguments);
+    client.waitForFinished(client_bound_ms);
+    bool const has_ended = client.state() == QProcess::NotRunning &&
+                           client.exitStatus() == QProcess::NormalExit;
+    return {has_ended ? client.exitCode() : -1, client.readAllStandardOutput(),
+            client.readAllStandardError()};
+}
+
 bool cluster_fixture::start_all()
 {
     for (auto const what : {kind::control, kind::entry, kind::upstream})
--- a/tests/support/cluster_fixture.hpp
+++ b/tests/support/cluster_fixture.hpp
@@ -85,6 +85,22 @@
     /** Writes the settings and starts a process, also one that has ended. */
     bool start(QString const& name);
 
+    /** Empties a control replica's data folder, as a lost disk does; the
+        process must not run. The next start does not initialise it. */
+    void lose_disk(QString const& name);
+
+    /** What a run of the operators' client gave. */
+    struct client_result
+    {
+        int exit_code = -1;
+        QByteArray output;
+        QByteArray errors;
+    };
+
+    /** Runs the operators' client with the addresses of all replicas, and
+        waits for its end. */
+    client_result run_client(QStringList const& arguments) const;
+
     /** Starts all that do not run: control replicas, entries, upstreams. */
     bool start_all();
 
@@ -118,6 +134,7 @@
         QString settings;
         std::map<door, socket_address> addresses;
         child_process process;
+        bool is_initialized = false;
     };
 
     member& add(QString const& name, kind what, place const& where,
@@ -125,6 +142,7 @@
     member& find(QString const& name) const;
     QString list(kind what, door which, QString const& viewer,
                  bool is_named) const;
+    bool initialize(member& of, QString const& settings_file) const;
     QString control_settings(member const& of) const;
     QString entry_settings(member const& of) const;
     QStringList upstream_arguments(member const& of) const;
--- /dev/null
+++ b/tests/unit/raft_node_test.cpp
@@ -0,0 +1,488 @@
+#include "verbenacove/core/cbor.hpp"
+#include "verbenacove/process/raft_node.hpp"
+
+#include <QTemporaryDir>
+
+#include <doctest/doctest.h>
+
+#include <deque>
+#include <map>
+#include <random>
+#include <set>
+
+using namespace verbenacove;
+
+namespace
+{
+
+constexpr milliseconds step{10};
+
+/** Remembers the numbers it was given, in order. */
+class number_list : public state_machine
+{
+public:
+    QCborMap apply(QCborMap const& command, log_index) override
+    {
+        numbers.push_back(cbor_number(command, "n"));
+        return {{QLatin1String("count"), qint64(numbers.size())}};
+    }
+
+    QByteArray snapshot() const override
+    {
+        QCborArray list;
+        for (auto const number : numbers)
+        {
+            list.append(number);
+        }
+        return QCborValue(list).toCbor();
+    }
+
+    bool restore(QByteArray const& state) override
+    {
+        numbers.clear();
+        for (auto const& value : QCborValue::fromCbor(state).toArray())
+        {
+            numbers.push_back(value.toInteger());
+        }
+        return true;
+    }
+
+    std::vector<qint64> numbers;
+};
+
+/** Some replicas in one process: a queue of messages in place of a network,
+    a clock that is moved, real files. */
+class raft_fixture
+{
+public:
+    struct replica
+    {
+        QString name;
+        socket_address address;
+        QString folder;
+        std::unique_ptr<raft_storage> storage;
+        number_list machine;
+        std::unique_ptr<raft_node> node;
+    };
+
+    explicit raft_fixture(int count, quint64 seed = 1)
+        : random_(seed)
+    {
+        raft_members members;
+        for (int i = 0; i < count; ++i)
+        {
+            auto const name = QStringLiteral("control-%1").arg(i + 1);
+            socket_address const address{QHostAddress::LocalHost,
+                                         quint16(i + 1)};
+            members.push_back(
+                {name, replica_id(name + QStringLiteral("-initial")), address});
+            names_.insert(name);
+            addresses_.push_back(address);
+        }
+        for (int i = 0; i < count; ++i)
+        {
+            auto& added = *replicas.emplace_back(std::make_unique<replica>());
+            added.name = members[std::size_t(i)].name;
+            added.address = members[std::size_t(i)].address;
+            added.folder = folder_.filePath(added.name);
+            REQUIRE(raft_storage::create(
+                added.folder, members[std::size_t(i)].identity, members));
+            start(i);
+        }
+    }
+
+    void start(int i)
+    {
+        auto& at = *replicas[std::size_t(i)];
+        raft_settings settings;
+        settings.seed = random_();
+        settings.known_names = names_;
+        settings.known_addresses = addresses_;
+        settings.snapshot_after_bytes = snapshot_after_bytes;
+        auto storage = raft_storage::open(at.folder);
+        REQUIRE(storage);
+        at.storage = std::move(*storage);
+        at.machine.numbers.clear();
+        at.node =
+            std::make_unique<raft_node>(settings, *at.storage, transport_of(i),
+                                        at.machine, clock, at.address, at.name);
+    }
+
+    void stop(int i)
+    {
+        replicas[std::size_t(i)]->node.reset();
+        replicas[std::size_t(i)]->storage.reset();
+    }
+
+    /** Empties a replica's disk and starts it with a new identity. */
+    void replace(int i, QString const& identity)
+    {
+        stop(i);
+        auto& at = *replicas[std::size_t(i)];
+        at.folder = folder_.filePath(identity);
+        REQUIRE(raft_storage::create(at.folder, replica_id(identity), {}));
+        start(i);
+    }
+
+    void cut(int i) { cut_.insert(i); }
+    void heal(int i) { cut_.erase(i); }
+
+    void run(milliseconds span)
+    {
+        for (milliseconds passed{0}; passed < span; passed += step)
+        {
+            clock.advance(step);
+            for (auto const& at : replicas)
+            {
+                if (at->node)
+                {
+                    at->node->tick();
+                }
+            }
+            deliver();
+        }
+    }
+
+    bool run_until(std::function<bool()> const& is_reached,
+                   milliseconds bound = milliseconds(20000))
+    {
+        for (milliseconds passed{0}; passed < bound; passed += step)
+        {
+            if (is_reached())
+            {
+                return true;
+            }
+            run(step);
+        }
+        return is_reached();
+    }
+
+    /** Returns the leader of the highest term, or null. */
+    replica* leader()
+    {
+        replica* found = nullptr;
+        for (auto const& at : replicas)
+        {
+            bool const is_leader = at->node && at->node->is_leader();
+            if (is_leader &&
+                (found == nullptr || at->node->term() > found->node->term()))
+            {
+                found = at.get();
+            }
+        }
+        return found;
+    }
+
+    int index_of(replica const* wanted) const
+    {
+        for (std::size_t i = 0; i < replicas.size(); ++i)
+        {
+            if (replicas[i].get() == wanted)
+            {
+                return int(i);
+            }
+        }
+        return -1;
+    }
+
+    replica& elect()
+    {
+        REQUIRE(run_until([this] { return leader() != nullptr; }));
+        return *leader();
+    }
+
+    /** Proposes a number; the end comes when it comes. */
+    void propose(replica& to, qint64 number)
+    {
+        to.node->propose(
+            {{QLatin1String("n"), number}},
+            [this, number](raft_node::proposal_end end, QCborMap const&)
+            { ends[number] = end; });
+        to.node->flush();
+    }
+
+    void commit(qint64 number)
+    {
+        propose(elect(), number);
+        REQUIRE(run_until(
+            [&]
+            {
+                return ends.count(number) > 0 &&
+                       ends[number] == raft_node::proposal_end::committed;
+            }));
+    }
+
+    bool all_hold(std::vector<qint64> const& numbers)
+    {
+        return std::all_of(replicas.begin(), replicas.end(),
+                           [&](auto const& at) {
+                               return !at->node ||
+                                      at->machine.numbers == numbers;
+                           });
+    }
+
+    manual_clock_source clock;
+    std::vector<std::unique_ptr<replica>> replicas;
+    std::map<qint64, raft_node::proposal_end> ends;
+    qint64 snapshot_after_bytes = 1024 * 1024;
+
+private:
+    struct message
+    {
+        int from;
+        int to;
+        QCborMap content;
+        raft_transport::callback done;
+    };
+
+    class queue_transport : public raft_transport
+    {
+    public:
+        queue_transport(raft_fixture& fixture, int from)
+            : fixture_(fixture)
+            , from_(from)
+        {
+        }
+
+        void send(socket_address const& to, QCborMap content, milliseconds,
+                  callback done) override
+        {
+            fixture_.queue_.push_back(
+                {from_, int(to.port) - 1, std::move(content), std::move(done)});
+        }
+
+    private:
+        raft_fixture& fixture_;
+        int from_;
+    };
+
+    raft_transport& transport_of(int i)
+    {
+        auto& transport = transports_[i];
+        if (!transport)
+        {
+            transport = std::make_unique<queue_transport>(*this, i);
+        }
+        return *transport;
+    }
+
+    void deliver()
+    {
+        auto const messages = std::exchange(queue_, {});
+        for (auto const& sent : messages)
+        {
+            auto& to = *replicas[std::size_t(sent.to)];
+            bool const is_lost = cut_.count(sent.from) > 0 ||
+                                 cut_.count(sent.to) > 0 || !to.node;
+            if (is_lost)
+            {
+                sent.done(std::nullopt);
+                continue;
+            }
+            sent.done(to.node->handle(sent.content));
+        }
+    }
+
+    QTemporaryDir folder_;
+    std::mt19937_64 random_;
+    QSet<QString> names_;
+    std::vector<socket_address> addresses_;
+    std::map<int, std::unique_ptr<queue_transport>> transports_;
+    std::deque<message> queue_;
+    std::set<int> cut_;
+};
+
+} // namespace
+
+TEST_CASE("raft: three replicas: one leads and all apply the same")
+{
+    raft_fixture raft(3);
+    raft.commit(1);
+    raft.commit(2);
+    CHECK(raft.run_until([&] { return raft.all_hold({1, 2}); }));
+}
+
+TEST_CASE("raft: an isolated leader: accepts nothing and steps down")
+{
+    raft_fixture raft(3);
+    raft.commit(1);
+    auto& isolated = raft.elect();
+    raft.cut(raft.index_of(&isolated));
+    raft.propose(isolated, 99);
+    bool is_confirmed = false;
+    isolated.node->confirm_leadership([&](bool is_current)
+                                      { is_confirmed = is_current; });
+    REQUIRE(raft.run_until(
+        [&]
+        { return raft.leader() != nullptr && raft.leader() != &isolated; }));
+    CHECK_FALSE(isolated.node->is_leader());
+    CHECK_FALSE(is_confirmed);
+    CHECK(raft.ends[99] == raft_node::proposal_end::unknown);
+    raft.commit(2);
+    raft.heal(raft.index_of(&isolated));
+    CHECK(raft.run_until([&] { return raft.all_hold({1, 2}); }));
+}
+
+TEST_CASE("raft: a replica that was cut off returns: the leader stays")
+{
+    raft_fixture raft(3);
+    auto& leader = raft.elect();
+    auto const other = (raft.index_of(&leader) + 1) % 3;
+    auto const term = leader.node->term();
+    raft.cut(other);
+    raft.run(milliseconds(30000));
+    raft.heal(other);
+    raft.run(milliseconds(5000));
+    CHECK(raft.leader() == &leader);
+    CHECK(leader.node->term() == term);
+}
+
+TEST_CASE("raft: all replicas restart: nothing committed is lost")
+{
+    raft_fixture raft(3);
+    raft.commit(1);
+    raft.commit(2);
+    for (int i = 0; i < 3; ++i)
+    {
+        raft.stop(i);
+    }
+    for (int i = 0; i < 3; ++i)
+    {
+        raft.start(i);
+    }
+    raft.commit(3);
+    CHECK(raft.run_until([&] { return raft.all_hold({1, 2, 3}); }));
+}
+
+TEST_CASE("raft: a log over its bound: a late replica takes a snapshot")
+{
+    raft_fixture raft(3);
+    raft.snapshot_after_bytes = 2000;
+    for (int i = 0; i < 3; ++i)
+    {
+        raft.stop(i);
+        raft.start(i);
+    }
+    auto const late = (raft.index_of(&raft.elect()) + 1) % 3;
+    raft.stop(late);
+    std::vector<qint64> expected;
+    for (qint64 number = 1; number <= 100; ++number)
+    {
+        raft.commit(number);
+        expected.push_back(number);
+    }
+    CHECK(raft.elect().storage->snapshot().index.value() > 0);
+    raft.start(late);
+    CHECK(raft.run_until([&] { return raft.all_hold(expected); }));
+}
+
+TEST_CASE("raft: a disk is lost and replaced, then another VM: nothing lost")
+{
+    raft_fixture raft(3);
+    raft.commit(1);
+    raft.commit(2);
+    auto const lost = (raft.index_of(&raft.elect()) + 1) % 3;
+    raft.replace(lost, QStringLiteral("new-identity"));
+    CHECK_FALSE(raft.replicas[std::size_t(lost)]->node->is_voter());
+    REQUIRE(raft.run_until(
+        [&] { return raft.replicas[std::size_t(lost)]->node->is_voter(); }));
+    CHECK(raft.leader()->node->members().size() == 3);
+    CHECK(raft.run_until([&] { return raft.all_hold({1, 2}); }));
+    // The second VM goes right after the repair.
+    auto const second = raft.index_of(&raft.elect());
+    raft.stop(second == lost ? (lost + 1) % 3 : second);
+    raft.commit(3);
+    CHECK(raft.run_until([&] { return raft.all_hold({1, 2, 3}); }));
+}
+
+TEST_CASE("raft: a replaced replica: does not vote for what it forgot")
+{
+    raft_fixture raft(3);
+    raft.commit(1);
+    auto const leader = raft.index_of(&raft.elect());
+    auto const behind = (leader + 1) % 3;
+    auto const lost = (leader + 2) % 3;
+    raft.cut(behind);
+    raft.commit(2);
+    // Both that hold entry 2 go; the one that was behind must not win with
+    // the vote of an emptied one.
+    raft.stop(leader);
+    raft.replace(lost, QStringLiteral("emptied"));
+    raft.heal(behind);
+    raft.run(milliseconds(20000));
+    CHECK(raft.leader() == nullptr);
+    raft.start(leader);
+    CHECK(raft.run_until([&] { return raft.all_hold({1, 2}); }));
+}
+
+TEST_CASE("raft: leadership is handed over: no election time passes")
+{
+    raft_fixture raft(3);
+    raft.commit(1);
+    auto& first = raft.elect();
+    first.node->hand_over_leadership();
+    CHECK(raft.run_until([&] { return !first.node->is_leader(); },
+                         milliseconds(300)));
+    CHECK(raft.run_until([&] { return raft.leader() != nullptr; },
+                         milliseconds(300)));
+}
+
+TEST_CASE("raft: seeded cuts and restarts: what was committed stays")
+{
+    for (quint64 seed = 1; seed <= 40; ++seed)
+    {
+        CAPTURE(seed);
+        std::mt19937_64 random(seed);
+        raft_fixture raft(5, seed);
+        qint64 number = 0;
+        for (int round = 0; round < 30; ++round)
+        {
+            auto const target = int(random() % 5);
+            switch (random() % 4)
+            {
+            case 0:
+                raft.cut(target);
+                break;
+            case 1:
+                raft.heal(target);
+                break;
+            case 2:
+                raft.stop(target);
+                raft.start(target);
+                break;
+            default:
+                break;
+            }
+            for (auto const& at : raft.replicas)
+            {
+                if (at->node->is_leader())
+                {
+                    raft.propose(*at, ++number);
+                }
+            }
+            raft.run(milliseconds(qint64(random() % 1500)));
+        }
+        for (int i = 0; i < 5; ++i)
+        {
+            raft.heal(i);
+        }
+        raft.commit(++number);
+        auto const expected = raft.elect().machine.numbers;
+        CHECK(raft.run_until([&] { return raft.all_hold(expected); }));
+        for (auto const& [proposed, end] : raft.ends)
+        {
+            auto const count =
+                std::count(expected.begin(), expected.end(), proposed);
+            CAPTURE(proposed);
+            CHECK(count <= 1);
+            if (end == raft_node::proposal_end::committed)
+            {
+                CHECK(count == 1);
+            }
+            if (end == raft_node::proposal_end::not_taken)
+            {
+                CHECK(count == 0);
+            }
+        }
+    }
+}
