--- a/source/verbenacove/version/record_reader.cpp
+++ b/source/verbenacove/version/record_reader.cpp
@@ -137,7 +137,7 @@
     {
         return {};
     }
-    auto const text = value->toString();
+    auto text = value->toString();
     if (!value->isString() || text.isEmpty() || text.size() > longest ||
         !is_printable(text))
     {
@@ -150,6 +150,24 @@
     return text;
 }
 
+QString record_reader::text(char const* key, int longest)
+{
+    if (!has(key))
+    {
+        known_keys_.insert(QString::fromLatin1(key));
+        return {};
+    }
+    auto const value = require(key);
+    if (!value->isString() || value->toString().size() > longest)
+    {
+        fail(QString::fromLatin1(key), *value,
+             QStringLiteral("must be text of at most %1 characters")
+                 .arg(longest));
+        return {};
+    }
+    return value->toString();
+}
+
 qint64 record_reader::number(char const* key, qint64 lowest, qint64 highest,
                              std::optional<qint64> fallback)
 {
--- a/source/verbenacove/version/record_reader.hpp
+++ b/source/verbenacove/version/record_reader.hpp
@@ -81,6 +81,10 @@
         none a space; it must be given. */
     QString word(char const* key, int longest);
 
+    /** Returns text of at most so many characters, or none when the key is
+        missing. */
+    QString text(char const* key, int longest);
+
     /** Returns a whole number within the bounds; it must be given unless
         there is a fallback. */
     qint64 number(char const* key, qint64 lowest, qint64 highest,
--- a/tests/unit/config_record_test.cpp
+++ b/tests/unit/config_record_test.cpp
@@ -64,8 +64,9 @@
         {record_kind::rule, R"({"name": "r", "service": "dispatch",
              "regions": [{"region": "wcape", "weight": 3}]})"},
         {record_kind::drain, R"({"scope": "zone", "target": "wcape-a"})"}};
-    for (auto const& [kind, text] : records)
+    for (auto const& [kind, form] : records)
     {
+        auto const* text = form;
         CAPTURE(text);
         auto const record = parse_record(kind, json(text), 2).value();
         CHECK(kind_of(record) == kind);
