Test what the test scaffolding could mislead about

Cause found on the way: the stand-in took every target without a query for an empty path, since left(-1) of a QByteArray is empty; so /health was run and counted. The run-counting tests failed (8 runs logged, 6 expected) and pass with the path taken up to the first question mark.

--- a/tests/support/fault_proxy.cpp
+++ b/tests/support/fault_proxy.cpp
@@ -626,7 +626,7 @@
                     .first->second;
     }
 
-    void hold(held_datagram datagram, bool is_cut)
+    void hold(held_datagram const& datagram, bool is_cut)
     {
         if (is_cut || dice_.hits(faults_.loss))
         {
--- a/tests/support/upstream_stand_in.cpp
+++ b/tests/support/upstream_stand_in.cpp
@@ -169,7 +169,7 @@
         }
         method = words[0];
         target = words[1];
-        path = target.left(target.indexOf('?'));
+        path = target.split('?').front();
         for (qsizetype i = 1; i < lines.size(); ++i)
         {
             auto const colon = lines[i].indexOf(':');
