--- a/tests/unit/support_child_process_test.cpp
+++ b/tests/unit/support_child_process_test.cpp
@@ -102,9 +102,8 @@
                   "child process: stopped with work in hand: finishes it, 0")
 {
     // The answer is large, so that one cut short by the exit would show.
-    auto pending =
-        std::async(std::launch::async, [this]
-                   { return send("/a", "X-Stand-In: slow=150"); });
+    auto pending = std::async(std::launch::async, [this]
+                              { return send("/a", "X-Stand-In: slow=150"); });
     REQUIRE(wait_until([&] { return !read_run_log(run_log).empty(); }));
     CHECK(process.stop_gracefully(milliseconds(5000)) == 0);
     auto const answer = pending.get();
--- a/tests/unit/support_fault_proxy_test.cpp
+++ b/tests/unit/support_fault_proxy_test.cpp
@@ -1,6 +1,7 @@
 #include "support/child_process.hpp"
 #include "support/fault_proxy.hpp"
 #include "support/http_caller.hpp"
+#include "support/udp_fault_proxy.hpp"
 #include "support/upstream_stand_in.hpp"
 #include "support/wait_until.hpp"
 
