--- a/source/verbenacove/version/stored_record.hpp
+++ b/source/verbenacove/version/stored_record.hpp
@@ -7,7 +7,6 @@
 
 #include <boost/leaf/result.hpp>
 
-#include <compare>
 #include <optional>
 
 namespace verbenacove
@@ -20,8 +19,10 @@
     QString name;
 
     friend bool operator==(record_key const&, record_key const&) = default;
-    friend std::strong_ordering operator<=>(record_key const&,
-                                            record_key const&) = default;
+    friend bool operator<(record_key const& a, record_key const& b)
+    {
+        return a.kind == b.kind ? a.name < b.name : a.kind < b.kind;
+    }
 };
 
 /** A record with its version or, without content, a deleted one. */
--- a/tests/unit/config_store_test.cpp
+++ b/tests/unit/config_store_test.cpp
@@ -139,6 +139,7 @@
         removal(QStringLiteral("missing"), QStringLiteral("nothing"), 0);
     std::vector<config_change> const changes{won, lost, bad, missing};
     std::vector<change_result> first;
+    first.reserve(changes.size());
     for (auto const& change : changes)
     {
         first.push_back(apply(change));
