--- a/source/verbenacove/version/config_record.cpp
+++ b/source/verbenacove/version/config_record.cpp
@@ -26,14 +26,6 @@
     return words;
 }
 
-QStringList const& scope_words()
-{
-    static QStringList const words{QStringLiteral("upstream"),
-                                   QStringLiteral("zone"),
-                                   QStringLiteral("region")};
-    return words;
-}
-
 place_record read_place(record_reader& reader)
 {
     place_record result;
@@ -134,7 +126,7 @@
 {
     drain_record result;
     result.scope =
-        static_cast<drain_scope>(reader.choice("scope", scope_words()));
+        static_cast<drain_scope>(reader.choice("scope", drain_scope_words()));
     result.target = reader.name("target");
     return result;
 }
@@ -248,14 +240,22 @@
     return static_cast<record_kind>(position);
 }
 
+QStringList const& drain_scope_words()
+{
+    static QStringList const words{QStringLiteral("upstream"),
+                                   QStringLiteral("zone"),
+                                   QStringLiteral("region")};
+    return words;
+}
+
 QString drain_scope_word(drain_scope scope)
 {
-    return scope_words().at(static_cast<int>(scope));
+    return drain_scope_words().at(static_cast<int>(scope));
 }
 
 std::optional<drain_scope> parse_drain_scope(QString const& word)
 {
-    auto const position = scope_words().indexOf(word);
+    auto const position = drain_scope_words().indexOf(word);
     if (position < 0)
     {
         return std::nullopt;
--- a/source/verbenacove/version/config_record.hpp
+++ b/source/verbenacove/version/config_record.hpp
@@ -111,6 +111,9 @@
     region
 };
 
+/** Returns all scopes' words, in the order of drain_scope. */
+QStringList const& drain_scope_words();
+
 /** Returns the word for a scope, such as `zone`. */
 QString drain_scope_word(drain_scope scope);
 
