Add the operators' client: command line, tries, output and exit codes

Cause: operators change records from any machine that reaches a control replica, and answers get lost.

--- a/programs/verbenactl.cpp
+++ b/programs/verbenactl.cpp
@@ -1,4 +1,57 @@
-int main()
+#include "verbenacove/process/daemon_command_line.hpp"
+#include "verbenacove/process/operator_commands.hpp"
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <iostream>
+
+using namespace verbenacove;
+
+namespace
 {
-    return 0;
+
+operator_exit run(operator_command const& command)
+{
+    operator_client_settings settings;
+    settings.controls = command.controls;
+    settings.timeout = command.timeout;
+    operator_client client(settings);
+    operator_commands commands(
+        client, [](QString const& text) { std::cout << text.toStdString(); },
+        [](QString const& text)
+        { std::cerr << "verbenactl: " << text.toStdString() << '\n'; });
+    return commands.run(command);
+}
+
+boost::leaf::result<operator_exit> run_command_line(int argc, char** argv)
+{
+    BOOST_LEAF_AUTO(line, parse_operator_command_line(argc, argv));
+    if (line.is_help)
+    {
+        std::cout << operator_help();
+        return operator_exit::success;
+    }
+    if (line.is_version)
+    {
+        std::cout << "verbenactl " << product_version() << '\n';
+        return operator_exit::success;
+    }
+    return run(line.command);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    // Control replicas are IP numbers, never behind a proxy of the user's.
+    qputenv("no_proxy", "*");
+    auto const code = boost::leaf::try_handle_all(
+        [&] { return run_command_line(argc, argv); },
+        [](command_line_error const& error)
+        {
+            std::cerr << "verbenactl: " << error.text.toStdString() << '\n';
+            return operator_exit::usage;
+        },
+        [] { return operator_exit::usage; });
+    return static_cast<int>(code);
 }
