Harden the callers' side and look at kept connections before use

Change: a common bound for request bodies, a bound for unfinished headers, answers kept in order through refusals and stops, a lingering close; libcurl's second send of a request is refused, and a kept connection with bytes waiting is left for a new one.

--- a/source/verbenacove/connection/http_connection.cpp
+++ b/source/verbenacove/connection/http_connection.cpp
@@ -1,7 +1,5 @@
 #include "verbenacove/connection/http_connection.hpp"
 
-#include "verbenacove/connection/http_response_writer.hpp"
-
 #include <QTcpSocket>
 
 #include <sys/socket.h>
@@ -37,7 +35,6 @@
     : socket_(std::move(socket))
     , limits_(limits)
     , listener_(receiver)
-    , parser_(std::make_unique<http_request_parser>(limits))
     , phase_start_(now)
 {
     socket_->setReadBufferSize(read_buffer_bytes);
@@ -46,7 +43,7 @@
     connect(socket_.get(), &QTcpSocket::bytesWritten, this,
             [this]
             {
-                send_answers();
+                note_unsent();
                 read();
             });
     connect(socket_.get(), &QTcpSocket::disconnected, this,
@@ -60,16 +57,15 @@
     {
         if (auto const exchange = answer.exchange.lock())
         {
-            exchange->connection_.clear();
-            exchange->is_cancelled_ = true;
+            exchange->forget_connection();
         }
     }
 }
 
-void http_connection::answer(quint64 sequence, http_response response)
+void http_connection::answer(quint64 sequence, http_response const& response)
 {
     auto const index = sequence - first_sequence_;
-    if (is_finished_ || sequence < first_sequence_ || index >= pending_.size())
+    if (is_finished_ || index >= pending_.size())
     {
         return;
     }
@@ -77,11 +73,12 @@
     bool const is_newest = index + 1 == pending_.size();
     if (is_newest && listener_.is_stopping())
     {
-        slot.is_last = true;
+        slot.form.closes = true;
         takes_requests_ = false;
     }
-    slot.bytes = write_http_response(
-        response, {slot.is_head, slot.is_http_1_1, slot.is_last});
+    slot.bytes = write_http_response(response, slot.form);
+    pending_body_bytes_ -= slot.body_bytes;
+    hold_bytes();
     send_answers();
     read();
 }
@@ -93,33 +90,29 @@
         return;
     }
     takes_requests_ = false;
-    reset_parser();
+    drop_parser();
+    input_.clear();
     pending_answer slot;
-    slot.is_last = true;
-    slot.bytes = write_http_response(response, {false, true, true});
+    slot.form.closes = true;
+    slot.bytes = write_http_response(response, slot.form);
     pending_.push_back(std::move(slot));
     send_answers();
 }
 
 void http_connection::check_time(monotonic_time now)
 {
-    if (unsent_since_ && elapsed(*unsent_since_, now) > limits_.answer_timeout)
+    bool const is_over = elapsed(phase_start_, now) > phase_limit();
+    if (is_unread_too_long(now) || (is_over && (is_lingering_ || is_idle())))
     {
         abort();
         return;
     }
-    if (elapsed(phase_start_, now) <= phase_limit())
-    {
-        return;
-    }
-    if (is_lingering_ || is_idle())
-    {
-        abort();
-    }
-    else if (takes_requests_ && may_take_more() &&
-             phase_ != http_request_parser::progress::nothing)
+    // While it reads nothing itself, the caller is not the slow one.
+    bool const waits_for_caller =
+        phase_ != progress::nothing && takes_requests_ && may_take_more();
+    if (is_over && waits_for_caller)
     {
-        refuse(timeout_response(phase_ == http_request_parser::progress::body));
+        refuse(timeout_response(phase_ == progress::body));
     }
 }
 
@@ -131,8 +124,8 @@
 
 bool http_connection::is_idle() const
 {
-    return takes_requests_ && pending_.empty() && !unsent_since_ &&
-           phase_ == http_request_parser::progress::nothing;
+    return is_lingering_ || (takes_requests_ && pending_.empty() &&
+                             !unsent_since_ && phase_ == progress::nothing);
 }
 
 monotonic_time http_connection::phase_start() const
@@ -155,18 +148,19 @@
            !unsent_since_;
 }
 
+bool http_connection::is_unread_too_long(monotonic_time now) const
+{
+    return unsent_since_ &&
+           elapsed(*unsent_since_, now) > limits_.answer_timeout;
+}
+
 void http_connection::read()
 {
-    if (is_reading_)
+    if (is_reading_ || is_finished_)
     {
         return;
     }
     is_reading_ = true;
-    if (!takes_requests_)
-    {
-        // What comes after a refused request is thrown away.
-        socket_->skip(socket_->bytesAvailable());
-    }
     parse();
     while (!is_finished_ && takes_requests_ && may_take_more() &&
            socket_->bytesAvailable() > 0)
@@ -175,6 +169,17 @@
         parse();
     }
     is_reading_ = false;
+    discard_input();
+}
+
+// What comes after a connection's last request is thrown away.
+void http_connection::discard_input()
+{
+    if (!takes_requests_ && !is_finished_)
+    {
+        input_.clear();
+        socket_->skip(socket_->bytesAvailable());
+    }
 }
 
 void http_connection::parse()
@@ -182,37 +187,79 @@
     while (!input_.isEmpty() && !is_finished_ && takes_requests_ &&
            may_take_more())
     {
-        auto const used = parser_->put(input_);
-        input_.remove(0, used);
-        auto const state = parser_->state();
-        if (state == http_request_parser::progress::refused)
+        auto const size_before = input_.size();
+        parse_some();
+        if (input_.size() == size_before)
         {
-            refuse(parser_->refusal());
-            return;
+            break;
         }
-        start_phase();
-        if (state == http_request_parser::progress::complete)
-        {
-            take_request();
-            continue;
-        }
-        send_continue();
-        if (input_.size() > limits_.maximum_header_bytes)
-        {
-            refuse(not_run_response(431, "headers-too-large",
-                                    "A line is over the bound."));
-        }
-        break;
     }
-    hold(takes_requests_ ? parser_->body_bytes() : 0);
+    if (input_.isEmpty())
+    {
+        // An idle connection is to hold no memory for input.
+        input_ = QByteArray();
+    }
 }
 
-void http_connection::start_phase()
+void http_connection::parse_some()
 {
+    skip_blank_lines();
+    bool const is_half_blank_line = !parser_ && input_ == "\r";
+    if (input_.isEmpty() || is_half_blank_line)
+    {
+        return;
+    }
+    if (!parser_)
+    {
+        parser_ = std::make_unique<http_request_parser>(limits_);
+    }
+    input_.remove(0, parser_->put(input_));
     auto const state = parser_->state();
-    if (state != phase_)
+    if (state == progress::refused)
+    {
+        refuse(parser_->refusal());
+    }
+    else if (state == progress::complete)
+    {
+        take_request();
+    }
+    else
+    {
+        set_phase(state);
+        hold_bytes();
+        send_continue();
+        refuse_what_is_too_large();
+    }
+}
+
+// RFC 9112, section 2.2: an empty line before a request is passed over.
+void http_connection::skip_blank_lines()
+{
+    while (!parser_ && input_.startsWith("\r\n"))
+    {
+        input_.remove(0, 2);
+    }
+}
+
+void http_connection::refuse_what_is_too_large()
+{
+    if (input_.size() > limits_.maximum_header_bytes)
+    {
+        refuse(not_run_response(431, "headers-too-large",
+                                "A line is over the bound."));
+    }
+    else if (listener_.holds_too_much() && parser_->body_bytes() > 0)
     {
-        phase_ = state;
+        refuse(not_run_response(503, "overloaded",
+                                "There are too many large requests."));
+    }
+}
+
+void http_connection::set_phase(progress phase)
+{
+    if (phase != phase_)
+    {
+        phase_ = phase;
         phase_start_ = std::chrono::steady_clock::now();
     }
 }
@@ -225,9 +272,9 @@
     }
     switch (phase_)
     {
-    case http_request_parser::progress::header:
+    case progress::header:
         return limits_.header_timeout;
-    case http_request_parser::progress::body:
+    case progress::body:
         return limits_.body_timeout;
     default:
         return limits_.idle_timeout;
@@ -237,94 +284,107 @@
 void http_connection::take_request()
 {
     pending_answer slot;
-    slot.is_last = !parser_->keeps_alive() || listener_.is_stopping();
-    slot.is_http_1_1 = parser_->is_http_1_1();
+    slot.form.is_http_1_1 = parser_->is_http_1_1();
+    slot.form.closes = !parser_->keeps_alive() || listener_.is_stopping();
     slot.body_bytes = parser_->body_bytes();
     auto request = parser_->take_request();
     request.remote = socket_->peerAddress();
-    slot.is_head = request.method == "HEAD";
-    auto const sequence = first_sequence_ + pending_.size();
-    auto exchange =
-        std::make_shared<http_exchange>(std::move(request), this, sequence);
+    slot.form.is_head = request.method == "HEAD";
+    auto exchange = std::make_shared<http_exchange>(
+        std::move(request), this, first_sequence_ + pending_.size());
     slot.exchange = exchange;
-    takes_requests_ = !slot.is_last;
+    takes_requests_ = !slot.form.closes;
+    pending_body_bytes_ += slot.body_bytes;
     pending_.push_back(std::move(slot));
-    reset_parser();
+    drop_parser();
     listener_.request_arrived(std::move(exchange));
 }
 
-void http_connection::reset_parser()
+void http_connection::drop_parser()
 {
-    parser_ = std::make_unique<http_request_parser>(limits_);
-    phase_ = http_request_parser::progress::nothing;
+    parser_.reset();
+    phase_ = progress::nothing;
     phase_start_ = std::chrono::steady_clock::now();
     has_sent_continue_ = false;
+    hold_bytes();
 }
 
 void http_connection::send_continue()
 {
-    if (parser_->expects_continue() && !has_sent_continue_ &&
-        pending_.empty() &&
-        parser_->state() == http_request_parser::progress::body)
+    if (parser_ && parser_->expects_continue() && !has_sent_continue_ &&
+        pending_.empty() && parser_->state() == progress::body)
     {
         has_sent_continue_ = true;
         socket_->write("HTTP/1.1 100 Continue\r\n\r\n");
+        socket_->flush();
     }
 }
 
 void http_connection::send_answers()
 {
+    bool is_any = false;
     while (!is_finished_ && !pending_.empty() && pending_.front().bytes)
     {
-        auto const slot = std::move(pending_.front());
+        auto const answer = std::move(pending_.front());
         pending_.pop_front();
         ++first_sequence_;
-        bool const is_too_much = socket_->bytesToWrite() > 0 &&
-                                 socket_->bytesToWrite() + slot.bytes->size() >
-                                     limits_.maximum_unsent_bytes;
-        if (is_too_much)
-        {
-            abort();
-            return;
-        }
-        socket_->write(*slot.bytes);
-        if (slot.is_last)
-        {
-            takes_requests_ = false;
-            pending_.clear();
-            is_lingering_ = true;
-        }
+        is_any = true;
+        send_answer(answer);
     }
+    if (is_any && !is_finished_)
+    {
+        phase_start_ = std::chrono::steady_clock::now();
+        socket_->flush();
+        note_unsent();
+        send_continue();
+    }
+}
+
+void http_connection::send_answer(pending_answer const& answer)
+{
+    auto const unsent = socket_->bytesToWrite();
+    if (unsent > 0 &&
+        unsent + answer.bytes->size() > limits_.maximum_unsent_bytes)
+    {
+        abort();
+        return;
+    }
+    socket_->write(*answer.bytes);
+    has_sent_last_ = has_sent_last_ || answer.form.closes;
+}
+
+void http_connection::note_unsent()
+{
     if (is_finished_)
     {
         return;
     }
-    socket_->flush();
-    if (socket_->bytesToWrite() == 0)
+    if (socket_->bytesToWrite() > 0)
     {
-        unsent_since_.reset();
-        if (is_lingering_)
-        {
-            start_lingering();
-        }
+        unsent_since_ =
+            unsent_since_.value_or(std::chrono::steady_clock::now());
+        return;
     }
-    else if (!unsent_since_)
+    unsent_since_.reset();
+    if (has_sent_last_ && !is_lingering_)
     {
-        unsent_since_ = std::chrono::steady_clock::now();
+        start_lingering();
     }
 }
 
 void http_connection::start_lingering()
 {
-    ::shutdown(static_cast<int>(socket_->socketDescriptor()), SHUT_WR);
+    is_lingering_ = true;
     phase_start_ = std::chrono::steady_clock::now();
+    ::shutdown(static_cast<int>(socket_->socketDescriptor()), SHUT_WR);
 }
 
-void http_connection::hold(qint64 bytes)
+void http_connection::hold_bytes()
 {
-    auto const change = bytes - held_bytes_;
+    auto const bytes =
+        pending_body_bytes_ + (parser_ ? parser_->body_bytes() : 0);
+    listener_.held_bytes_changed(bytes - held_bytes_);
     held_bytes_ = bytes;
-    listener_.hold_bytes(change);
 }
 
 void http_connection::finish()
@@ -334,7 +394,9 @@
         return;
     }
     is_finished_ = true;
-    hold(0);
+    parser_.reset();
+    pending_body_bytes_ = 0;
+    hold_bytes();
     auto const pending = std::exchange(pending_, {});
     for (auto const& answer : pending)
     {
--- a/source/verbenacove/connection/http_connection.hpp
+++ b/source/verbenacove/connection/http_connection.hpp
@@ -4,6 +4,7 @@
 #include "verbenacove/connection/http_exchange.hpp"
 #include "verbenacove/connection/http_limits.hpp"
 #include "verbenacove/connection/http_request_parser.hpp"
+#include "verbenacove/connection/http_response_writer.hpp"
 
 #include <QObject>
 
@@ -22,7 +23,7 @@
     answers in the order of the requests. It reads no further while the
     caller leaves answers unread, so that what it holds stays bounded. A
     request that is refused gets its answer after those before it; then the
-    connection closes.
+    connection closes. A caller that closes its sending side has left.
 */
 class http_connection : public QObject
 {
@@ -41,8 +42,11 @@
         virtual void connection_closed(http_connection*) = 0;
 
         /** Called when the connection holds more, or fewer, bytes of
-            request bodies; returns false when that is too much. */
-        virtual bool hold_bytes(qint64 change) = 0;
+            request bodies. */
+        virtual void held_bytes_changed(qint64 change) = 0;
+
+        /** Returns true when all connections together hold too much. */
+        virtual bool holds_too_much() const = 0;
 
         /** Returns true when no further request is to be taken. */
         virtual bool is_stopping() const = 0;
@@ -59,7 +63,7 @@
     ~http_connection() override;
 
     /** Gives the answer to the request of this number. */
-    void answer(quint64 sequence, http_response response);
+    void answer(quint64 sequence, http_response const& response);
 
     /** Sends an error after the answers still to come, and closes. */
     void refuse(http_response const& response);
@@ -70,57 +74,68 @@
     /** Closes at once, without what is still to be sent. */
     void abort();
 
-    /** Returns true when no request is in hand or on its way. */
+    /** Returns true when no request is in hand or on its way, and every
+        answer has been sent. */
     bool is_idle() const;
 
     /** Returns since when the connection is as it is: idle, in a request's
-        headers, or in its body. */
+        headers, in its body, or waiting for the caller to close. */
     monotonic_time phase_start() const;
 
     /** Returns how many requests are in hand. */
     int open_exchanges() const;
 
 private:
+    using progress = http_request_parser::progress;
+
     struct pending_answer
     {
         std::weak_ptr<http_exchange> exchange;
         std::optional<QByteArray> bytes;
         qint64 body_bytes = 0;
-        bool is_head = false;
-        bool is_http_1_1 = true;
-        bool is_last = false;
+        http_response_form form;
     };
 
     void read();
+    void discard_input();
     void parse();
+    void parse_some();
+    void skip_blank_lines();
     void take_request();
+    void refuse_what_is_too_large();
     void send_continue();
     void send_answers();
+    void send_answer(pending_answer const& answer);
+    void note_unsent();
     void start_lingering();
     void finish();
-    void hold(qint64 bytes);
-    void reset_parser();
+    void hold_bytes();
+    void drop_parser();
+    void set_phase(progress phase);
     bool may_take_more() const;
-    void start_phase();
+    bool is_unread_too_long(monotonic_time now) const;
     milliseconds phase_limit() const;
 
     std::unique_ptr<QTcpSocket> socket_;
     http_limits const& limits_;
     listener& listener_;
+    /** Empty while no byte of a request is there. */
     std::unique_ptr<http_request_parser> parser_;
     QByteArray input_;
     std::deque<pending_answer> pending_;
+    /** The number of the oldest pending answer's request. */
     quint64 first_sequence_ = 0;
+    qint64 pending_body_bytes_ = 0;
     qint64 held_bytes_ = 0;
+    progress phase_ = progress::nothing;
     monotonic_time phase_start_;
     std::optional<monotonic_time> unsent_since_;
-    http_request_parser::progress phase_ =
-        http_request_parser::progress::nothing;
     bool is_reading_ = false;
     bool takes_requests_ = true;
+    bool has_sent_continue_ = false;
+    bool has_sent_last_ = false;
     bool is_lingering_ = false;
     bool is_finished_ = false;
-    bool has_sent_continue_ = false;
 };
 
 } // namespace verbenacove
--- a/source/verbenacove/connection/http_exchange.cpp
+++ b/source/verbenacove/connection/http_exchange.cpp
@@ -31,7 +31,10 @@
 
 http_exchange::~http_exchange()
 {
-    respond(unanswered_response());
+    if (!is_answered_ && connection_)
+    {
+        respond(unanswered_response());
+    }
 }
 
 http_request const& http_exchange::request() const
@@ -39,6 +42,7 @@
     return request_;
 }
 
+// By value, so that a caller may move a large body in and forget it.
 void http_exchange::respond(http_response response)
 {
     if (is_answered_ || !connection_)
@@ -47,7 +51,7 @@
     }
     is_answered_ = true;
     cancel_calls_.clear();
-    connection_->answer(sequence_, std::move(response));
+    connection_->answer(sequence_, response);
 }
 
 bool http_exchange::is_cancelled() const
@@ -69,8 +73,7 @@
 
 void http_exchange::cancel()
 {
-    connection_.clear();
-    is_cancelled_ = true;
+    forget_connection();
     auto const calls = std::exchange(cancel_calls_, {});
     for (auto const& call : calls)
     {
@@ -78,4 +81,10 @@
     }
 }
 
+void http_exchange::forget_connection()
+{
+    connection_.clear();
+    is_cancelled_ = true;
+}
+
 } // namespace verbenacove
--- a/source/verbenacove/connection/http_exchange.hpp
+++ b/source/verbenacove/connection/http_exchange.hpp
@@ -52,6 +52,7 @@
 private:
     friend class http_connection;
     void cancel();
+    void forget_connection();
 
     http_request const request_;
     QPointer<http_connection> connection_;
--- a/source/verbenacove/connection/http_request_parser.cpp
+++ b/source/verbenacove/connection/http_request_parser.cpp
@@ -86,6 +86,16 @@
         }
     }
 
+    // The grammar counts only the bytes that it has not used yet.
+    void check_unfinished_header(qsizetype used, qsizetype waiting)
+    {
+        used_header_bytes_ += used;
+        if (used_header_bytes_ + waiting > limits_.maximum_header_bytes)
+        {
+            refuse(http::error::header_limit);
+        }
+    }
+
     http_request request_;
     std::optional<http_response> refusal_;
     bool expects_continue_ = false;
@@ -257,6 +267,7 @@
     void on_finish_impl(beast::error_code&) override {}
 
     http_limits const& limits_;
+    qint64 used_header_bytes_ = 0;
     qint64 header_bytes_ = 0;
     int header_count_ = 0;
     int host_count_ = 0;
@@ -290,6 +301,10 @@
             grammar_->refuse(error);
         }
     }
+    if (state() == progress::header)
+    {
+        grammar_->check_unfinished_header(used, bytes.size() - used);
+    }
     return used;
 }
 
--- a/source/verbenacove/connection/http_server.cpp
+++ b/source/verbenacove/connection/http_server.cpp
@@ -74,10 +74,11 @@
         connection->deleteLater();
     }
 
-    bool hold_bytes(qint64 change) override
+    void held_bytes_changed(qint64 change) override { held_bytes_ += change; }
+
+    bool holds_too_much() const override
     {
-        held_bytes_ += change;
-        return held_bytes_ <= limits_.maximum_held_bytes;
+        return held_bytes_ > limits_.maximum_held_bytes;
     }
 
     bool is_stopping() const override { return is_stopping_; }
--- a/source/verbenacove/connection/upstream_answer.cpp
+++ b/source/verbenacove/connection/upstream_answer.cpp
@@ -11,6 +11,7 @@
 
 constexpr qint64 maximum_header_bytes = qint64{64} * 1024;
 constexpr int lowest_final_status = 200;
+constexpr int highest_status = 599;
 constexpr int no_content_status = 204;
 constexpr int not_modified_status = 304;
 
@@ -122,7 +123,7 @@
     {
         return QStringLiteral("The answer has no whole header.");
     }
-    if (is_malformed_)
+    if (is_malformed_ || response_.status > highest_status)
     {
         return QStringLiteral("The answer has a malformed header.");
     }
--- a/source/verbenacove/connection/upstream_attempt.cpp
+++ b/source/verbenacove/connection/upstream_attempt.cpp
@@ -9,9 +9,6 @@
 namespace
 {
 
-// How long an answer that has begun may stand still.
-constexpr milliseconds stall_timeout{5000};
-
 // An idle connection that is older may have gone silent unnoticed.
 constexpr long maximum_idle_seconds = 10;
 
@@ -43,10 +40,12 @@
 
 upstream_attempt::upstream_attempt(attempt_request request,
                                    upstream_client::callback call,
+                                   upstream_sockets& sockets,
                                    monotonic_time now)
     : request_(std::move(request))
     , call_(std::move(call))
     , start_(now)
+    , sockets_(sockets)
     , answer_(request_.method == "HEAD", request_.maximum_response_bytes)
     , handle_(curl_easy_init())
     , last_progress_(now)
@@ -57,6 +56,10 @@
     set_headers();
     curl_easy_setopt(handle_, CURLOPT_PRIVATE, this);
     curl_easy_setopt(handle_, CURLOPT_ERRORBUFFER, error_text_);
+    curl_easy_setopt(handle_, CURLOPT_OPENSOCKETFUNCTION, &open_socket);
+    curl_easy_setopt(handle_, CURLOPT_OPENSOCKETDATA, this);
+    curl_easy_setopt(handle_, CURLOPT_CLOSESOCKETFUNCTION, &close_socket);
+    curl_easy_setopt(handle_, CURLOPT_CLOSESOCKETDATA, &sockets_);
     curl_easy_setopt(handle_, CURLOPT_PREREQFUNCTION, &before_send);
     curl_easy_setopt(handle_, CURLOPT_PREREQDATA, this);
     curl_easy_setopt(handle_, CURLOPT_HEADERFUNCTION, &take_header);
@@ -85,7 +88,7 @@
 
 bool upstream_attempt::is_sent() const
 {
-    return send_count_ > 0;
+    return is_sent_;
 }
 
 void upstream_attempt::set_target()
@@ -168,20 +171,72 @@
     header_lines_ = curl_slist_append(header_lines_, line.constData());
 }
 
-// Called for each send, with the connection open and nothing written yet. A
-// second call would be libcurl's own resend, on a new connection, of what the
-// first may have run.
-int upstream_attempt::before_send(void* attempt, char*, char*, int, int)
+curl_socket_t upstream_attempt::open_socket(void* attempt, curlsocktype,
+                                            curl_sockaddr* address)
 {
     auto& self = *static_cast<upstream_attempt*>(attempt);
-    if (self.send_count_ > 0)
+    self.opened_socket_ = self.sockets_.open(address->family, address->socktype,
+                                             address->protocol);
+    return self.opened_socket_;
+}
+
+int upstream_attempt::close_socket(void* sockets, curl_socket_t socket)
+{
+    static_cast<upstream_sockets*>(sockets)->close(socket);
+    return 0;
+}
+
+// Called for each send, with the connection open and nothing written yet.
+int upstream_attempt::before_send(void* attempt, char*, char*, int,
+                                  int local_port)
+{
+    auto& self = *static_cast<upstream_attempt*>(attempt);
+    self.held_back_ = self.check_before_send(local_port);
+    if (self.held_back_ != hold_back::none)
     {
         return CURL_PREREQFUNC_ABORT;
     }
-    ++self.send_count_;
+    self.is_sent_ = true;
     return CURL_PREREQFUNC_OK;
 }
 
+upstream_attempt::hold_back upstream_attempt::check_before_send(int local_port)
+{
+    if (is_sent_)
+    {
+        // libcurl would resend what the upstream may have run.
+        return hold_back::already_sent;
+    }
+    connection_ends const ends{request_.address, local_port};
+    bool const is_new = opened_socket_ != upstream_sockets::none;
+    if (is_new)
+    {
+        sockets_.name(ends, opened_socket_);
+    }
+    if (!upstream_sockets::is_quiet(sockets_.find(ends)))
+    {
+        return hold_back::connection_not_quiet;
+    }
+    // The process may have been frozen since it last looked at the clock.
+    auto const now = std::chrono::steady_clock::now();
+    return elapsed(start_, now) < request_.time_left ? hold_back::none
+                                                     : hold_back::out_of_time;
+}
+
+bool upstream_attempt::needs_new_connection() const
+{
+    bool const was_kept = opened_socket_ == upstream_sockets::none;
+    return held_back_ == hold_back::connection_not_quiet && was_kept;
+}
+
+void upstream_attempt::use_new_connection(monotonic_time now)
+{
+    held_back_ = hold_back::none;
+    curl_easy_setopt(handle_, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(handle_, CURLOPT_TIMEOUT_MS,
+                     timeout_ms(request_.time_left - elapsed(start_, now)));
+}
+
 size_t upstream_attempt::take_header(char* bytes, size_t size, size_t count,
                                      void* attempt)
 {
@@ -219,7 +274,8 @@
 
 attempt_end upstream_attempt::end_of(CURLcode code) const
 {
-    if (code == CURLE_OPERATION_TIMEDOUT)
+    if (code == CURLE_OPERATION_TIMEDOUT ||
+        held_back_ == hold_back::out_of_time)
     {
         return is_sent() ? attempt_end::timed_out_after_send
                          : attempt_end::timed_out_before_send;
@@ -242,6 +298,17 @@
     {
         return QStringLiteral("The answer is over the bound.");
     }
+    switch (held_back_)
+    {
+    case hold_back::none:
+        break;
+    case hold_back::already_sent:
+        return QStringLiteral("The kept connection closed without an answer.");
+    case hold_back::connection_not_quiet:
+        return QStringLiteral("The upstream spoke before the request.");
+    case hold_back::out_of_time:
+        return QStringLiteral("No time is left.");
+    }
     if (code == CURLE_OK)
     {
         return answer_.fault();
@@ -250,13 +317,11 @@
                                                     : curl_easy_strerror(code));
 }
 
-attempt_result upstream_attempt::give_up(attempt_end before_send,
-                                         attempt_end after_send,
-                                         QString const& reason,
+attempt_result upstream_attempt::give_up(attempt_end end, QString const& reason,
                                          monotonic_time now)
 {
     attempt_result result;
-    result.end = is_sent() ? after_send : before_send;
+    result.end = end;
     result.reason = reason;
     result.duration = elapsed(start_, now);
     return result;
@@ -264,7 +329,8 @@
 
 bool upstream_attempt::is_stalled(monotonic_time now) const
 {
-    return answer_.has_begun() && elapsed(last_progress_, now) > stall_timeout;
+    return answer_.has_begun() &&
+           elapsed(last_progress_, now) > request_.stall_timeout;
 }
 
 void upstream_attempt::call_back(attempt_result result)
--- a/source/verbenacove/connection/upstream_attempt.hpp
+++ b/source/verbenacove/connection/upstream_attempt.hpp
@@ -3,6 +3,7 @@
 
 #include "verbenacove/connection/upstream_answer.hpp"
 #include "verbenacove/connection/upstream_client.hpp"
+#include "verbenacove/connection/upstream_sockets.hpp"
 
 #include <curl/curl.h>
 
@@ -19,9 +20,12 @@
 class upstream_attempt
 {
 public:
-    /** Prepares the request; it is not sent yet. */
+    /** Prepares the request; it is not sent yet.
+
+        @param sockets  must outlive all connections of the multi interface
+    */
     upstream_attempt(attempt_request request, upstream_client::callback call,
-                     monotonic_time now);
+                     upstream_sockets& sockets, monotonic_time now);
     ~upstream_attempt();
     upstream_attempt(upstream_attempt const&) = delete;
     upstream_attempt& operator=(upstream_attempt const&) = delete;
@@ -35,12 +39,19 @@
     /** Returns true once a connection is open and the request goes out. */
     bool is_sent() const;
 
+    /** Returns true when nothing was sent, because the kept connection was
+        no good, and a new connection may be tried. */
+    bool needs_new_connection() const;
+
+    /** Prepares for a new connection, in the time that is left. */
+    void use_new_connection(monotonic_time now);
+
     /** Returns the result that libcurl's code stands for. */
     attempt_result finish(CURLcode code, monotonic_time now);
 
     /** Returns the result of an attempt that is given up. */
-    attempt_result give_up(attempt_end before_send, attempt_end after_send,
-                           QString const& reason, monotonic_time now);
+    attempt_result give_up(attempt_end end, QString const& reason,
+                           monotonic_time now);
 
     /** Returns true when an answer has begun and then stood still. */
     bool is_stalled(monotonic_time now) const;
@@ -49,6 +60,18 @@
     void call_back(attempt_result result);
 
 private:
+    /** Why the request was kept back when the connection was open. */
+    enum class hold_back
+    {
+        none,
+        already_sent,
+        connection_not_quiet,
+        out_of_time
+    };
+
+    static curl_socket_t open_socket(void* attempt, curlsocktype purpose,
+                                     curl_sockaddr* address);
+    static int close_socket(void* sockets, curl_socket_t socket);
     static int before_send(void* attempt, char* remote_host, char* local_host,
                            int remote_port, int local_port);
     static size_t take_header(char* bytes, size_t size, size_t count,
@@ -60,17 +83,21 @@
     void set_method();
     void set_headers();
     void append_header_line(QByteArray const& line);
+    hold_back check_before_send(int local_port);
     attempt_end end_of(CURLcode code) const;
     QString reason_of(CURLcode code) const;
 
     attempt_request const request_;
     upstream_client::callback call_;
     monotonic_time const start_;
+    upstream_sockets& sockets_;
     upstream_answer answer_;
     CURL* handle_;
     curl_slist* header_lines_ = nullptr;
     char error_text_[CURL_ERROR_SIZE] = {};
-    int send_count_ = 0;
+    upstream_sockets::descriptor opened_socket_ = upstream_sockets::none;
+    hold_back held_back_ = hold_back::none;
+    bool is_sent_ = false;
     monotonic_time last_progress_;
 };
 
--- a/source/verbenacove/connection/upstream_client.cpp
+++ b/source/verbenacove/connection/upstream_client.cpp
@@ -19,6 +19,7 @@
 {
 
 constexpr long maximum_kept_connections = 256;
+constexpr std::size_t maximum_attempts = 4096;
 constexpr milliseconds stall_check_interval{250};
 
 void start_library()
@@ -72,10 +73,15 @@
         attempt_id const id(++last_id_);
         bool const has_time = request.time_left.count() > 0;
         auto attempt = std::make_unique<upstream_attempt>(
-            std::move(request), std::move(call), clock_.now());
+            std::move(request), std::move(call), open_sockets_, clock_.now());
         auto& started = *attempt;
         attempts_.emplace(id.value(), std::move(attempt));
-        if (!started.is_valid())
+        if (attempts_.size() > maximum_attempts)
+        {
+            end_later(id, attempt_end::connect_failed,
+                      QStringLiteral("Too many attempts are in flight."));
+        }
+        else if (!started.is_valid())
         {
             end_later(id, attempt_end::connect_failed,
                       QStringLiteral("The request cannot be written."));
@@ -88,8 +94,7 @@
         else
         {
             // libcurl only sets its timer here; nothing is sent within start.
-            ids_.emplace(started.handle(), id.value());
-            curl_multi_add_handle(multi_, started.handle());
+            add(id, started);
         }
         return id;
     }
@@ -131,13 +136,24 @@
     {
         auto& attempt = *attempts_.at(id.value());
         remove(attempt);
-        auto result = attempt.give_up(end, end, reason, clock_.now());
+        call_back_later(id, attempt.give_up(end, reason, clock_.now()));
+    }
+
+    void call_back_later(attempt_id id, attempt_result result)
+    {
         QMetaObject::invokeMethod(
             &context_,
-            [this, id, result = std::move(result)] { call_back(id, result); },
+            [this, id, result = std::move(result)]() mutable
+            { call_back(id, std::move(result)); },
             Qt::QueuedConnection);
     }
 
+    void add(attempt_id id, upstream_attempt const& attempt)
+    {
+        ids_.emplace(attempt.handle(), id.value());
+        curl_multi_add_handle(multi_, attempt.handle());
+    }
+
     void remove(upstream_attempt& attempt)
     {
         if (ids_.erase(attempt.handle()) > 0)
@@ -162,8 +178,8 @@
         take_ended();
     }
 
-    // All results are taken before the first callback, which may start or
-    // cancel attempts, or delete the client.
+    // The callbacks come later: one may start or cancel other attempts, or
+    // delete the client.
     void take_ended()
     {
         int left = 0;
@@ -177,12 +193,15 @@
             attempt_id const id(ids_.at(message->easy_handle));
             auto& attempt = *attempts_.at(id.value());
             remove(attempt);
-            auto result = attempt.finish(code, clock_.now());
-            QMetaObject::invokeMethod(
-                &context_,
-                [this, id, result = std::move(result)]
-                { call_back(id, result); },
-                Qt::QueuedConnection);
+            if (attempt.needs_new_connection())
+            {
+                attempt.use_new_connection(clock_.now());
+                add(id, attempt);
+            }
+            else
+            {
+                call_back_later(id, attempt.finish(code, clock_.now()));
+            }
         }
     }
 
@@ -269,6 +288,7 @@
         return 0;
     }
 
+    upstream_sockets open_sockets_;
     QObject context_;
     QTimer timer_;
     CURLM* multi_ = nullptr;
--- a/source/verbenacove/connection/upstream_client.hpp
+++ b/source/verbenacove/connection/upstream_client.hpp
@@ -53,9 +53,13 @@
     milliseconds time_left{10000};
     /** The bound for the answer's body. */
     qint64 maximum_response_bytes = qint64{1024} * 1024;
-    /** Only for an idempotent request: the connection may be an old one, and
-        may be kept. */
+    /** The connection may be a kept one, and may be kept. Only for a request
+        that is idempotent, and an upstream that answers each request once: a
+        second answer that comes late, when the next request has just gone
+        out, cannot be told from that one's answer. */
     bool may_reuse_connection = false;
+    /** The bound for an answer that has begun and then stands still. */
+    milliseconds stall_timeout{5000};
 };
 
 /** What became of an attempt. */
@@ -73,8 +77,12 @@
 /** Carries requests to upstreams, each sent at most once.
 
     It runs on the event loop of the thread it was created in. It never sends
-    a request a second time by itself, also not on a connection that turns out
-    to be closed: that is the caller's to decide.
+    a request a second time by itself, also not when a kept connection turns
+    out to be closed after the request went out: that is the caller's to
+    decide. A kept connection on which bytes wait, or which has closed, is
+    left for a new one before anything is sent.
+
+    @see attempt_request::may_reuse_connection
 */
 class upstream_client
 {
--- a/tests/unit/http_test_tools.hpp
+++ b/tests/unit/http_test_tools.hpp
@@ -67,9 +67,25 @@
 public:
     explicit raw_caller(quint16 port)
     {
+        start_reading();
+        socket.connectToHost(QHostAddress::LocalHost, port);
+    }
+
+    void start_reading()
+    {
+        socket.setReadBufferSize(0);
         QObject::connect(&socket, &QTcpSocket::readyRead, &socket,
                          [this] { received += socket.readAll(); });
-        socket.connectToHost(QHostAddress::LocalHost, port);
+        if (socket.isReadable())
+        {
+            received += socket.readAll();
+        }
+    }
+
+    void stop_reading()
+    {
+        socket.setReadBufferSize(1);
+        socket.disconnect();
     }
 
     void send(QByteArray const& bytes) { socket.write(bytes); }
