--- a/source/verbenacove/connection/http_connection.cpp
+++ b/source/verbenacove/connection/http_connection.cpp
@@ -14,7 +14,6 @@
 {
 
 constexpr qint64 read_buffer_bytes = qint64{64} * 1024;
-constexpr qint64 read_step_bytes = qint64{16} * 1024;
 
 // How long a refused caller may go on sending before it is cut off; without
 // that time, its unread bytes would make the kernel drop the answer.
@@ -165,13 +164,28 @@
     while (!is_finished_ && takes_requests_ && may_take_more() &&
            socket_->bytesAvailable() > 0)
     {
-        input_.append(socket_->read(read_step_bytes));
+        take_input();
         parse();
     }
     is_reading_ = false;
     discard_input();
 }
 
+// Reading all that is there lets Qt hand its buffer over, so that an idle
+// socket keeps none.
+void http_connection::take_input()
+{
+    auto const bytes = socket_->read(socket_->bytesAvailable());
+    if (input_.isEmpty())
+    {
+        input_ = bytes;
+    }
+    else
+    {
+        input_.append(bytes);
+    }
+}
+
 // What comes after a connection's last request is thrown away.
 void http_connection::discard_input()
 {
@@ -334,7 +348,6 @@
     if (is_any && !is_finished_)
     {
         phase_start_ = std::chrono::steady_clock::now();
-        socket_->flush();
         note_unsent();
         send_continue();
     }
@@ -350,6 +363,8 @@
         return;
     }
     socket_->write(*answer.bytes);
+    // While the bytes are held here too, Qt keeps no buffer of them.
+    socket_->flush();
     has_sent_last_ = has_sent_last_ || answer.form.closes;
 }
 
--- a/source/verbenacove/connection/http_connection.hpp
+++ b/source/verbenacove/connection/http_connection.hpp
@@ -97,6 +97,7 @@
     };
 
     void read();
+    void take_input();
     void discard_input();
     void parse();
     void parse_some();
--- /dev/null
+++ b/tests/unit/http_memory_test.cpp
@@ -0,0 +1,193 @@
+#include "http_test_tools.hpp"
+
+#include <doctest/doctest.h>
+
+#include <QFile>
+
+#include <netinet/in.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <thread>
+
+using namespace verbenacove;
+
+namespace
+{
+
+constexpr qint64 mebibyte = qint64{1024} * 1024;
+
+// The sanitizers keep freed memory, so that growth says nothing under them.
+#if defined(__SANITIZE_ADDRESS__)
+constexpr bool can_measure = false;
+#else
+constexpr bool can_measure = true;
+#endif
+
+/** Returns the memory that this process has resident, in bytes. */
+qint64 resident_bytes()
+{
+    QFile file(QStringLiteral("/proc/self/statm"));
+    REQUIRE(file.open(QIODevice::ReadOnly));
+    return file.readAll().split(' ').at(1).toLongLong() * 4096;
+}
+
+/** A caller apart from Qt, which takes next to no memory itself. */
+class blocking_caller
+{
+public:
+    explicit blocking_caller(quint16 port)
+        : socket_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        REQUIRE(::connect(socket_, reinterpret_cast<sockaddr*>(&address),
+                          sizeof(address)) == 0);
+    }
+
+    ~blocking_caller() { ::close(socket_); }
+    blocking_caller(blocking_caller const&) = delete;
+    blocking_caller& operator=(blocking_caller const&) = delete;
+
+    /** Writes it all; false when the server has cut the connection. */
+    bool send(QByteArray const& bytes) const
+    {
+        qsizetype sent = 0;
+        while (sent < bytes.size())
+        {
+            auto const rest = static_cast<std::size_t>(bytes.size() - sent);
+            auto const count =
+                ::send(socket_, bytes.data() + sent, rest, MSG_NOSIGNAL);
+            if (count <= 0)
+            {
+                return false;
+            }
+            sent += count;
+        }
+        return true;
+    }
+
+    /** Returns the first bytes that came. */
+    QByteArray receive() const
+    {
+        QByteArray result(mebibyte, '\0');
+        auto const count =
+            ::recv(socket_, result.data(), mebibyte, MSG_DONTWAIT);
+        return result.left(std::max<qsizetype>(count, 0));
+    }
+
+private:
+    int socket_;
+};
+
+struct memory_fixture
+{
+    explicit memory_fixture(http_limits limits = {})
+        : server((ensure_application(), limits),
+                 [this](std::shared_ptr<http_exchange> const& exchange)
+                 {
+                     ++handled;
+                     exchange->respond({});
+                 })
+    {
+        REQUIRE(server.listen(local_address(0)));
+        start_bytes = resident_bytes();
+    }
+
+    void note_memory()
+    {
+        highest_growth =
+            std::max(highest_growth, resident_bytes() - start_bytes);
+    }
+
+    int handled = 0;
+    qint64 start_bytes = 0;
+    qint64 highest_growth = 0;
+    http_server server;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(memory_fixture, "http server: a POST of 200 MB by a caller "
+                                  "that reads nothing: memory stays bounded")
+{
+    for (auto const& framing :
+         {QByteArray("Content-Length: 209715200\r\n\r\n"),
+          QByteArray("Transfer-Encoding: chunked\r\n\r\nC800000\r\n")})
+    {
+        blocking_caller caller(server.port());
+        std::atomic<bool> is_done = false;
+        std::thread sender(
+            [&]
+            {
+                caller.send("POST /x HTTP/1.1\r\nHost: a\r\n" + framing);
+                QByteArray const block(mebibyte, 'a');
+                for (int i = 0; i < 200 && caller.send(block); ++i)
+                {
+                }
+                is_done = true;
+            });
+        CHECK(wait_for(
+            [&]
+            {
+                note_memory();
+                return is_done.load();
+            }));
+        sender.join();
+        CHECK(caller.receive().startsWith("HTTP/1.1 413 "));
+    }
+    CHECK(handled == 0);
+    MESSAGE("memory grew by at most ", highest_growth / 1024, " KiB");
+    if (can_measure)
+    {
+        CHECK(highest_growth < 16 * mebibyte);
+    }
+}
+
+TEST_CASE_FIXTURE(memory_fixture, "http server: 3,000 idle connections, each "
+                                  "used once: memory stays bounded")
+{
+    constexpr int count = 3000;
+    std::vector<std::unique_ptr<blocking_caller>> callers;
+    for (int i = 1; i <= count; ++i)
+    {
+        callers.push_back(std::make_unique<blocking_caller>(server.port()));
+        callers.back()->send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        REQUIRE(wait_for([&] { return handled == i; }));
+    }
+    note_memory();
+    MESSAGE("memory grew by ", highest_growth / count, " bytes a connection");
+    if (can_measure)
+    {
+        CHECK(highest_growth < 48 * mebibyte);
+    }
+}
+
+TEST_CASE_FIXTURE(memory_fixture, "http server: no file descriptors left: it "
+                                  "accepts again once there are some")
+{
+    rlimit saved{};
+    REQUIRE(::getrlimit(RLIMIT_NOFILE, &saved) == 0);
+    raw_caller first(server.port());
+    REQUIRE(wait_for(
+        [&]
+        { return first.socket.state() == QAbstractSocket::ConnectedState; }));
+    run_for(milliseconds(50));
+    raw_caller second(server.port());
+    // The caller has its descriptor; the server is to get none.
+    auto const lowest_free = ::dup(0);
+    ::close(lowest_free);
+    rlimit tight = saved;
+    tight.rlim_cur = static_cast<rlim_t>(lowest_free);
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &tight) == 0);
+    second.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    run_for(milliseconds(200));
+    CHECK(handled == 0);
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &saved) == 0);
+    CHECK(wait_for([&] { return handled == 1; }));
+}
