--- a/source/verbenacove/process/control_process.cpp
+++ b/source/verbenacove/process/control_process.cpp
@@ -19,6 +19,10 @@
 
 log_part const control_log{"control"};
 
+constexpr milliseconds stop_poll_interval{10};
+/** How long operators' changes in hand may hold up a stop. */
+constexpr milliseconds longest_answers{5000};
+
 /** What the replicas of a new system call themselves, so that each knows the
     others before it has met them. */
 replica_id first_identity(QString const& name)
@@ -91,11 +95,24 @@
         return error;
     }
     server_ = std::make_unique<control_server>(settings_, *storage_);
+    return open_doors();
+}
+
+QString control_process::open_doors()
+{
     if (!server_->start())
     {
         return settings_.listen.text() + QStringLiteral(": ") +
                server_->error_text();
     }
+    backend_ = std::make_unique<operator_backend>(*server_);
+    operators_ = std::make_unique<operator_connector>(settings_.operators);
+    service_ = std::make_unique<operator_service>(*operators_, *backend_);
+    if (!operators_->StartListening())
+    {
+        return settings_.operators.text() +
+               QStringLiteral(": cannot be listened at");
+    }
     http_ = std::make_unique<http_server>(
         http_limits{}, [this](std::shared_ptr<http_exchange> const& exchange)
         { handle_http(exchange); });
@@ -109,7 +126,25 @@
 
 void control_process::stop(std::function<void()> stopped)
 {
-    server_->stop(std::move(stopped));
+    operators_->stop_accepting();
+    finish_operators([this, stopped = std::move(stopped)]
+                     { server_->stop(stopped); });
+}
+
+void control_process::finish_operators(std::function<void()> const& stopped)
+{
+    auto const deadline = std::chrono::steady_clock::now() + longest_answers;
+    stop_timer_ = timers_.call_every(
+        stop_poll_interval,
+        [this, deadline, stopped]
+        {
+            bool const is_late = std::chrono::steady_clock::now() > deadline;
+            if (operators_->active_requests() == 0 || is_late)
+            {
+                stop_timer_.cancel();
+                stopped();
+            }
+        });
 }
 
 QString control_process::open_files()
--- a/source/verbenacove/process/control_process.hpp
+++ b/source/verbenacove/process/control_process.hpp
@@ -3,6 +3,9 @@
 
 #include "verbenacove/connection/http_server.hpp"
 #include "verbenacove/process/control_server.hpp"
+#include "verbenacove/process/operator_backend.hpp"
+#include "verbenacove/process/operator_connector.hpp"
+#include "verbenacove/process/operator_service.hpp"
 
 #include <functional>
 #include <memory>
@@ -38,13 +41,20 @@
 
 private:
     QString open_files();
+    QString open_doors();
+    void finish_operators(std::function<void()> const& stopped);
     void handle_http(std::shared_ptr<http_exchange> const& exchange);
     QByteArray status_body() const;
 
     control_settings settings_;
     std::unique_ptr<raft_storage> storage_;
     std::unique_ptr<control_server> server_;
+    std::unique_ptr<operator_backend> backend_;
+    std::unique_ptr<operator_connector> operators_;
+    std::unique_ptr<operator_service> service_;
     std::unique_ptr<http_server> http_;
+    timer_service timers_;
+    timer_service::subscription stop_timer_;
 };
 
 } // namespace verbenacove
--- a/source/verbenacove/process/control_server.cpp
+++ b/source/verbenacove/process/control_server.cpp
@@ -22,7 +22,7 @@
 constexpr milliseconds tick_interval{20};
 constexpr milliseconds stop_poll_interval{20};
 constexpr milliseconds longest_hand_over{3000};
-constexpr std::size_t maximum_entry_reports = 20000;
+constexpr milliseconds report_interval{1000};
 
 raft_settings seeded(raft_settings settings)
 {
@@ -38,6 +38,7 @@
             settings_.listen, settings_.name)
     , rpc_([this](QCborMap const& request, reply_function const& reply)
            { handle(request, reply); })
+    , reports_(clock_)
 {
 }
 
@@ -48,6 +49,7 @@
         return false;
     }
     tick_ = timers_.call_every(tick_interval, [this] { node_.tick(); });
+    report_ = timers_.call_every(report_interval, [this] { send_report(); });
     return true;
 }
 
@@ -93,8 +95,9 @@
         QLatin1String name;
         handler handle;
     };
-    static std::array<named_handler, 2> const handlers{
+    static std::array<named_handler, 3> const handlers{
         {{QLatin1String("sync"), &control_server::handle_sync},
+         {QLatin1String("report"), &control_server::handle_report},
          {QLatin1String("claim"), &control_server::handle_claim}}};
     auto const name = cbor_text(request, "m");
     if (name.startsWith(QLatin1String("raft.")))
@@ -116,7 +119,7 @@
 void control_server::handle_sync(QCborMap const& request,
                                  reply_function const& reply)
 {
-    note_entry(request);
+    reports_.take(request);
     // What an entry takes first must not be older than what is in force.
     if (cbor_flag(request, "first"))
     {
@@ -156,15 +159,59 @@
     reply(answer);
 }
 
-void control_server::note_entry(QCborMap const& request)
+void control_server::handle_report(QCborMap const& request,
+                                   reply_function const& reply)
 {
-    auto const name = cbor_text(request, "entry");
-    if (entries_.size() >= maximum_entry_reports && entries_.count(name) == 0)
+    for (auto const& report : cbor_array(request, "entries"))
+    {
+        reports_.take(report.toMap());
+    }
+    reply({{QLatin1String("status"), QLatin1String("ok")}});
+}
+
+void control_server::send_report()
+{
+    reports_.forget_old();
+    auto const leader = node_.leader();
+    if (!leader || node_.is_leader())
     {
         return;
     }
-    entries_[name] = {name, cbor_number(request, "incarnation"),
-                      cbor_number(request, "config_version"), clock_.now()};
+    for (auto const& part : reports_.fresh_parts())
+    {
+        transport_.send(leader->address,
+                        {{QLatin1String("m"), QLatin1String("report")},
+                         {QLatin1String("entries"), part}},
+                        report_interval, [](std::optional<QCborMap> const&) {});
+    }
+}
+
+QCborMap control_server::status() const
+{
+    QCborArray replicas;
+    replicas.append(
+        QCborMap{{QLatin1String("replica"), settings_.name},
+                 {QLatin1String("role"), QLatin1String("leader")},
+                 {QLatin1String("applied"), node_.applied_index().value()},
+                 {QLatin1String("heard"), true}});
+    for (auto const& peer : node_.peers())
+    {
+        replicas.append(
+            QCborMap{{QLatin1String("replica"), peer.member.name},
+                     {QLatin1String("role"),
+                      QLatin1String(peer.is_voter ? "follower" : "learner")},
+                     {QLatin1String("applied"), peer.match.value()},
+                     {QLatin1String("heard"), peer.is_heard}});
+    }
+    return {
+        {QLatin1String("outcome"), QLatin1String("found")},
+        {QLatin1String("leader"), settings_.name},
+        {QLatin1String("term"), node_.term().value()},
+        {QLatin1String("config_version"), state_.config().version().value()},
+        {QLatin1String("claims"), state_.claims().claim_count()},
+        {QLatin1String("replicas"), replicas},
+        {QLatin1String("entries"), reports_.entries()},
+        {QLatin1String("upstreams"), reports_.upstreams()}};
 }
 
 void control_server::abandon_former(QCborMap const& request)
--- a/source/verbenacove/process/control_server.hpp
+++ b/source/verbenacove/process/control_server.hpp
@@ -5,13 +5,11 @@
 #include "verbenacove/core/timer_service.hpp"
 #include "verbenacove/process/control_settings.hpp"
 #include "verbenacove/process/control_state.hpp"
+#include "verbenacove/process/entry_reports.hpp"
 #include "verbenacove/process/raft_node.hpp"
 #include "verbenacove/process/raft_rpc_transport.hpp"
 
-#include <QHash>
-
 #include <functional>
-#include <map>
 #include <memory>
 
 namespace verbenacove
@@ -25,15 +23,6 @@
 class control_server
 {
 public:
-    /** What a status question gets, beside the log's own state. */
-    struct entry_report
-    {
-        QString entry;
-        qint64 incarnation = 0;
-        qint64 config_version = 0;
-        monotonic_time heard{};
-    };
-
     /** The storage must outlive the server. */
     control_server(control_settings settings, raft_storage& storage);
     control_server(control_server const&) = delete;
@@ -62,12 +51,14 @@
     raft_node const& node() const { return node_; }
     control_state const& state() const { return state_; }
 
-    /** Returns what the entries that ask this replica said last. */
-    std::map<QString, entry_report> const& entries() const { return entries_; }
-
-    /** Returns the operators' address of the leader, or nothing. */
+    /** Returns the name of the leader, or an empty one. */
     QString leader_name() const;
 
+    /** Returns the replicas, entries and upstreams for operators, as the
+        leader knows them: `{leader, term, config_version, claims, replicas,
+        entries, upstreams}`. */
+    QCborMap status() const;
+
 private:
     using reply_function = rpc_server::reply_function;
     using handler = void (control_server::*)(QCborMap const&,
@@ -77,7 +68,8 @@
     void handle_sync(QCborMap const& request, reply_function const& reply);
     void handle_claim(QCborMap const& request, reply_function const& reply);
     void answer_sync(QCborMap const& request, reply_function const& reply);
-    void note_entry(QCborMap const& request);
+    void handle_report(QCborMap const& request, reply_function const& reply);
+    void send_report();
     void abandon_former(QCborMap const& request);
     void propose(QCborMap command, raft_node::proposal_callback done);
     void schedule_flush();
@@ -93,7 +85,8 @@
     timer_service timers_;
     timer_service::subscription tick_;
     timer_service::subscription stopping_;
-    std::map<QString, entry_report> entries_;
+    timer_service::subscription report_;
+    entry_reports reports_;
     bool is_flush_due_ = false;
     QObject context_;
 };
--- a/source/verbenacove/process/entry_process.cpp
+++ b/source/verbenacove/process/entry_process.cpp
@@ -18,6 +18,8 @@
 log_part const entry_log{"entry"};
 
 constexpr milliseconds read_interval{250};
+/** What an operator asks after goes along with every so many reads. */
+constexpr int reads_per_report = 4;
 constexpr milliseconds read_timeout{600};
 constexpr milliseconds first_read_timeout{2000};
 constexpr milliseconds refresh_interval{1000};
@@ -179,6 +181,10 @@
         {QLatin1String("entry"), settings_.name.value()},
         {QLatin1String("incarnation"), started_.value()},
         {QLatin1String("config_version"), config_->version().value()}};
+    if (++reads_ % reads_per_report == 0)
+    {
+        add_report(request);
+    }
     control_.call_any(std::move(request), read_timeout,
                       [this](std::optional<QCborMap> const& reply)
                       {
@@ -190,6 +196,19 @@
                       });
 }
 
+void entry_process::add_report(QCborMap& request)
+{
+    QCborArray upstreams;
+    for (auto const& upstream : own_upstreams())
+    {
+        upstreams.append(to_cbor(upstream, clock_.now()));
+    }
+    request[QLatin1String("address")] = settings_.http.text();
+    request[QLatin1String("zone")] = settings_.zone.value();
+    request[QLatin1String("serving")] = is_ready_ && !is_stopping_;
+    request[QLatin1String("ups")] = upstreams;
+}
+
 void entry_process::take_configuration(QCborMap const& reply, bool is_first)
 {
     if (reply.contains(QLatin1String("config")))
--- a/source/verbenacove/process/entry_process.hpp
+++ b/source/verbenacove/process/entry_process.hpp
@@ -44,6 +44,7 @@
 private:
     void read_first_configuration();
     void read_configuration();
+    void add_report(QCborMap& request);
     void take_configuration(QCborMap const& reply, bool is_first);
     void take_announcement(upstream_view upstream);
     void take_news(upstream_view const& upstream);
@@ -63,6 +64,7 @@
     upstream_directory directory_;
     QHash<upstream_id, monotonic_time> announced_here_;
     config_view_ptr config_ = config_view::empty();
+    int reads_ = 0;
     bool is_ready_ = false;
     bool is_reading_ = false;
     bool is_stopping_ = false;
--- a/tests/integration/thin_path_test.cpp
+++ b/tests/integration/thin_path_test.cpp
@@ -45,10 +45,16 @@
 
     void create_service(QString const& name, QString const& kind)
     {
-        auto const result = run_client(
-            {QStringLiteral("create"), QStringLiteral("service"),
-             QStringLiteral("name=") + name, QStringLiteral("class=") + kind});
+        auto const record =
+            QStringLiteral(
+                R"({"name":"%1","class":"%2","timeout_ms":5000,"max_body_bytes":65536})")
+                .arg(name, kind);
+        auto const result =
+            run_client({QStringLiteral("create"), QStringLiteral("service"),
+                        name, QStringLiteral("--file"), QStringLiteral("-")},
+                       record.toUtf8());
         CAPTURE(result.errors.toStdString());
+        CAPTURE(result.output.toStdString());
         REQUIRE(result.exit_code == 0);
     }
 
--- a/tests/support/cluster_fixture.cpp
+++ b/tests/support/cluster_fixture.cpp
@@ -226,7 +226,8 @@
 }
 
 cluster_fixture::client_result
-cluster_fixture::run_client(QStringList const& arguments) const
+cluster_fixture::run_client(QStringList const& arguments,
+                            QByteArray const& input) const
 {
     QProcess client;
     client.start(
@@ -235,6 +236,8 @@
             QStringLiteral("--control"),
             list(kind::control, door::operators, {}, false).remove(u' ')} +
             arguments);
+    client.write(input);
+    client.closeWriteChannel();
     client.waitForFinished(client_bound_ms);
     bool const has_ended = client.state() == QProcess::NotRunning &&
                            client.exitStatus() == QProcess::NormalExit;
--- a/tests/support/cluster_fixture.hpp
+++ b/tests/support/cluster_fixture.hpp
@@ -98,8 +98,9 @@
     };
 
     /** Runs the operators' client with the addresses of all replicas, and
-        waits for its end. */
-    client_result run_client(QStringList const& arguments) const;
+        waits for its end; `input` is what it reads from `--file -`. */
+    client_result run_client(QStringList const& arguments,
+                             QByteArray const& input = {}) const;
 
     /** Starts all that do not run: control replicas, entries, upstreams. */
     bool start_all();
