Delete timers that are due for it where no event loop runs

Cause: a subscription's timer is deleted later, which processEvents() does not do outside an event loop, so tests without one leaked it and what its callback held. Change: wait_until also sends the deferred deletes; the stand-in ends its connections and timers itself.

--- a/tests/support/upstream_stand_in.cpp
+++ b/tests/support/upstream_stand_in.cpp
@@ -1,5 +1,6 @@
 #include "upstream_stand_in.hpp"
 
+#include <QCoreApplication>
 #include <QCryptographicHash>
 #include <QFile>
 #include <QJsonDocument>
@@ -218,7 +219,13 @@
     for (auto* const socket : server_.findChildren<QTcpSocket*>())
     {
         socket->disconnect();
+        delete socket;
     }
+    waiting_.clear();
+    next_announcement_.cancel();
+    drain_check_.cancel();
+    // Timers are deleted later, for which no event loop may be left.
+    QCoreApplication::sendPostedEvents(nullptr, QEvent::DeferredDelete);
     if (run_log_ >= 0)
     {
         ::close(run_log_);
--- a/tests/support/wait_until.hpp
+++ b/tests/support/wait_until.hpp
@@ -28,6 +28,8 @@
             return false;
         }
         QCoreApplication::processEvents();
+        // Outside an event loop nothing else deletes what is due for it.
+        QCoreApplication::sendPostedEvents(nullptr, QEvent::DeferredDelete);
         std::this_thread::sleep_for(poll_interval);
     }
     return true;
