Keep one Qt application for all unit tests

Ruled out: the upstream client (its tests pass alone, and beside the proxy tests when those come first). Change: the support tests share one application that lives to the end.

--- a/tests/support/wait_until.hpp
+++ b/tests/support/wait_until.hpp
@@ -13,6 +13,20 @@
 /** The time between two looks at a condition. */
 inline constexpr milliseconds poll_interval{5};
 
+/** Creates the program's Qt application if there is none.
+
+    It lives until the program ends: Qt's timers on the first thread break
+    when one application is destroyed and another one is used.
+*/
+inline void ensure_application()
+{
+    if (QCoreApplication::instance() == nullptr)
+    {
+        static int count = 0;
+        static QCoreApplication const application(count, nullptr);
+    }
+}
+
 /** Waits until a condition holds, while events of this thread are handled.
 
     @return true once it holds, false when it does not within the bound
--- a/tests/unit/support_cluster_fixture_test.cpp
+++ b/tests/unit/support_cluster_fixture_test.cpp
@@ -48,11 +48,10 @@
 
     static QString binaries()
     {
+        ensure_application();
         return QFileInfo(QCoreApplication::applicationDirPath()).path();
     }
 
-    int argc = 0;
-    QCoreApplication application{argc, nullptr};
     QTemporaryDir folder;
     place here{QStringLiteral("wcape"), QStringLiteral("wcape-a")};
     QString upstream = QStringLiteral("gradebook-1");
--- a/tests/unit/support_fault_proxy_test.cpp
+++ b/tests/unit/support_fault_proxy_test.cpp
@@ -5,7 +5,6 @@
 #include "support/upstream_stand_in.hpp"
 #include "support/wait_until.hpp"
 
-#include <QCoreApplication>
 #include <QTcpSocket>
 #include <QTemporaryDir>
 #include <QUdpSocket>
@@ -27,6 +26,7 @@
 {
     proxy_fixture()
     {
+        ensure_application();
         stand_in_options options;
         options.id = QStringLiteral("u1");
         options.listen = {QHostAddress(QHostAddress::LocalHost), free_port()};
@@ -54,8 +54,6 @@
         return read_run_log(folder.filePath(QStringLiteral("runs")));
     }
 
-    int argc = 0;
-    QCoreApplication application{argc, nullptr};
     QTemporaryDir folder;
     std::unique_ptr<upstream_stand_in> upstream;
     std::unique_ptr<fault_proxy> proxy;
