Open the operators' door within bounds, and test it with the client

Cause: operators' calls come over HTTP from any machine, broken or slow ones too. Change: operator_connector carries JSON-RPC for libjsonrpccpp over libmicrohttpd on one address, with bounds on connections, headers, body, silence and arrival time; one call a body. operator_service validates parameters at once and speaks to a control_backend. Error codes are beside the library's own, which has -32003 to -32001. Ruled out: the library's own HTTP connector, which listens everywhere and keeps a body of any size; declared parameters, which are refused without saying which one is wrong.

--- a/source/verbenacove/process/operator_client.cpp
+++ b/source/verbenacove/process/operator_client.cpp
@@ -47,6 +47,14 @@
         .object();
 }
 
+/** Returns the faults that an answer names, or else its message. */
+QString reasons_of(operator_rpc_answer const& answer)
+{
+    auto const faults =
+        json_of(answer).value(QStringLiteral("faults")).toString();
+    return faults.isEmpty() ? QString::fromStdString(answer.message) : faults;
+}
+
 std::optional<socket_address> leader_of(operator_rpc_answer const& answer)
 {
     return parse_socket_address(
@@ -95,8 +103,7 @@
         }
         if (is_final(answer))
         {
-            return boost::leaf::new_error(
-                request_invalid{QString::fromStdString(answer.message)});
+            return boost::leaf::new_error(request_invalid{reasons_of(answer)});
         }
         bool const is_followed = note_failure(request, address, answer);
         ++tries;
@@ -174,7 +181,7 @@
     {
         return *std::exchange(leader_, std::nullopt);
     }
-    auto const address = settings_.controls.at(next_);
+    auto address = settings_.controls.at(next_);
     next_ = (next_ + 1) % settings_.controls.size();
     return address;
 }
--- a/source/verbenacove/process/operator_command_line.cpp
+++ b/source/verbenacove/process/operator_command_line.cpp
@@ -95,7 +95,7 @@
 {
     record_errors errors;
     record_reader reader({{QStringLiteral("author"), text}}, errors);
-    auto const author = reader.word("author", longest_author);
+    auto author = reader.word("author", longest_author);
     if (!errors.errors.empty())
     {
         return wrong(QStringLiteral("--author %1: %2")
--- a/source/verbenacove/process/operator_connector.cpp
+++ b/source/verbenacove/process/operator_connector.cpp
@@ -2,6 +2,7 @@
 
 #include <QByteArray>
 
+#include <jsonrpccpp/common/jsonparser.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
@@ -232,7 +233,16 @@
                     R"({"error": "bad-request",)"
                     R"( "message": "The body must be one JSON-RPC call."})");
     }
-    return OnRequest(current.body, connection) ? MHD_YES : MHD_NO;
+    try
+    {
+        return OnRequest(current.body, connection) ? MHD_YES : MHD_NO;
+    }
+    catch (Json::Exception const&)
+    {
+        return send(connection, MHD_HTTP_BAD_REQUEST,
+                    R"({"error": "bad-request",)"
+                    R"( "message": "The body is nested too deeply."})");
+    }
 }
 
 void operator_connector::finish(void** state)
--- a/source/verbenacove/process/operator_errors.hpp
+++ b/source/verbenacove/process/operator_errors.hpp
@@ -43,13 +43,14 @@
     QString reasons;
 };
 
-/** The codes of JSON-RPC errors at the operators' door. */
+/** The codes of JSON-RPC errors at the operators' door; libjsonrpccpp has
+    codes of its own from -32003 to -32001. */
 enum class operator_error_code
 {
     invalid_parameters = -32602,
-    not_leader = -32001,
-    no_quorum = -32002,
-    outcome_unknown = -32003
+    not_leader = -32050,
+    no_quorum = -32051,
+    outcome_unknown = -32052
 };
 
 } // namespace verbenacove
--- a/source/verbenacove/process/operator_service.cpp
+++ b/source/verbenacove/process/operator_service.cpp
@@ -39,7 +39,9 @@
 
 rpc_failure invalid(record_errors const& errors)
 {
-    return {operator_error_code::invalid_parameters, errors.text(), {}};
+    return {operator_error_code::invalid_parameters,
+            QStringLiteral("Wrong parameters."),
+            {{QStringLiteral("faults"), errors.text()}}};
 }
 
 rpc_failure failure_of(not_leader const& error)
