--- a/source/verbenacove/version/change_memory.cpp
+++ b/source/verbenacove/version/change_memory.cpp
@@ -124,8 +124,8 @@
         auto const& entry = entries_.at(id);
         writer.startArray(entry.winner ? fields_with_winner
                                        : fields_without_winner);
-        writer.append(QByteArray(id.data(), id.size()));
-        writer.append(QByteArray(entry.content.data(), entry.content.size()));
+        writer.appendByteString(id.data(), id.size());
+        writer.appendByteString(entry.content.data(), entry.content.size());
         writer.append(static_cast<int>(entry.outcome));
         writer.append(static_cast<int>(entry.reason));
         writer.append(entry.version);
--- a/tests/unit/config_record_test.cpp
+++ b/tests/unit/config_record_test.cpp
@@ -1,6 +1,8 @@
 #include "verbenacove/version/config_record.hpp"
 #include "verbenacove/version/record_reader.hpp"
 
+#include <QDir>
+#include <QFile>
 #include <QJsonDocument>
 
 #include <boost/leaf/handle_errors.hpp>
@@ -168,3 +170,23 @@
     CHECK(policy_for(dispatch, "POST", "/bales/old/7").request_class ==
           service_class::batch);
 }
+
+TEST_CASE("record: each example file: is right in its own schema")
+{
+    QDir const folder(QStringLiteral(VERBENACOVE_EXAMPLES));
+    auto const names = folder.entryList({QStringLiteral("*-*-*.json")});
+    CHECK(names.size() >= 15);
+    for (auto const& name : names)
+    {
+        auto const text = name.toStdString();
+        CAPTURE(text);
+        QFile file(folder.filePath(name));
+        REQUIRE(file.open(QIODevice::ReadOnly));
+        auto object = json(file.readAll().constData());
+        auto const schema = object.take(QStringLiteral("schema")).toInt(2);
+        auto const kind =
+            parse_record_kind(name.section(QLatin1Char('-'), 1, 1));
+        REQUIRE(kind);
+        CHECK(errors_of(*kind, object, schema) == QString());
+    }
+}
