--- a/source/verbenacove/version/claim_table.cpp
+++ b/source/verbenacove/version/claim_table.cpp
@@ -62,7 +62,7 @@
     QString text(char const* field, qsizetype longest)
     {
         auto const value = map_.value(QLatin1String(field));
-        auto const result = value.toString();
+        auto result = value.toString();
         require(!result.isEmpty() && result.size() <= longest, field);
         return result;
     }
--- a/tests/unit/claim_table_test.cpp
+++ b/tests/unit/claim_table_test.cpp
@@ -55,7 +55,7 @@
             {
                 BOOST_LEAF_AUTO(parsed,
                                 parse_claim_log_command(to_cbor(command)));
-                auto const answer = table.apply(parsed);
+                auto answer = table.apply(parsed);
                 BOOST_LEAF_AUTO(received, parse_claim_answer(to_cbor(answer)));
                 CHECK(received == answer);
                 return answer;
