Test that the server accepts again, and lets refused callers finish

Cause: the test of running out of descriptors passed without its mechanism, because the caller had opened no socket yet; nothing tested the lingering close.

--- a/tests/unit/http_memory_test.cpp
+++ b/tests/unit/http_memory_test.cpp
@@ -168,24 +168,40 @@
     }
 }
 
+TEST_CASE_FIXTURE(memory_fixture, "http server: a refused caller that goes on "
+                                  "sending: sends it all, then reads why")
+{
+    blocking_caller const caller(server.port());
+    bool is_all_sent = false;
+    std::atomic<bool> is_done = false;
+    std::thread sender(
+        [&]
+        {
+            caller.send("POST /x HTTP/1.1\r\nHost: a\r\n"
+                        "Content-Length: 8388608\r\n\r\n");
+            is_all_sent = caller.send(QByteArray(8 * mebibyte, 'a'));
+            is_done = true;
+        });
+    CHECK(wait_for([&] { return is_done.load(); }));
+    sender.join();
+    CHECK(is_all_sent);
+    CHECK(caller.receive().startsWith("HTTP/1.1 413 "));
+    CHECK(handled == 0);
+}
+
 TEST_CASE_FIXTURE(memory_fixture, "http server: no file descriptors left: it "
                                   "accepts again once there are some")
 {
     rlimit saved{};
     REQUIRE(::getrlimit(RLIMIT_NOFILE, &saved) == 0);
-    raw_caller first(server.port());
-    REQUIRE(wait_for(
-        [&]
-        { return first.socket.state() == QAbstractSocket::ConnectedState; }));
-    run_for(milliseconds(50));
-    raw_caller second(server.port());
+    blocking_caller const caller(server.port());
     // The caller has its descriptor; the server is to get none.
     auto const lowest_free = ::dup(0);
     ::close(lowest_free);
     rlimit tight = saved;
     tight.rlim_cur = static_cast<rlim_t>(lowest_free);
     REQUIRE(::setrlimit(RLIMIT_NOFILE, &tight) == 0);
-    second.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    caller.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
     run_for(milliseconds(200));
     CHECK(handled == 0);
     REQUIRE(::setrlimit(RLIMIT_NOFILE, &saved) == 0);
