--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 
 packages=(
-    g++ cmake ninja-build ccache clang-format clang-tidy python3
+    g++ cmake ninja-build ccache clang-format clang-tidy curl python3
     qt6-base-dev qt6-httpserver-dev qt6-websockets-dev libjsonrpccpp-dev
     prometheus-cpp-dev liblog4cplus-dev libboost1.81-dev doctest-dev
     libcurl4-openssl-dev
--- a/source/verbenacove/process/operator_output.cpp
+++ b/source/verbenacove/process/operator_output.cpp
@@ -14,11 +14,13 @@
 
 QString cell(QJsonValue const& value)
 {
-    if (value.isString())
+    bool const is_empty =
+        value.isNull() || value.isUndefined() || value == QString();
+    if (value.isString() && !is_empty)
     {
         return value.toString();
     }
-    if (value.isNull() || value.isUndefined())
+    if (is_empty)
     {
         return QStringLiteral("-");
     }
