Trace each hop and count what daemons do

Change: spans for a request, its claim and each attempt, written as lines with OTLP's field names; traceparent is taken from callers and passed on. Metrics at /metrics of both daemons with prometheus-cpp. Ruled out: tracing every request by default, for its lines; a request without a trace is sampled once in 100 (a setting). Left: the control replica writes no span of its own yet.

--- a/source/verbenacove/process/control_process.cpp
+++ b/source/verbenacove/process/control_process.cpp
@@ -184,10 +184,33 @@
             {200, {{"Content-Type", "application/json"}}, status_body()});
         return;
     }
+    if (path == "/metrics")
+    {
+        exchange->respond({200,
+                           {{"Content-Type", "text/plain; version=0.0.4"}},
+                           metrics_body()});
+        return;
+    }
     exchange->respond(
         not_run_response(404, "unknown-path", "There is nothing here."));
 }
 
+QByteArray control_process::metrics_body()
+{
+    auto const& node = server_->node();
+    control_metrics::state now;
+    now.is_leader = node.is_leader();
+    now.is_voter = node.is_voter();
+    now.term = node.term().value();
+    now.commit_index = node.commit_index().value();
+    now.applied_index = node.applied_index().value();
+    now.config_version = server_->state().config().version().value();
+    now.claims = server_->state().claims().claim_count();
+    now.open_claims = server_->state().claims().open_count();
+    now.log_bytes = storage_->log_bytes();
+    return metrics_.text(now);
+}
+
 QByteArray control_process::status_body() const
 {
     auto const& node = server_->node();
--- a/source/verbenacove/process/control_process.hpp
+++ b/source/verbenacove/process/control_process.hpp
@@ -3,6 +3,7 @@
 
 #include "verbenacove/connection/http_server.hpp"
 #include "verbenacove/process/control_server.hpp"
+#include "verbenacove/process/metrics.hpp"
 #include "verbenacove/process/operator_backend.hpp"
 #include "verbenacove/process/operator_connector.hpp"
 #include "verbenacove/process/operator_service.hpp"
@@ -45,6 +46,7 @@
     void finish_operators(std::function<void()> const& stopped);
     void handle_http(std::shared_ptr<http_exchange> const& exchange);
     QByteArray status_body() const;
+    QByteArray metrics_body();
 
     control_settings settings_;
     std::unique_ptr<raft_storage> storage_;
@@ -53,6 +55,7 @@
     std::unique_ptr<operator_connector> operators_;
     std::unique_ptr<operator_service> service_;
     std::unique_ptr<http_server> http_;
+    control_metrics metrics_;
     timer_service timers_;
     timer_service::subscription stop_timer_;
 };
--- a/source/verbenacove/process/entry_settings.cpp
+++ b/source/verbenacove/process/entry_settings.cpp
@@ -45,6 +45,8 @@
     settings.control = reader.addresses("control", "addresses");
     settings.peers = reader.addresses("peers", "addresses");
     settings.log = reader.level("log", "level");
+    settings.trace_one_in = static_cast<int>(reader.number(
+        "trace", "sample_one_in", settings.trace_one_in, 0, 1000000));
     settings.lookup_ttl =
         reader.duration("entry", "lookup_ttl", settings.lookup_ttl,
                         milliseconds(100), one_minute);
--- a/source/verbenacove/process/entry_settings.hpp
+++ b/source/verbenacove/process/entry_settings.hpp
@@ -31,6 +31,8 @@
     milliseconds upstream_lease{3000};
     /** How long to wait for an upstream to accept a connection. */
     milliseconds connect_timeout{500};
+    /** A request that brings no trace is traced once in so many; 0 never. */
+    int trace_one_in = 100;
     log_level log = log_level::info;
 };
 
--- /dev/null
+++ b/source/verbenacove/process/metrics.hpp
@@ -0,0 +1,108 @@
+#ifndef VERBENACOVE_PROCESS_METRICS_HPP
+#define VERBENACOVE_PROCESS_METRICS_HPP
+
+#include <QByteArray>
+#include <QString>
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <chrono>
+
+namespace verbenacove
+{
+
+/** Returns all metrics of a registry in Prometheus' text format. */
+QByteArray metrics_text(prometheus::Registry const& registry);
+
+/** What an entry counts. Metrics have the prefix `verbenacove_entry_`.
+
+    Label values come from the configuration only, so their number is bounded.
+*/
+class entry_metrics
+{
+public:
+    entry_metrics();
+    entry_metrics(entry_metrics const&) = delete;
+    entry_metrics& operator=(entry_metrics const&) = delete;
+
+    /** Counts an answered look-up. */
+    void count_lookup() { lookups_.Increment(); }
+
+    /** Counts an upstream's announcement. */
+    void count_announcement() { announcements_.Increment(); }
+
+    /** Counts a request's answer and how long it took. */
+    void count_request(QString const& service, QByteArray const& verdict,
+                       int status, std::chrono::microseconds duration);
+
+    /** Counts an attempt at an upstream. */
+    void count_attempt(QString const& service, bool is_retry);
+
+    /** Sets what the entry knows at the moment. */
+    void set_state(qint64 config_version, std::size_t entries,
+                   std::size_t upstreams, int open_requests);
+
+    /** Returns the metrics in Prometheus' text format. */
+    QByteArray text() const { return metrics_text(registry_); }
+
+private:
+    prometheus::Registry registry_;
+    prometheus::Counter& lookups_;
+    prometheus::Counter& announcements_;
+    prometheus::Family<prometheus::Counter>& requests_;
+    prometheus::Family<prometheus::Histogram>& durations_;
+    prometheus::Family<prometheus::Counter>& attempts_;
+    prometheus::Gauge& config_version_;
+    prometheus::Gauge& entries_;
+    prometheus::Gauge& upstreams_;
+    prometheus::Gauge& open_requests_;
+};
+
+/** What a control replica shows. Metrics have the prefix
+    `verbenacove_control_`. */
+class control_metrics
+{
+public:
+    /** The state at one moment. */
+    struct state
+    {
+        bool is_leader = false;
+        bool is_voter = false;
+        qint64 term = 0;
+        qint64 commit_index = 0;
+        qint64 applied_index = 0;
+        qint64 config_version = 0;
+        qint64 claims = 0;
+        qint64 open_claims = 0;
+        qint64 log_bytes = 0;
+    };
+
+    control_metrics();
+    control_metrics(control_metrics const&) = delete;
+    control_metrics& operator=(control_metrics const&) = delete;
+
+    /** Sets the state and returns the metrics in Prometheus' text format. */
+    QByteArray text(state const& now);
+
+private:
+    prometheus::Gauge& add(char const* name, char const* help);
+
+    prometheus::Registry registry_;
+    prometheus::Gauge& leader_;
+    prometheus::Gauge& voter_;
+    prometheus::Gauge& term_;
+    prometheus::Gauge& commit_index_;
+    prometheus::Gauge& applied_index_;
+    prometheus::Gauge& config_version_;
+    prometheus::Gauge& claims_;
+    prometheus::Gauge& open_claims_;
+    prometheus::Gauge& log_bytes_;
+};
+
+} // namespace verbenacove
+
+#endif
--- a/source/verbenacove/process/traffic_server.cpp
+++ b/source/verbenacove/process/traffic_server.cpp
@@ -71,11 +71,12 @@
         QByteArrayView path;
         handler handle;
     };
-    static std::array<route, 4> const routes{
+    static std::array<route, 5> const routes{
         {{"GET", "/v1/lookup", &traffic_server::handle_lookup},
          {"POST", "/v1/announce", &traffic_server::handle_announcement},
          {"GET", "/healthz", &traffic_server::handle_health},
-         {"GET", "/readyz", &traffic_server::handle_readiness}}};
+         {"GET", "/readyz", &traffic_server::handle_readiness},
+         {"GET", "/metrics", &traffic_server::handle_metrics}}};
     auto const& request = exchange->request();
     if (request.path.startsWith(call_prefix))
     {
@@ -115,6 +116,7 @@
     caller_place const caller{
         region_name(query.queryItemValue(QStringLiteral("region"))),
         zone_name(query.queryItemValue(QStringLiteral("zone")))};
+    metrics_.count_lookup();
     exchange->respond(json_response(200, lookup_body(service, caller)));
 }
 
@@ -155,8 +157,19 @@
                                            "There is no such service."));
         return;
     }
-    request_services const services{upstreams_, claims_, clock_, timers_,
-                                    settings_.connect_timeout};
+    request_services const services{
+        upstreams_,
+        claims_,
+        clock_,
+        timers_,
+        settings_.connect_timeout,
+        settings_.trace_one_in,
+        [this](service_name const& answered, run_verdict verdict, int status,
+               std::chrono::microseconds duration)
+        {
+            metrics_.count_request(answered.value(), verdict_word(verdict),
+                                   status, duration);
+        }};
     request_flow::start(services, exchange, *service,
                         name_end < 0 ? QByteArray("/") : path.mid(name_end),
                         pool(name));
@@ -181,6 +194,7 @@
         {
             BOOST_LEAF_AUTO(
                 upstream, parse_announcement(document.object(), clock_.now()));
+            metrics_.count_announcement();
             announced_(std::move(upstream));
             QJsonArray entries;
             for (auto const& entry :
@@ -231,6 +245,20 @@
     exchange->respond(json_response(200, "{\"status\":\"ready\"}"));
 }
 
+void traffic_server::handle_metrics(exchange_ptr const& exchange)
+{
+    std::size_t upstreams = 0;
+    for (auto const& of_service : view_->upstreams)
+    {
+        upstreams += of_service.size();
+    }
+    metrics_.set_state(view_->config->version().value(), view_->entries.size(),
+                       upstreams, http_.open_exchanges());
+    exchange->respond({200,
+                       {{"Content-Type", "text/plain; version=0.0.4"}},
+                       metrics_.text()});
+}
+
 void traffic_server::handle_unknown(exchange_ptr const& exchange)
 {
     exchange->respond(
--- a/source/verbenacove/process/traffic_server.hpp
+++ b/source/verbenacove/process/traffic_server.hpp
@@ -4,6 +4,7 @@
 #include "verbenacove/connection/http_server.hpp"
 #include "verbenacove/process/control_claim_service.hpp"
 #include "verbenacove/process/entry_settings.hpp"
+#include "verbenacove/process/metrics.hpp"
 #include "verbenacove/process/steering_view.hpp"
 #include "verbenacove/request/request_flow.hpp"
 
@@ -56,6 +57,7 @@
     void handle_announcement(exchange_ptr const& exchange);
     void handle_health(exchange_ptr const& exchange);
     void handle_readiness(exchange_ptr const& exchange);
+    void handle_metrics(exchange_ptr const& exchange);
     void handle_unknown(exchange_ptr const& exchange);
     QByteArray lookup_body(service_name const& service,
                            caller_place const& caller);
@@ -64,6 +66,7 @@
     entry_settings settings_;
     steady_clock_source clock_;
     timer_service timers_;
+    entry_metrics metrics_;
     announcement_listener announced_;
     steering_view_ptr view_ = std::make_shared<steering_view const>();
     lookup_ranking ranking_;
--- a/source/verbenacove/request/attempt_loop.cpp
+++ b/source/verbenacove/request/attempt_loop.cpp
@@ -97,6 +97,10 @@
     attempt.headers = request_.headers;
     attempt.headers.push_back(
         {"Deadline-Ms", QByteArray::number(qint64(time_left.count()))});
+    span_ = trace_span::begin_child(QStringLiteral("attempt"),
+                                    span_kind::client, request_.trace);
+    span_.note("upstream", choice.upstream().id.value());
+    attempt.headers.push_back({"traceparent", span_.context().text()});
     attempt.body = request_.body;
     attempt.time_left = attempt_time(time_left);
     attempt.connect_timeout =
@@ -112,6 +116,8 @@
 void attempt_loop::take_result(attempt_result result)
 {
     running_.reset();
+    span_.note("reason", result.reason);
+    span_.end();
     bool const is_sent = may_have_been_sent(result.end);
     if (is_sent)
     {
--- a/source/verbenacove/request/attempt_loop.hpp
+++ b/source/verbenacove/request/attempt_loop.hpp
@@ -2,6 +2,7 @@
 #define VERBENACOVE_REQUEST_ATTEMPT_LOOP_HPP
 
 #include "verbenacove/connection/upstream_client.hpp"
+#include "verbenacove/core/trace.hpp"
 #include "verbenacove/core/verdict.hpp"
 #include "verbenacove/request/retry_budget.hpp"
 #include "verbenacove/request/upstream_chooser.hpp"
@@ -33,6 +34,8 @@
     /** Whether a request that may have run may be sent again. */
     bool may_run_again = false;
     milliseconds connect_timeout{500};
+    /** The span of the whole request. */
+    trace_context trace;
 };
 
 /** How the attempts at a request ended. */
@@ -98,6 +101,7 @@
     std::vector<upstream_id> tried_;
     std::optional<upstream_chooser::choice> choice_;
     std::optional<upstream_client::attempt_id> running_;
+    trace_span span_;
     monotonic_time attempt_started_{};
     run_verdict worst_ = run_verdict::not_run;
     int attempts_ = 0;
--- a/source/verbenacove/request/request_flow.cpp
+++ b/source/verbenacove/request/request_flow.cpp
@@ -23,8 +23,8 @@
 constexpr milliseconds claim_poll_interval{150};
 constexpr milliseconds longest_claim_wait{5000};
 
-constexpr std::array<char const*, 4> replaced_headers{"Host", "Deadline-Ms",
-                                                      "Expect", "Run-Verdict"};
+constexpr std::array<char const*, 5> replaced_headers{
+    "Host", "Deadline-Ms", "Expect", "Run-Verdict", "traceparent"};
 
 bool is_replaced(http_header const& header)
 {
@@ -102,6 +102,11 @@
 void request_flow::begin()
 {
     auto const& request = exchange_->request();
+    started_ = services_.clock.now();
+    span_ = trace_span::begin(QStringLiteral("request"),
+                              parse_traceparent(request.header("traceparent")),
+                              services_.sample_one_in);
+    span_.note("service", service_.name.value());
     policy_ = policy_for(service_, request.method, path_);
     if (!read_deadline())
     {
@@ -198,6 +203,7 @@
     out.body = request.body;
     out.deadline = deadline_;
     out.connect_timeout = services_.connect_timeout;
+    out.trace = span_.context();
     out.may_run_again =
         policy_.request_class != service_class::non_idempotent &&
         service_.retry;
@@ -238,6 +244,8 @@
         return;
     }
     holder_ = services_.claims.next_holder();
+    claim_span_ = trace_span::begin_child(QStringLiteral("claim"),
+                                          span_kind::client, span_.context());
     services_.claims.propose(
         claim_command{key_, fingerprint_, holder_},
         std::min(time_left(), longest_claim_wait),
@@ -247,6 +255,7 @@
 
 void request_flow::take_claim(std::optional<claim_answer> const& answer)
 {
+    claim_span_.end();
     if (!answer)
     {
         // The claim may yet be committed, but only its holder may send, and
@@ -332,7 +341,7 @@
         response.headers.push_back({"Run-Outcome", "not-stored"});
     }
     response.headers.push_back({"Run-Replayed", "true"});
-    exchange_->respond(with_verdict(std::move(response), run_verdict::ran));
+    respond(std::move(response), run_verdict::ran);
 }
 
 void request_flow::take_claimed_end(attempts_end const& end)
@@ -410,7 +419,7 @@
 {
     if (end.answer)
     {
-        exchange_->respond(with_verdict(*end.answer, end.verdict));
+        respond(*end.answer, end.verdict);
         return;
     }
     answer_error(status_of(end.code), end.code, end.message, end.verdict);
@@ -419,8 +428,18 @@
 void request_flow::answer_error(int status, QByteArray const& code,
                                 QByteArray const& message, run_verdict verdict)
 {
-    exchange_->respond(
-        with_verdict(not_run_response(status, code, message), verdict));
+    respond(not_run_response(status, code, message), verdict);
+}
+
+void request_flow::respond(http_response response, run_verdict verdict)
+{
+    span_.note("verdict", QString::fromLatin1(verdict_word(verdict)));
+    span_.note("status", QString::number(response.status));
+    span_.end();
+    services_.answered(service_.name, verdict, response.status,
+                       std::chrono::duration_cast<std::chrono::microseconds>(
+                           services_.clock.now() - started_));
+    exchange_->respond(with_verdict(std::move(response), verdict));
 }
 
 milliseconds request_flow::time_left() const
--- a/source/verbenacove/request/request_flow.hpp
+++ b/source/verbenacove/request/request_flow.hpp
@@ -3,10 +3,12 @@
 
 #include "verbenacove/connection/http_exchange.hpp"
 #include "verbenacove/core/timer_service.hpp"
+#include "verbenacove/core/trace.hpp"
 #include "verbenacove/request/attempt_loop.hpp"
 #include "verbenacove/request/claim_service.hpp"
 #include "verbenacove/version/service_record.hpp"
 
+#include <functional>
 #include <memory>
 
 namespace verbenacove
@@ -20,6 +22,12 @@
     clock_source const& clock;
     timer_service& timers;
     milliseconds connect_timeout{500};
+    /** A request without a trace is traced once in so many; 0 never. */
+    int sample_one_in = 0;
+    /** Called with each answer, for metrics. */
+    std::function<void(service_name const&, run_verdict, int status,
+                       std::chrono::microseconds)>
+        answered;
 };
 
 /** One caller's request, from its arrival to its answer.
@@ -67,6 +75,7 @@
     void answer_error(int status, QByteArray const& code,
                       QByteArray const& message, run_verdict verdict);
     void answer_end(attempts_end const& end);
+    void respond(http_response response, run_verdict verdict);
     milliseconds time_left() const;
 
     request_services services_;
@@ -80,7 +89,9 @@
     claim_holder holder_;
     request_fingerprint fingerprint_;
     timer_service::subscription waiting_;
-    std::weak_ptr<attempt_loop> loop_;
+    trace_span span_;
+    trace_span claim_span_;
+    monotonic_time started_{};
 };
 
 } // namespace verbenacove
