--- a/bench/steering_bench.cpp
+++ b/bench/steering_bench.cpp
@@ -207,15 +207,10 @@
      {
          s.parts.ejection = false;
      }},
-    {"sample-2",
+    {"-comparison",
      [](chooser_settings& s)
      {
-         s.sample_size = 2;
-     }},
-    {"sample-3",
-     [](chooser_settings& s)
-     {
-         s.sample_size = 3;
+         s.parts.region_comparison = false;
      }},
 };
 
--- a/source/verbenacove/request/upstream_chooser.cpp
+++ b/source/verbenacove/request/upstream_chooser.cpp
@@ -19,6 +19,11 @@
 constexpr int in_flight_per_slot = 16;
 constexpr double failure_cost_ms = 1000;
 constexpr double non_idempotent_failure_cost_ms = 4000;
+/** An answer that takes less than this many times the average is normal. */
+constexpr double normal_slowness = 2;
+/** A free slot in another region is worth more than a queue at home, also
+    when its answer is expected to take longer by this much. */
+constexpr double remote_cost_share = 0.6;
 
 double bounded_load(double load)
 {
@@ -40,14 +45,14 @@
 upstream_chooser::choice::choice(std::shared_ptr<upstream_record> record,
                                  std::shared_ptr<class_latency> latencies,
                                  clock_source const& clock, request_class kind,
-                                 bool is_other_region)
+                                 microseconds expected, bool is_other_region)
     : record_(std::move(record))
     , latencies_(std::move(latencies))
     , clock_(&clock)
     , kind_(kind)
     , is_other_region_(is_other_region)
     , started_(clock.now())
-    , expected_(latencies_->average(kind))
+    , expected_(expected)
 {
     record_->start(started_, expected_);
 }
@@ -103,6 +108,7 @@
 
 void upstream_chooser::group::clear()
 {
+    count = 0;
     usable.clear();
     ejected.clear();
 }
@@ -110,8 +116,7 @@
 bool upstream_chooser::group::has_free_slot() const
 {
     return std::any_of(usable.begin(), usable.end(),
-                       [](candidate const& one)
-                       { return one.has_free_slot(); });
+                       [](candidate const& one) { return one.has_free_slot; });
 }
 
 upstream_chooser::upstream_chooser(chooser_settings settings,
@@ -169,9 +174,11 @@
 {
     auto const now = clock_.now();
     collect(excluded, now);
-    if (auto const* target = probe_target(kind, now))
+    // A retry is not risked on an upstream that failed before.
+    auto const* probed = excluded.empty() ? probe_target(kind, now) : nullptr;
+    if (probed)
     {
-        return take(*target, kind);
+        return take(*probed, kind);
     }
     assess(local_, kind, now);
     auto const* chosen = local_.usable.empty() ? nullptr : pick_from(local_);
@@ -217,12 +224,16 @@
     remote_.clear();
     for (auto const& known : members_)
     {
-        if (!is_usable(known, now) ||
-            contains(excluded, known.record->view().id))
+        if (!is_usable(known, now))
         {
             continue;
         }
         auto& of = known.away == distance::other_region ? remote_ : local_;
+        ++of.count;
+        if (contains(excluded, known.record->view().id))
+        {
+            continue;
+        }
         if (settings_.parts.ejection && known.record->is_ejected())
         {
             of.ejected.push_back(&known);
@@ -238,9 +249,8 @@
 
 void upstream_chooser::release_over_bound(group& of, monotonic_time now) const
 {
-    auto const count = of.usable.size() + of.ejected.size();
     auto const bound =
-        std::size_t(settings_.largest_ejected_share * double(count));
+        std::size_t(settings_.largest_ejected_share * double(of.count));
     if (of.ejected.size() <= bound)
     {
         return;
@@ -272,11 +282,10 @@
         load_sum / double(std::max<std::size_t>(1, of.usable.size()));
     for (auto& one : of.usable)
     {
-        auto const& record = *one.upstream->record;
-        auto const& view = record.view();
-        one.occupancy = occupancy(record, average_load, now);
+        auto const& view = one.upstream->record->view();
         // Where all are new, none of them has to be spared.
         one.capacity = slots_of(view) * ramp_share(view, now) / largest_share;
+        one.has_free_slot = has_free_slot(one, average_load);
         one.cost_ms = cost_ms(one, kind, now);
     }
 }
@@ -293,64 +302,68 @@
     return std::clamp(part, settings_.first_ramp_share, 1.0);
 }
 
-double upstream_chooser::occupancy(upstream_record const& record,
-                                   double average_load,
-                                   monotonic_time now) const
+bool upstream_chooser::has_free_slot(candidate const& target,
+                                     double average_load) const
 {
-    auto const own =
-        settings_.parts.in_flight ? double(record.in_flight()) : 0.0;
-    if (!settings_.parts.reported_load)
+    auto in_use = own_in_flight(target);
+    if (settings_.parts.reported_load)
     {
-        return own;
+        auto const& view = target.upstream->record->view();
+        in_use = std::max(in_use, average_load * slots_of(view));
     }
-    // An old report says little of this upstream, but the pool's average
-    // still says what all entries together do.
-    auto const& view = record.view();
-    auto const age = milliseconds_double(now - view.reported_at).count();
-    auto const trust =
-        std::exp(-std::max(0.0, age) / double(settings_.report_fade.count()));
-    auto const load =
-        trust * bounded_load(view.load) + (1 - trust) * average_load;
-    return std::max(own, load * slots_of(view));
+    return in_use + 1 <= target.capacity;
 }
 
 double upstream_chooser::cost_ms(candidate const& target, request_class kind,
                                  monotonic_time now) const
 {
-    auto const use = (target.occupancy + 1) / target.capacity;
-    auto cost = latency_ms(target, kind, now) * (1 + use * use);
-    if (settings_.parts.failures)
+    auto const& record = *target.upstream->record;
+    auto const slowness = settings_.parts.latency ? record.slowness(now) : 1;
+    milliseconds_double const expected =
+        expected_latency(*target.upstream, kind);
+    auto const latency_ms =
+        expected.count() * (slowness < normal_slowness ? 1 : slowness);
+    auto const use = (own_in_flight(target) + 1) / target.capacity;
+    auto const waiting = latency_ms * use * use;
+    return latency_ms + waiting + failure_ms(record, kind, now);
+}
+
+double upstream_chooser::failure_ms(upstream_record const& record,
+                                    request_class kind,
+                                    monotonic_time now) const
+{
+    if (!settings_.parts.failures)
+    {
+        return 0;
+    }
+    auto const share = record.failure_share(now);
+    if (kind != request_class::non_idempotent)
     {
-        auto const failure_cost = kind == request_class::non_idempotent
-                                      ? non_idempotent_failure_cost_ms
-                                      : failure_cost_ms;
-        cost += target.upstream->record->failure_share(now) * failure_cost;
+        return share * failure_cost_ms;
     }
-    return cost;
+    // Requests that can be sent again find out whether it works by now.
+    auto const risk = record.is_suspect() ? 1 : share;
+    return risk * non_idempotent_failure_cost_ms;
 }
 
-double upstream_chooser::latency_ms(candidate const& target, request_class kind,
-                                    monotonic_time now) const
+double upstream_chooser::own_in_flight(candidate const& target) const
 {
-    auto const& record = *target.upstream->record;
-    auto const average = milliseconds_double(latencies_->average(kind)).count();
-    if (settings_.parts.latency && record.has_latency())
-    {
-        return average * record.slowness(now);
-    }
-    auto const slowness = settings_.parts.latency ? record.slowness(now) : 1.0;
-    return average * slowness + round_trip_ms(target.upstream->away);
+    return settings_.parts.in_flight
+               ? double(target.upstream->record->in_flight())
+               : 0;
 }
 
-double upstream_chooser::round_trip_ms(distance away) const
+microseconds upstream_chooser::expected_latency(member const& target,
+                                                request_class kind) const
 {
-    if (!settings_.parts.zone_distance || away == distance::same_zone)
+    auto const average = latencies_->average(kind);
+    if (!settings_.parts.zone_distance || target.away == distance::same_zone)
     {
-        return 0;
+        return average;
     }
-    return double(away == distance::same_region
-                      ? settings_.zone_round_trip.count()
-                      : settings_.region_round_trip.count());
+    return average + (target.away == distance::same_region
+                          ? settings_.zone_round_trip
+                          : settings_.region_round_trip);
 }
 
 upstream_chooser::member const*
@@ -380,12 +393,8 @@
     {
         return nullptr;
     }
-    std::erase_if(remote_.usable,
-                  [nearest](candidate const& one)
-                  {
-                      return nearest && (!one.has_free_slot() ||
-                                         one.cost_ms >= nearest->cost_ms);
-                  });
+    std::erase_if(remote_.usable, [&](candidate const& far)
+                  { return !is_better(far, nearest); });
     while (!remote_.usable.empty())
     {
         auto const* far = pick_from(remote_);
@@ -402,10 +411,29 @@
     return nullptr;
 }
 
+bool upstream_chooser::is_better(candidate const& far,
+                                 candidate const* nearest) const
+{
+    if (!nearest)
+    {
+        return true;
+    }
+    if (!settings_.parts.region_comparison)
+    {
+        return far.has_free_slot;
+    }
+    return far.has_free_slot &&
+           far.cost_ms * remote_cost_share < nearest->cost_ms;
+}
+
 upstream_chooser::choice upstream_chooser::take(member const& target,
                                                 request_class kind)
 {
-    return {target.record, latencies_, clock_, kind,
+    return {target.record,
+            latencies_,
+            clock_,
+            kind,
+            expected_latency(target, kind),
             target.away == distance::other_region};
 }
 
@@ -424,10 +452,7 @@
 std::size_t
 upstream_chooser::pick_lowest_cost(std::vector<candidate> const& from)
 {
-    auto const sample_size =
-        settings_.sample_size > 0 ? std::size_t(settings_.sample_size) : 0;
-    return pick_least(from, sample_size,
-                      [](candidate const& one) { return one.cost_ms; });
+    return pick_least(from, [](candidate const& one) { return one.cost_ms; });
 }
 
 std::size_t upstream_chooser::pick_random(std::vector<candidate> const& from)
@@ -444,15 +469,14 @@
 std::size_t
 upstream_chooser::pick_least_reported_load(std::vector<candidate> const& from)
 {
-    return pick_least(from, 0,
-                      [](candidate const& one)
+    return pick_least(from, [](candidate const& one)
                       { return one.upstream->record->view().load; });
 }
 
 std::size_t
 upstream_chooser::pick_least_in_flight(std::vector<candidate> const& from)
 {
-    return pick_least(from, 0,
+    return pick_least(from,
                       [](candidate const& one)
                       {
                           auto const& record = *one.upstream->record;
@@ -463,17 +487,14 @@
 
 template <class Score>
 std::size_t upstream_chooser::pick_least(std::vector<candidate> const& from,
-                                         std::size_t sample_size, Score score)
+                                         Score score)
 {
-    auto const is_sampled = sample_size > 0 && sample_size < from.size();
-    auto const count = is_sampled ? sample_size : from.size();
     // A random first one, so that equal scores share the work.
     auto const offset = draw(from.size());
     auto best = offset;
-    for (std::size_t i = 1; i < count; ++i)
+    for (std::size_t i = 1; i < from.size(); ++i)
     {
-        auto const next =
-            is_sampled ? draw(from.size()) : (offset + i) % from.size();
+        auto const next = (offset + i) % from.size();
         if (score(from[next]) < score(from[best]))
         {
             best = next;
--- a/source/verbenacove/request/upstream_chooser.hpp
+++ b/source/verbenacove/request/upstream_chooser.hpp
@@ -32,10 +32,13 @@
     bool latency = true;
     /** The share of attempts that failed. */
     bool failures = true;
-    /** The load that the upstream reports, discounted by its age. */
+    /** The load that the upstreams of a region report, on average; it says
+        whether other regions are to help, not which upstream is best. */
     bool reported_load = true;
     /** The way to another zone or region. */
     bool zone_distance = true;
+    /** Other regions only where they are expected to answer sooner. */
+    bool region_comparison = true;
     /** A growing share of the slots after a start. */
     bool ramp = true;
     /** No use at all after consecutive failures. */
@@ -50,17 +53,12 @@
     zone_name zone;
     chooser_policy policy = chooser_policy::lowest_cost;
     cost_parts parts;
-    /** The number of upstreams, drawn at random, whose costs are compared; 0
-        compares all. */
-    int sample_size = 0;
     /** An upstream is not used when its last report is older. */
     milliseconds news_lease{3000};
-    /** The time after which a report counts a third. */
-    milliseconds report_fade{2000};
     /** The time until a new incarnation gets all its slots' share. */
-    milliseconds ramp_time{10000};
+    milliseconds ramp_time{5000};
     /** The share of its slots that it starts with. */
-    double first_ramp_share = 0.1;
+    double first_ramp_share = 0.5;
     /** The way there and back to another zone of the region. */
     milliseconds zone_round_trip{8};
     /** The way there and back to another region. */
@@ -116,7 +114,7 @@
         choice(std::shared_ptr<upstream_record> record,
                std::shared_ptr<class_latency> latencies,
                clock_source const& clock, request_class kind,
-               bool is_other_region);
+               std::chrono::microseconds expected, bool is_other_region);
 
         std::shared_ptr<upstream_record> record_;
         std::shared_ptr<class_latency> latencies_;
@@ -175,18 +173,17 @@
     struct candidate
     {
         member const* upstream = nullptr;
-        /** The work expected in flight there, of all entries. */
-        double occupancy = 0;
-        /** The slots it may use by now. */
+        /** The slots that may be used by now. */
         double capacity = 1;
+        bool has_free_slot = false;
         double cost_ms = 0;
-
-        bool has_free_slot() const { return occupancy + 1 <= capacity; }
     };
 
-    /** The upstreams of one choice that are near, or far. */
+    /** The upstreams of the entry's own region, or of all others. */
     struct group
     {
+        /** The number of members, also those tried before. */
+        std::size_t count = 0;
         std::vector<candidate> usable;
         std::vector<member const*> ejected;
 
@@ -205,17 +202,19 @@
     void release_over_bound(group& of, monotonic_time now) const;
     void assess(group& of, request_class kind, monotonic_time now) const;
     double ramp_share(upstream_view const& view, monotonic_time now) const;
-    double occupancy(upstream_record const& record, double average_load,
-                     monotonic_time now) const;
+    bool has_free_slot(candidate const& target, double average_load) const;
     double cost_ms(candidate const& target, request_class kind,
                    monotonic_time now) const;
-    double latency_ms(candidate const& target, request_class kind,
+    double failure_ms(upstream_record const& record, request_class kind,
                       monotonic_time now) const;
-    double round_trip_ms(distance away) const;
+    double own_in_flight(candidate const& target) const;
+    std::chrono::microseconds expected_latency(member const& target,
+                                               request_class kind) const;
     member const* probe_target(request_class kind, monotonic_time now) const;
     candidate const* pick_from(group const& of);
     candidate const* pick_remote(request_class kind, candidate const* nearest,
                                  region_permit const& permit);
+    bool is_better(candidate const& far, candidate const* nearest) const;
     choice take(member const& target, request_class kind);
 
     std::size_t pick_lowest_cost(std::vector<candidate> const& from);
@@ -224,8 +223,7 @@
     std::size_t pick_least_reported_load(std::vector<candidate> const& from);
     std::size_t pick_least_in_flight(std::vector<candidate> const& from);
     template <class Score>
-    std::size_t pick_least(std::vector<candidate> const& from,
-                           std::size_t sample_size, Score score);
+    std::size_t pick_least(std::vector<candidate> const& from, Score score);
     std::size_t draw(std::size_t count);
 
     chooser_settings settings_;
--- a/source/verbenacove/request/upstream_record.cpp
+++ b/source/verbenacove/request/upstream_record.cpp
@@ -16,7 +16,8 @@
 constexpr double class_average_weight = 0.02;
 constexpr double latency_weight = 0.2;
 constexpr double failure_weight = 0.25;
-constexpr double refusal_failure = 0.5;
+/** A lower share of failures counts as none. */
+constexpr double negligible_failure_share = 0.01;
 constexpr double largest_slowness = 1000;
 constexpr milliseconds latency_fade{10000};
 constexpr milliseconds failure_fade{10000};
@@ -100,7 +101,8 @@
         }
         break;
     case attempt_outcome::refused:
-        add_failure(now, refusal_failure);
+        // It says that it is full, not that it is broken: no ejection.
+        add_failure(now, 1);
         break;
     case attempt_outcome::cancelled:
         // A short life says nothing; a long one says that it is slow.
@@ -126,7 +128,8 @@
 
 double upstream_record::failure_share(monotonic_time now) const
 {
-    return failure_share_ * fade(failure_at_, now, failure_fade);
+    auto const share = failure_share_ * fade(failure_at_, now, failure_fade);
+    return share < negligible_failure_share ? 0 : share;
 }
 
 bool upstream_record::needs_probe(monotonic_time now) const
--- a/source/verbenacove/request/upstream_record.hpp
+++ b/source/verbenacove/request/upstream_record.hpp
@@ -79,12 +79,13 @@
         attempts in flight count with their age so far. */
     double slowness(monotonic_time now) const;
 
-    /** Returns true when slowness has been seen at all. */
-    bool has_latency() const { return has_latency_; }
-
-    /** Returns the share of attempts that failed of late, 0 to 1. */
+    /** Returns the share of attempts that failed or were refused of late, 0
+        to 1. */
     double failure_share(monotonic_time now) const;
 
+    /** Returns true when it failed and has not answered since. */
+    bool is_suspect() const { return consecutive_failures_ > 0; }
+
     /** Returns true while consecutive failures keep it out of use. */
     bool is_ejected() const { return is_ejected_; }
 
--- /dev/null
+++ b/tests/unit/retry_budget_test.cpp
@@ -0,0 +1,80 @@
+#include "verbenacove/request/retry_budget.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace verbenacove;
+
+namespace
+{
+
+struct budget_fixture
+{
+    void count(int requests)
+    {
+        for (int i = 0; i < requests; ++i)
+        {
+            budget.count_request();
+        }
+    }
+
+    int take_all()
+    {
+        int taken = 0;
+        while (budget.take_retry())
+        {
+            ++taken;
+        }
+        return taken;
+    }
+
+    manual_clock_source clock;
+    retry_budget budget{{}, clock};
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(budget_fixture, "retry budget: no requests: only the floor")
+{
+    CHECK(take_all() == 3);
+    CHECK(budget.retries_left() == 0);
+}
+
+TEST_CASE_FIXTURE(budget_fixture,
+                  "retry budget: many requests: a tenth of them")
+{
+    count(1009);
+    CHECK(take_all() == 100);
+}
+
+TEST_CASE_FIXTURE(budget_fixture,
+                  "retry budget: the window passes: requests and retries fade")
+{
+    count(1000);
+    CHECK(take_all() == 100);
+    clock.advance(std::chrono::seconds(9));
+    CHECK(take_all() == 0);
+    clock.advance(std::chrono::seconds(1));
+    CHECK(take_all() == 3);
+}
+
+TEST_CASE_FIXTURE(budget_fixture,
+                  "retry budget: a frozen process wakes: an empty window")
+{
+    count(1000);
+    clock.advance(std::chrono::hours(5));
+    CHECK(take_all() == 3);
+}
+
+TEST_CASE_FIXTURE(budget_fixture,
+                  "retry budget: steady load for a minute: never above a tenth")
+{
+    int retries = 0;
+    for (int i = 0; i < 6000; ++i)
+    {
+        clock.advance(milliseconds(10));
+        count(1);
+        retries += budget.take_retry() ? 1 : 0;
+    }
+    CHECK(retries <= 600);
+    CHECK(retries >= 500);
+}
--- /dev/null
+++ b/tests/unit/upstream_chooser_test.cpp
@@ -0,0 +1,381 @@
+#include "verbenacove/request/upstream_chooser.hpp"
+
+#include <doctest/doctest.h>
+
+#include <cmath>
+#include <limits>
+#include <map>
+
+using namespace verbenacove;
+
+namespace
+{
+
+using choice = upstream_chooser::choice;
+
+upstream_id id_of(int number)
+{
+    return upstream_id(QStringLiteral("u%1").arg(number));
+}
+
+/** A chooser in region `r0`, zone `r0a`, and upstreams that started long ago.
+ */
+struct chooser_fixture
+{
+    chooser_fixture()
+    {
+        settings.region = region_name(QStringLiteral("r0"));
+        settings.zone = zone_name(QStringLiteral("r0a"));
+        clock.advance(std::chrono::hours(1));
+    }
+
+    upstream_view view(int number, char const* region = "r0",
+                       char const* zone = "r0a") const
+    {
+        upstream_view result;
+        result.id = id_of(number);
+        result.region = region_name(QString::fromLatin1(region));
+        result.zone = zone_name(QString::fromLatin1(zone));
+        result.slots = slot_count(4);
+        result.state = upstream_state::serving;
+        result.reported_at = clock.now();
+        result.first_seen = clock.now() - std::chrono::minutes(10);
+        return result;
+    }
+
+    void publish(std::vector<upstream_view> views)
+    {
+        if (!chooser)
+        {
+            chooser.emplace(settings, clock, 1);
+        }
+        for (auto& one : views)
+        {
+            one.reported_at = clock.now();
+        }
+        set = views;
+        chooser->update(views);
+    }
+
+    /** Runs requests one after another and counts them for each upstream. */
+    template <class Run>
+    std::map<upstream_id, int> run(int count, Run run_one)
+    {
+        std::map<upstream_id, int> counts;
+        for (int i = 0; i < count; ++i)
+        {
+            publish(set);
+            auto taken = chooser->choose(request_class::interactive);
+            REQUIRE(taken);
+            auto const id = taken->upstream().id;
+            ++counts[id];
+            auto const outcome = run_one(id);
+            clock.advance(outcome.second);
+            taken->finish(outcome.first, outcome.second);
+        }
+        return counts;
+    }
+
+    manual_clock_source clock;
+    chooser_settings settings;
+    std::optional<upstream_chooser> chooser;
+    std::vector<upstream_view> set;
+};
+
+using ended = std::pair<attempt_outcome, milliseconds>;
+
+auto const allow_all = [](region_name const&)
+{
+    return true;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(chooser_fixture, "choice: no upstream known: nothing chosen")
+{
+    publish({});
+    CHECK_FALSE(chooser->choose(request_class::interactive));
+}
+
+TEST_CASE_FIXTURE(chooser_fixture,
+                  "choice: draining, starting or past its lease: not chosen")
+{
+    auto draining = view(1);
+    draining.state = upstream_state::draining;
+    auto starting = view(2);
+    starting.state = upstream_state::starting;
+    publish({draining, starting, view(3)});
+    for (int i = 0; i < 20; ++i)
+    {
+        auto taken = chooser->choose(request_class::bulk);
+        REQUIRE(taken);
+        CHECK(taken->upstream().id == id_of(3));
+    }
+    clock.advance(milliseconds(3001));
+    CHECK_FALSE(chooser->choose(request_class::interactive));
+}
+
+TEST_CASE_FIXTURE(chooser_fixture, "choice: an upstream excluded: not chosen")
+{
+    publish({view(1), view(2)});
+    for (int i = 0; i < 20; ++i)
+    {
+        auto taken = chooser->choose(request_class::interactive, {id_of(1)});
+        REQUIRE(taken);
+        CHECK(taken->upstream().id == id_of(2));
+    }
+    CHECK_FALSE(
+        chooser->choose(request_class::interactive, {id_of(1), id_of(2)}));
+}
+
+TEST_CASE_FIXTURE(chooser_fixture,
+                  "choice: in flight until finished or destroyed: work spread")
+{
+    publish({view(1), view(2)});
+    auto first = chooser->choose(request_class::interactive);
+    auto second = chooser->choose(request_class::interactive);
+    REQUIRE((first && second));
+    CHECK(first->upstream().id != second->upstream().id);
+    auto const freed = first->upstream().id;
+    first.reset();
+    CHECK(chooser->choose(request_class::interactive)->upstream().id == freed);
+    auto moved = std::move(*second);
+    moved.finish(attempt_outcome::answered, milliseconds(5));
+    moved.finish(attempt_outcome::failed, milliseconds(5));
+}
+
+TEST_CASE_FIXTURE(chooser_fixture,
+                  "choice: all hold their bound in flight: nothing chosen")
+{
+    publish({view(1)});
+    std::vector<choice> held;
+    while (auto taken = chooser->choose(request_class::interactive))
+    {
+        held.push_back(std::move(*taken));
+        REQUIRE(held.size() < 1000);
+    }
+    CHECK(held.size() == 16 * 4);
+}
+
+TEST_CASE_FIXTURE(chooser_fixture,
+                  "choice: an upstream that fails fast: hardly used")
+{
+    publish({view(1), view(2), view(3), view(4)});
+    auto const counts =
+        run(2000,
+            [](upstream_id const& id)
+            {
+                return id == id_of(1)
+                           ? ended(attempt_outcome::failed, milliseconds(0))
+                           : ended(attempt_outcome::answered, milliseconds(20));
+            });
+    // 40 s at backoffs of 1, 2, 4, 8 and 16 s: three to eject, then probes.
+    CHECK(counts.at(id_of(1)) <= 10);
+}
+
+TEST_CASE_FIXTURE(chooser_fixture,
+                  "choice: an upstream that reports idle but is slow: avoided")
+{
+    auto lying = view(1);
+    auto honest = view(2);
+    honest.load = 0.7;
+    auto other = view(3);
+    other.load = 0.7;
+    publish({lying, honest, other});
+    auto const counts =
+        run(2000,
+            [](upstream_id const& id)
+            {
+                return ended(attempt_outcome::answered,
+                             milliseconds(id == id_of(1) ? 400 : 20));
+            });
+    CHECK(counts.at(id_of(1)) <= 20);
+}
+
+TEST_CASE_FIXTURE(chooser_fixture,
+                  "ejection: more fail than the bound: half stay in use")
+{
+    publish({view(1), view(2), view(3), view(4)});
+    auto const fail = [](upstream_id const&)
+    {
+        return ended(attempt_outcome::failed, milliseconds(1));
+    };
+    run(50, fail);
+    // All four failed; without the bound there would be no choice here.
+    auto taken = chooser->choose(request_class::non_idempotent);
+    CHECK(taken);
+}
+
+TEST_CASE_FIXTURE(chooser_fixture,
+                  "probe: the ejected upstream answers again: back in use")
+{
+    publish({view(1), view(2)});
+    bool is_broken = true;
+    auto const serve = [&](upstream_id const& id)
+    {
+        return is_broken && id == id_of(1)
+                   ? ended(attempt_outcome::failed, milliseconds(1))
+                   : ended(attempt_outcome::answered, milliseconds(20));
+    };
+    run(500, serve);
+    is_broken = false;
+    clock.advance(std::chrono::seconds(40));
+    auto const counts = run(1000, serve);
+    CHECK(counts.at(id_of(1)) > 300);
+}
+
+TEST_CASE_FIXTURE(chooser_fixture,
+                  "probe: a non-idempotent request: never sent as one")
+{
+    publish({view(1), view(2), view(3)});
+    run(200,
+        [](upstream_id const& id)
+        {
+            return id == id_of(1)
+                       ? ended(attempt_outcome::failed, milliseconds(1))
+                       : ended(attempt_outcome::answered, milliseconds(20));
+        });
+    clock.advance(std::chrono::seconds(40));
+    publish(set);
+    for (int i = 0; i < 20; ++i)
+    {
+        auto taken = chooser->choose(request_class::non_idempotent);
+        REQUIRE(taken);
+        CHECK(taken->upstream().id != id_of(1));
+    }
+}
+
+TEST_CASE_FIXTURE(chooser_fixture,
+                  "region: a free slot at home: other regions not used")
+{
+    publish({view(1), view(2, "r1", "r1a")});
+    for (int i = 0; i < 50; ++i)
+    {
+        auto taken = chooser->choose(request_class::interactive, {}, allow_all);
+        REQUIRE(taken);
+        CHECK_FALSE(taken->is_other_region());
+    }
+}
+
+TEST_CASE_FIXTURE(chooser_fixture,
+                  "region: no upstream at home: another one if permitted")
+{
+    publish({view(1, "r1", "r1a"), view(2, "r2", "r2a")});
+    CHECK_FALSE(chooser->choose(request_class::interactive));
+    std::vector<region_name> asked;
+    auto const refuse = [&](region_name const& region)
+    {
+        asked.push_back(region);
+        return false;
+    };
+    CHECK_FALSE(chooser->choose(request_class::interactive, {}, refuse));
+    CHECK(asked.size() == 2);
+    auto taken = chooser->choose(request_class::bulk, {}, allow_all);
+    REQUIRE(taken);
+    CHECK(taken->is_other_region());
+}
+
+TEST_CASE_FIXTURE(chooser_fixture,
+                  "region: home far over its slots: interactive leaves, bulk "
+                  "waits")
+{
+    publish({view(1), view(2, "r1", "r1a")});
+    std::vector<choice> held;
+    for (int i = 0; i < 16; ++i)
+    {
+        held.push_back(*chooser->choose(request_class::interactive));
+    }
+    CHECK(chooser->choose(request_class::interactive, {}, allow_all)
+              ->is_other_region());
+    CHECK_FALSE(
+        chooser->choose(request_class::bulk, {}, allow_all)->is_other_region());
+}
+
+TEST_CASE_FIXTURE(chooser_fixture,
+                  "restart: a new incarnation: its failures are forgotten")
+{
+    publish({view(1), view(2)});
+    run(100,
+        [](upstream_id const& id)
+        {
+            return id == id_of(1)
+                       ? ended(attempt_outcome::failed, milliseconds(1))
+                       : ended(attempt_outcome::answered, milliseconds(20));
+        });
+    auto restarted = view(1);
+    restarted.incarnation = incarnation(2);
+    publish({restarted, view(2)});
+    auto const counts =
+        run(100, [](upstream_id const&)
+            { return ended(attempt_outcome::answered, milliseconds(20)); });
+    CHECK(counts.at(id_of(1)) > 10);
+}
+
+TEST_CASE_FIXTURE(chooser_fixture,
+                  "update: missing for a moment: what was learned stays")
+{
+    publish({view(1), view(2)});
+    run(100,
+        [](upstream_id const& id)
+        {
+            return id == id_of(1)
+                       ? ended(attempt_outcome::failed, milliseconds(1))
+                       : ended(attempt_outcome::answered, milliseconds(20));
+        });
+    auto const both = set;
+    publish({view(2)});
+    publish(both);
+    CHECK(chooser->choose(request_class::non_idempotent)->upstream().id ==
+          id_of(2));
+}
+
+TEST_CASE_FIXTURE(chooser_fixture,
+                  "update: more upstreams than the bound: the rest counted")
+{
+    std::vector<upstream_view> many;
+    for (int i = 0; i < 300; ++i)
+    {
+        many.push_back(view(i));
+    }
+    publish(many);
+    CHECK(chooser->update(many) == 300 - upstream_chooser::largest_set);
+    CHECK(chooser->choose(request_class::interactive));
+}
+
+TEST_CASE_FIXTURE(chooser_fixture,
+                  "update: load, slots or times out of range: still a choice")
+{
+    auto odd = view(1);
+    odd.load = std::numeric_limits<double>::quiet_NaN();
+    odd.slots = slot_count(-3);
+    odd.first_seen = clock.now() + std::chrono::hours(1);
+    publish({odd});
+    CHECK(chooser->choose(request_class::interactive));
+}
+
+TEST_CASE_FIXTURE(chooser_fixture,
+                  "choice: outlives its chooser: still finishes")
+{
+    publish({view(1)});
+    auto taken = chooser->choose(request_class::interactive);
+    chooser.reset();
+    REQUIRE(taken);
+    taken->finish(attempt_outcome::answered, milliseconds(3));
+}
+
+TEST_CASE_FIXTURE(chooser_fixture,
+                  "baselines: two equal upstreams: each policy uses both")
+{
+    for (auto const policy :
+         {chooser_policy::random, chooser_policy::round_robin,
+          chooser_policy::least_reported_load, chooser_policy::least_in_flight})
+    {
+        settings.policy = policy;
+        chooser.reset();
+        publish({view(1), view(2)});
+        auto const counts =
+            run(200, [](upstream_id const&)
+                { return ended(attempt_outcome::answered, milliseconds(5)); });
+        CHECK(counts.size() == 2);
+    }
+}
