Choose upstreams by a measured expected cost

Change: cost is latency, the wait for a slot and the risk of failing, in an upstream_cost of its own. Latency counts only from twice the average on, and a ramping upstream may be slower. Reported load only says, as a region's average, whether other regions are to help, and those only where they answer sooner. A retry is never a probe; non-idempotent requests keep away from a suspect; an ejection ends in time where no request can probe.

--- a/bench/steering_bench.cpp
+++ b/bench/steering_bench.cpp
@@ -255,6 +255,7 @@
     for (std::size_t i = 0; i < column_count; ++i)
     {
         std::vector<double> values;
+        values.reserve(rows.size());
         for (auto const& one : rows)
         {
             values.push_back(one.at(i));
--- a/source/verbenacove/request/upstream_chooser.cpp
+++ b/source/verbenacove/request/upstream_chooser.cpp
@@ -12,29 +12,14 @@
 {
 
 using std::chrono::microseconds;
-using milliseconds_double = std::chrono::duration<double, std::milli>;
 
 constexpr milliseconds missing_lease{30000};
 constexpr std::size_t largest_memory = 2 * upstream_chooser::largest_set;
 constexpr int in_flight_per_slot = 16;
-constexpr double failure_cost_ms = 1000;
-constexpr double non_idempotent_failure_cost_ms = 4000;
-/** An answer that takes less than this many times the average is normal. */
-constexpr double normal_slowness = 2;
 /** A free slot in another region is worth more than a queue at home, also
     when its answer is expected to take longer by this much. */
 constexpr double remote_cost_share = 0.6;
 
-double bounded_load(double load)
-{
-    return std::isfinite(load) ? std::clamp(load, 0.0, 1.0) : 1.0;
-}
-
-int slots_of(upstream_view const& view)
-{
-    return std::max(1, view.slots.value());
-}
-
 bool contains(std::vector<upstream_id> const& ids, upstream_id const& id)
 {
     return std::find(ids.begin(), ids.end(), id) != ids.end();
@@ -125,6 +110,7 @@
     , clock_(clock)
     , random_(seed)
     , latencies_(std::make_shared<class_latency>())
+    , cost_(settings_, latencies_)
     , pick_(pick_of(settings_.policy))
 {
 }
@@ -154,7 +140,7 @@
             found = std::prev(members_.end());
         }
         found->record->renew(view);
-        found->away = distance_of(view);
+        found->distance = distance_of(view);
         found->is_listed = true;
         found->last_listed = now;
     }
@@ -197,15 +183,14 @@
     return take(*chosen->upstream, kind);
 }
 
-upstream_chooser::distance
-upstream_chooser::distance_of(upstream_view const& view) const
+upstream_distance upstream_chooser::distance_of(upstream_view const& view) const
 {
     if (view.region != settings_.region)
     {
-        return distance::other_region;
+        return upstream_distance::other_region;
     }
-    return view.zone == settings_.zone ? distance::same_zone
-                                       : distance::same_region;
+    return view.zone == settings_.zone ? upstream_distance::same_zone
+                                       : upstream_distance::same_region;
 }
 
 bool upstream_chooser::is_usable(member const& upstream,
@@ -228,13 +213,14 @@
         {
             continue;
         }
-        auto& of = known.away == distance::other_region ? remote_ : local_;
+        auto& of = known.distance == upstream_distance::other_region ? remote_
+                                                                     : local_;
         ++of.count;
         if (contains(excluded, known.record->view().id))
         {
             continue;
         }
-        if (settings_.parts.ejection && known.record->is_ejected())
+        if (settings_.parts.ejection && known.record->is_ejected(now))
         {
             of.ejected.push_back(&known);
         }
@@ -275,37 +261,28 @@
     for (auto const& one : of.usable)
     {
         auto const& view = one.upstream->record->view();
-        load_sum += bounded_load(view.load);
-        largest_share = std::max(largest_share, ramp_share(view, now));
+        load_sum += load_of(view);
+        largest_share = std::max(largest_share, cost_.ramp_share(view, now));
     }
     auto const average_load =
         load_sum / double(std::max<std::size_t>(1, of.usable.size()));
     for (auto& one : of.usable)
     {
-        auto const& view = one.upstream->record->view();
+        auto const& record = *one.upstream->record;
+        auto const& view = record.view();
         // Where all are new, none of them has to be spared.
-        one.capacity = slots_of(view) * ramp_share(view, now) / largest_share;
+        one.capacity =
+            slots_of(view) * cost_.ramp_share(view, now) / largest_share;
         one.has_free_slot = has_free_slot(one, average_load);
-        one.cost_ms = cost_ms(one, kind, now);
-    }
-}
-
-double upstream_chooser::ramp_share(upstream_view const& view,
-                                    monotonic_time now) const
-{
-    if (!settings_.parts.ramp || settings_.ramp_time <= milliseconds(0))
-    {
-        return 1;
+        one.cost_ms = cost_.milliseconds_of(record, one.upstream->distance,
+                                            one.capacity, kind, now);
     }
-    auto const age = milliseconds_double(now - view.first_seen).count();
-    auto const part = age / double(settings_.ramp_time.count());
-    return std::clamp(part, settings_.first_ramp_share, 1.0);
 }
 
 bool upstream_chooser::has_free_slot(candidate const& target,
                                      double average_load) const
 {
-    auto in_use = own_in_flight(target);
+    auto in_use = cost_.own_in_flight(*target.upstream->record);
     if (settings_.parts.reported_load)
     {
         auto const& view = target.upstream->record->view();
@@ -314,58 +291,6 @@
     return in_use + 1 <= target.capacity;
 }
 
-double upstream_chooser::cost_ms(candidate const& target, request_class kind,
-                                 monotonic_time now) const
-{
-    auto const& record = *target.upstream->record;
-    auto const slowness = settings_.parts.latency ? record.slowness(now) : 1;
-    milliseconds_double const expected =
-        expected_latency(*target.upstream, kind);
-    auto const latency_ms =
-        expected.count() * (slowness < normal_slowness ? 1 : slowness);
-    auto const use = (own_in_flight(target) + 1) / target.capacity;
-    auto const waiting = latency_ms * use * use;
-    return latency_ms + waiting + failure_ms(record, kind, now);
-}
-
-double upstream_chooser::failure_ms(upstream_record const& record,
-                                    request_class kind,
-                                    monotonic_time now) const
-{
-    if (!settings_.parts.failures)
-    {
-        return 0;
-    }
-    auto const share = record.failure_share(now);
-    if (kind != request_class::non_idempotent)
-    {
-        return share * failure_cost_ms;
-    }
-    // Requests that can be sent again find out whether it works by now.
-    auto const risk = record.is_suspect() ? 1 : share;
-    return risk * non_idempotent_failure_cost_ms;
-}
-
-double upstream_chooser::own_in_flight(candidate const& target) const
-{
-    return settings_.parts.in_flight
-               ? double(target.upstream->record->in_flight())
-               : 0;
-}
-
-microseconds upstream_chooser::expected_latency(member const& target,
-                                                request_class kind) const
-{
-    auto const average = latencies_->average(kind);
-    if (!settings_.parts.zone_distance || target.away == distance::same_zone)
-    {
-        return average;
-    }
-    return average + (target.away == distance::same_region
-                          ? settings_.zone_round_trip
-                          : settings_.region_round_trip);
-}
-
 upstream_chooser::member const*
 upstream_chooser::probe_target(request_class kind, monotonic_time now) const
 {
@@ -433,8 +358,8 @@
             latencies_,
             clock_,
             kind,
-            expected_latency(target, kind),
-            target.away == distance::other_region};
+            cost_.expected_latency(target.distance, kind),
+            target.distance == upstream_distance::other_region};
 }
 
 upstream_chooser::pick_function upstream_chooser::pick_of(chooser_policy policy)
--- a/source/verbenacove/request/upstream_chooser.hpp
+++ b/source/verbenacove/request/upstream_chooser.hpp
@@ -1,7 +1,7 @@
 #ifndef VERBENACOVE_REQUEST_UPSTREAM_CHOOSER_HPP
 #define VERBENACOVE_REQUEST_UPSTREAM_CHOOSER_HPP
 
-#include "verbenacove/request/upstream_record.hpp"
+#include "verbenacove/request/upstream_cost.hpp"
 
 #include <functional>
 #include <memory>
@@ -12,61 +12,6 @@
 namespace verbenacove
 {
 
-/** How an upstream is picked among those that may be used. */
-enum class chooser_policy
-{
-    /** The lowest expected cost. */
-    lowest_cost,
-    random,
-    round_robin,
-    least_reported_load,
-    least_in_flight
-};
-
-/** The parts that make up the expected cost of an attempt. */
-struct cost_parts
-{
-    /** The entry's own work in flight, against the slots. */
-    bool in_flight = true;
-    /** The answer times that the entry saw. */
-    bool latency = true;
-    /** The share of attempts that failed. */
-    bool failures = true;
-    /** The load that the upstreams of a region report, on average; it says
-        whether other regions are to help, not which upstream is best. */
-    bool reported_load = true;
-    /** The way to another zone or region. */
-    bool zone_distance = true;
-    /** Other regions only where they are expected to answer sooner. */
-    bool region_comparison = true;
-    /** A growing share of the slots after a start. */
-    bool ramp = true;
-    /** No use at all after consecutive failures. */
-    bool ejection = true;
-};
-
-/** The settings of an entry's upstream_chooser. */
-struct chooser_settings
-{
-    /** Where the entry is. */
-    region_name region;
-    zone_name zone;
-    chooser_policy policy = chooser_policy::lowest_cost;
-    cost_parts parts;
-    /** An upstream is not used when its last report is older. */
-    milliseconds news_lease{3000};
-    /** The time until a new incarnation gets all its slots' share. */
-    milliseconds ramp_time{5000};
-    /** The share of its slots that it starts with. */
-    double first_ramp_share = 0.5;
-    /** The way there and back to another zone of the region. */
-    milliseconds zone_round_trip{8};
-    /** The way there and back to another region. */
-    milliseconds region_round_trip{70};
-    /** The largest share of a region's upstreams that are ejected at once. */
-    double largest_ejected_share = 0.5;
-};
-
 /** Chooses the upstream for each attempt of one service's requests.
 
     It knows what the upstreams announce and what its own attempts saw, and
@@ -155,17 +100,10 @@
                                  region_permit const& allow_other_regions = {});
 
 private:
-    enum class distance
-    {
-        same_zone,
-        same_region,
-        other_region
-    };
-
     struct member
     {
         std::shared_ptr<upstream_record> record;
-        distance away = distance::other_region;
+        upstream_distance distance = upstream_distance::other_region;
         bool is_listed = true;
         monotonic_time last_listed{};
     };
@@ -196,20 +134,12 @@
 
     static pick_function pick_of(chooser_policy policy);
 
-    distance distance_of(upstream_view const& view) const;
+    upstream_distance distance_of(upstream_view const& view) const;
     bool is_usable(member const& upstream, monotonic_time now) const;
     void collect(std::vector<upstream_id> const& excluded, monotonic_time now);
     void release_over_bound(group& of, monotonic_time now) const;
     void assess(group& of, request_class kind, monotonic_time now) const;
-    double ramp_share(upstream_view const& view, monotonic_time now) const;
     bool has_free_slot(candidate const& target, double average_load) const;
-    double cost_ms(candidate const& target, request_class kind,
-                   monotonic_time now) const;
-    double failure_ms(upstream_record const& record, request_class kind,
-                      monotonic_time now) const;
-    double own_in_flight(candidate const& target) const;
-    std::chrono::microseconds expected_latency(member const& target,
-                                               request_class kind) const;
     member const* probe_target(request_class kind, monotonic_time now) const;
     candidate const* pick_from(group const& of);
     candidate const* pick_remote(request_class kind, candidate const* nearest,
@@ -231,6 +161,7 @@
     std::mt19937_64 random_;
     std::vector<member> members_;
     std::shared_ptr<class_latency> latencies_;
+    upstream_cost cost_;
     pick_function pick_;
     std::size_t round_robin_ = 0;
     /** Filled anew for each choice; kept to save allocations. */
--- /dev/null
+++ b/source/verbenacove/request/upstream_cost.hpp
@@ -0,0 +1,67 @@
+#ifndef VERBENACOVE_REQUEST_UPSTREAM_COST_HPP
+#define VERBENACOVE_REQUEST_UPSTREAM_COST_HPP
+
+#include "verbenacove/request/chooser_settings.hpp"
+#include "verbenacove/request/upstream_record.hpp"
+
+#include <memory>
+
+namespace verbenacove
+{
+
+/** How far an upstream is from the entry. */
+enum class upstream_distance
+{
+    same_zone,
+    same_region,
+    other_region
+};
+
+/** Estimates what an attempt at an upstream costs, in milliseconds: its
+    latency, the wait for a slot, and the risk that it fails.
+
+    @see upstream_chooser
+*/
+class upstream_cost
+{
+public:
+    /** Creates an estimate with these settings.
+
+        @param latencies  what the answers took so far; never null
+    */
+    upstream_cost(chooser_settings settings,
+                  std::shared_ptr<class_latency const> latencies);
+
+    /** Returns the expected cost of an attempt.
+
+        @param capacity  the slots that may be used, more than 0
+    */
+    double milliseconds_of(upstream_record const& record,
+                           upstream_distance distance, double capacity,
+                           request_class kind, monotonic_time now) const;
+
+    /** Returns the time that an upstream which is as fast as the others
+        takes for an answer. */
+    std::chrono::microseconds expected_latency(upstream_distance distance,
+                                               request_class kind) const;
+
+    /** Returns the share of its slots that an upstream may use so long after
+        its start, more than 0 and at most 1. */
+    double ramp_share(upstream_view const& view, monotonic_time now) const;
+
+    /** Returns this entry's attempts in flight, as far as they count. */
+    double own_in_flight(upstream_record const& record) const;
+
+private:
+    double latency_ms(upstream_record const& record, upstream_distance distance,
+                      request_class kind, monotonic_time now) const;
+    double failure_ms(upstream_record const& record, request_class kind,
+                      monotonic_time now) const;
+
+    chooser_settings settings_;
+    std::shared_ptr<class_latency const> latencies_;
+};
+
+} // namespace verbenacove
+
+#endif
--- a/source/verbenacove/request/upstream_record.cpp
+++ b/source/verbenacove/request/upstream_record.cpp
@@ -24,6 +24,9 @@
 constexpr int failures_to_eject = 3;
 constexpr milliseconds first_ejection{1000};
 constexpr int largest_ejection_doubling = 5;
+/** The time for a probe; a service may have no request that can be one. */
+constexpr milliseconds probe_patience{30000};
+constexpr milliseconds suspicion{60000};
 
 double fade(monotonic_time since, monotonic_time now, milliseconds span)
 {
@@ -132,6 +135,16 @@
     return share < negligible_failure_share ? 0 : share;
 }
 
+bool upstream_record::is_suspect(monotonic_time now) const
+{
+    return consecutive_failures_ > 0 && now - failure_at_ < suspicion;
+}
+
+bool upstream_record::is_ejected(monotonic_time now) const
+{
+    return is_ejected_ && now < ejected_until_ + probe_patience;
+}
+
 bool upstream_record::needs_probe(monotonic_time now) const
 {
     return is_ejected_ && now >= ejected_until_;
--- a/source/verbenacove/request/upstream_record.hpp
+++ b/source/verbenacove/request/upstream_record.hpp
@@ -83,11 +83,13 @@
         to 1. */
     double failure_share(monotonic_time now) const;
 
-    /** Returns true when it failed and has not answered since. */
-    bool is_suspect() const { return consecutive_failures_ > 0; }
+    /** Returns true when it failed and has not answered since, for a minute
+        after the last failure. */
+    bool is_suspect(monotonic_time now) const;
 
-    /** Returns true while consecutive failures keep it out of use. */
-    bool is_ejected() const { return is_ejected_; }
+    /** Returns true while consecutive failures keep it out of use; it ends
+        with an answer, or some time after no probe was made. */
+    bool is_ejected(monotonic_time now) const;
 
     /** Returns true when it is ejected and one attempt may try it. */
     bool needs_probe(monotonic_time now) const;
--- a/source/verbenacove/request/upstream_view.hpp
+++ b/source/verbenacove/request/upstream_view.hpp
@@ -5,6 +5,9 @@
 #include "verbenacove/core/ids.hpp"
 #include "verbenacove/core/socket_address.hpp"
 
+#include <algorithm>
+#include <cmath>
+
 namespace verbenacove
 {
 
@@ -39,6 +42,18 @@
     monotonic_time first_seen;
 };
 
+/** Returns the slots of an upstream, at least 1 whatever it announced. */
+inline int slots_of(upstream_view const& view)
+{
+    return std::max(1, view.slots.value());
+}
+
+/** Returns the load of an upstream, 0 to 1 whatever it announced. */
+inline double load_of(upstream_view const& view)
+{
+    return std::isfinite(view.load) ? std::clamp(view.load, 0.0, 1.0) : 1.0;
+}
+
 } // namespace verbenacove
 
 #endif
--- a/tests/unit/upstream_chooser_test.cpp
+++ b/tests/unit/upstream_chooser_test.cpp
@@ -224,6 +224,26 @@
     CHECK(counts.at(id_of(1)) > 300);
 }
 
+TEST_CASE_FIXTURE(chooser_fixture,
+                  "probe: a request that is sent again: never sent as one")
+{
+    publish({view(1), view(2), view(3)});
+    for (int i = 0; i < 3; ++i)
+    {
+        std::vector<upstream_id> const others{id_of(2), id_of(3)};
+        chooser->choose(request_class::bulk, others)
+            ->finish(attempt_outcome::failed, milliseconds(1));
+    }
+    clock.advance(milliseconds(1001));
+    publish(set);
+    auto const again = chooser->choose(request_class::bulk, {id_of(2)});
+    CHECK(again->upstream().id == id_of(3));
+    auto const probe = chooser->choose(request_class::bulk);
+    CHECK(probe->upstream().id == id_of(1));
+    // One probe at a time.
+    CHECK(chooser->choose(request_class::bulk)->upstream().id != id_of(1));
+}
+
 TEST_CASE_FIXTURE(chooser_fixture,
                   "probe: a non-idempotent request: never sent as one")
 {
@@ -281,6 +301,7 @@
 {
     publish({view(1), view(2, "r1", "r1a")});
     std::vector<choice> held;
+    held.reserve(16);
     for (int i = 0; i < 16; ++i)
     {
         held.push_back(*chooser->choose(request_class::interactive));
@@ -311,6 +332,39 @@
     CHECK(counts.at(id_of(1)) > 10);
 }
 
+TEST_CASE_FIXTURE(chooser_fixture,
+                  "ramp: a new incarnation among old ones: a smaller share")
+{
+    auto young = view(1);
+    young.first_seen = clock.now();
+    publish({young, view(2)});
+    std::vector<choice> held;
+    std::map<upstream_id, int> counts;
+    for (int i = 0; i < 8; ++i)
+    {
+        held.push_back(*chooser->choose(request_class::interactive));
+        ++counts[held.back().upstream().id];
+    }
+    CHECK(counts[id_of(1)] >= 1);
+    CHECK(counts[id_of(1)] <= 3);
+}
+
+TEST_CASE_FIXTURE(chooser_fixture,
+                  "ramp: all are new: all slots in use before leaving home")
+{
+    auto young = view(1);
+    young.first_seen = clock.now();
+    publish({young, view(2, "r1", "r1a")});
+    std::vector<choice> held;
+    held.reserve(4);
+    for (int i = 0; i < 4; ++i)
+    {
+        held.push_back(
+            *chooser->choose(request_class::interactive, {}, allow_all));
+        CHECK_FALSE(held.back().is_other_region());
+    }
+}
+
 TEST_CASE_FIXTURE(chooser_fixture,
                   "update: missing for a moment: what was learned stays")
 {
@@ -353,6 +407,34 @@
     CHECK(chooser->choose(request_class::interactive));
 }
 
+TEST_CASE_FIXTURE(chooser_fixture,
+                  "choice: its chooser was moved: still chooses and learns")
+{
+    publish({view(1), view(2)});
+    auto moved = std::make_unique<upstream_chooser>(std::move(*chooser));
+    chooser.reset();
+    auto taken = moved->choose(request_class::interactive);
+    REQUIRE(taken);
+    taken->finish(attempt_outcome::failed, milliseconds(1));
+    CHECK(moved->choose(request_class::interactive)->upstream().id !=
+          taken->upstream().id);
+}
+
+TEST_CASE_FIXTURE(chooser_fixture,
+                  "ejection: no request that can probe: used again in time")
+{
+    publish({view(1), view(2)});
+    for (int i = 0; i < 3; ++i)
+    {
+        chooser->choose(request_class::non_idempotent, {id_of(2)})
+            ->finish(attempt_outcome::failed, milliseconds(1));
+    }
+    CHECK_FALSE(chooser->choose(request_class::non_idempotent, {id_of(2)}));
+    clock.advance(std::chrono::seconds(32));
+    publish(set);
+    CHECK(chooser->choose(request_class::non_idempotent, {id_of(2)}));
+}
+
 TEST_CASE_FIXTURE(chooser_fixture,
                   "choice: outlives its chooser: still finishes")
 {
