--- a/tests/unit/upstream_chooser_test.cpp
+++ b/tests/unit/upstream_chooser_test.cpp
@@ -339,6 +339,7 @@
     young.first_seen = clock.now();
     publish({young, view(2)});
     std::vector<choice> held;
+    held.reserve(8);
     std::map<upstream_id, int> counts;
     for (int i = 0; i < 8; ++i)
     {
