--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -53,12 +53,20 @@
     // News goes through its CBOR form, as it does between processes.
     static bool tell(quarantine const& from, quarantine& to)
     {
-        auto const map = to_cbor(from.export_news(news_position()));
+        news_position since;
+        return tell(from, to, since);
+    }
+
+    static bool tell(quarantine const& from, quarantine& to,
+                     news_position& since)
+    {
+        auto const map = to_cbor(from.export_news(since));
         return boost::leaf::try_handle_all(
             [&]() -> boost::leaf::result<bool>
             {
                 BOOST_LEAF_AUTO(news, parse_quarantine_news(map));
                 to.merge_news(news);
+                since = news.next;
                 return true;
             },
             [] { return false; });
@@ -369,12 +377,14 @@
 
     void share(int at)
     {
-        for (auto const& from : entries_)
+        for (std::size_t from = 0; from < entries_.size(); ++from)
         {
-            quarantine_fixture::tell(from, leader_);
-            for (auto& to : entries_)
+            auto& known = known_news_.at(from);
+            quarantine_fixture::tell(entries_.at(from), leader_, known.back());
+            for (std::size_t to = 0; to < entries_.size(); ++to)
             {
-                quarantine_fixture::tell(from, to);
+                quarantine_fixture::tell(entries_.at(from), entries_.at(to),
+                                         known.at(to));
             }
         }
         for (auto const& done : in_flight_[at])
@@ -393,6 +403,8 @@
     quarantine_trials trials_{leader_};
     std::array<quarantine, 3> entries_{quarantine(clock_), quarantine(clock_),
                                        quarantine(clock_)};
+    // For each entry, what the others and at last the leader know of it.
+    std::array<std::array<news_position, 4>, 3> known_news_;
     std::array<int, upstreams> incarnations_{};
     std::map<int, std::vector<running>> in_flight_;
     attempt_number attempt_;
