Take idle connections out of Qt's event loop

Cause: Qt polls every socket it knows on each turn.

Change: after 250 ms a connection's socket moves to one epoll set, of which Qt sees a single descriptor, and back when bytes come.

--- a/source/verbenacove/connection/http_connection.cpp
+++ b/source/verbenacove/connection/http_connection.cpp
@@ -2,6 +2,7 @@
 
 #include <QTcpSocket>
 
+#include <fcntl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -30,11 +31,11 @@
 
 http_connection::http_connection(std::unique_ptr<QTcpSocket> socket,
                                  http_limits const& limits, listener& receiver,
-                                 monotonic_time now)
+                                 monotonic_time idle_since)
     : socket_(std::move(socket))
     , limits_(limits)
     , listener_(receiver)
-    , phase_start_(now)
+    , phase_start_(idle_since)
 {
     socket_->setReadBufferSize(read_buffer_bytes);
     socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
@@ -127,6 +128,27 @@
                              !unsent_since_ && phase_ == progress::nothing);
 }
 
+bool http_connection::can_be_parked() const
+{
+    return is_idle() && !is_lingering_ && input_.isEmpty() &&
+           socket_->state() == QAbstractSocket::ConnectedState &&
+           socket_->bytesAvailable() == 0;
+}
+
+int http_connection::release_socket()
+{
+    auto const original = static_cast<int>(socket_->socketDescriptor());
+    auto const result = ::fcntl(original, F_DUPFD_CLOEXEC, 0);
+    if (result >= 0)
+    {
+        // Only Qt's descriptor closes; the connection lives on in the other.
+        socket_->disconnect(this);
+        socket_->abort();
+        is_finished_ = true;
+    }
+    return result;
+}
+
 monotonic_time http_connection::phase_start() const
 {
     return phase_start_;
--- a/source/verbenacove/connection/http_connection.hpp
+++ b/source/verbenacove/connection/http_connection.hpp
@@ -52,14 +52,14 @@
         virtual bool is_stopping() const = 0;
     };
 
-    /** Takes over a connected socket.
+    /** Takes over a connected socket, idle since a time.
 
         @param limits    must outlive the connection
         @param receiver  must outlive the connection
     */
     http_connection(std::unique_ptr<QTcpSocket> socket,
                     http_limits const& limits, listener& receiver,
-                    monotonic_time now);
+                    monotonic_time idle_since);
     ~http_connection() override;
 
     /** Gives the answer to the request of this number. */
@@ -78,6 +78,17 @@
         answer has been sent. */
     bool is_idle() const;
 
+    /** Returns true when the connection is idle and may go on as a bare
+        socket.
+
+        @see release_socket
+    */
+    bool can_be_parked() const;
+
+    /** Gives the socket up without closing the connection, which this object
+        then no longer has; -1 when there is no file descriptor left. */
+    int release_socket();
+
     /** Returns since when the connection is as it is: idle, in a request's
         headers, in its body, or waiting for the caller to close. */
     monotonic_time phase_start() const;
--- a/source/verbenacove/connection/http_server.cpp
+++ b/source/verbenacove/connection/http_server.cpp
@@ -1,11 +1,14 @@
 #include "verbenacove/connection/http_server.hpp"
 
 #include "verbenacove/connection/http_connection.hpp"
+#include "verbenacove/connection/http_parked_connections.hpp"
 #include "verbenacove/core/timer_service.hpp"
 
 #include <QTcpServer>
 #include <QTcpSocket>
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <unordered_set>
 #include <utility>
@@ -19,6 +22,9 @@
 constexpr int listen_backlog = 1024;
 constexpr milliseconds check_interval{50};
 
+// A connection that is idle for longer leaves Qt's event loop.
+constexpr milliseconds parking_delay{250};
+
 // Connections over the bound that may wait for their 503 to be read.
 constexpr std::size_t maximum_refused_connections = 64;
 
@@ -30,6 +36,8 @@
     core(http_limits limits, handler handle)
         : limits_(limits)
         , handle_(std::move(handle))
+        , parked_([this](int socket, monotonic_time idle_since)
+                  { take(socket, idle_since); })
     {
         setListenBacklogSize(listen_backlog);
         check_timer_ =
@@ -86,29 +94,42 @@
 protected:
     void incomingConnection(qintptr descriptor) override
     {
-        auto socket = std::make_unique<QTcpSocket>();
-        if (!socket->setSocketDescriptor(descriptor))
+        bool const has_room = make_room();
+        auto* const connection = take(descriptor, clock_.now());
+        if (connection == nullptr || has_room)
         {
             return;
         }
-        bool const has_room = make_room();
-        if (!has_room && connections_.size() >= maximum_connections() +
-                                                    maximum_refused_connections)
+        if (connection_count() >
+            maximum_connections() + maximum_refused_connections)
         {
-            socket->abort();
+            connection->abort();
             return;
         }
-        auto* const connection = new http_connection(std::move(socket), limits_,
-                                                     *this, clock_.now());
-        connections_.insert(connection);
-        if (!has_room)
+        connection->refuse(not_run_response(503, "overloaded",
+                                            "There are too many connections."));
+    }
+
+private:
+    http_connection* take(qintptr descriptor, monotonic_time idle_since)
+    {
+        auto socket = std::make_unique<QTcpSocket>();
+        if (!socket->setSocketDescriptor(descriptor))
         {
-            connection->refuse(not_run_response(
-                503, "overloaded", "There are too many connections."));
+            ::close(static_cast<int>(descriptor));
+            return nullptr;
         }
+        auto* const connection =
+            new http_connection(std::move(socket), limits_, *this, idle_since);
+        connections_.insert(connection);
+        return connection;
+    }
+
+    std::size_t connection_count() const
+    {
+        return connections_.size() + parked_.size();
     }
 
-private:
     std::size_t maximum_connections() const
     {
         return static_cast<std::size_t>(limits_.maximum_connections);
@@ -117,25 +138,32 @@
     // A caller that does something goes before one that does nothing.
     bool make_room()
     {
-        if (connections_.size() < maximum_connections())
+        if (connection_count() < maximum_connections() ||
+            parked_.close_longest_idle())
         {
             return true;
         }
-        http_connection* longest_idle = nullptr;
+        auto* const idle = longest_idle();
+        if (idle != nullptr)
+        {
+            idle->abort();
+        }
+        return idle != nullptr;
+    }
+
+    http_connection* longest_idle() const
+    {
+        http_connection* result = nullptr;
         for (auto* const connection : connections_)
         {
             if (connection->is_idle() &&
-                (longest_idle == nullptr ||
-                 connection->phase_start() < longest_idle->phase_start()))
+                (result == nullptr ||
+                 connection->phase_start() < result->phase_start()))
             {
-                longest_idle = connection;
+                result = connection;
             }
         }
-        if (longest_idle != nullptr)
-        {
-            longest_idle->abort();
-        }
-        return longest_idle != nullptr;
+        return result;
     }
 
     void check_connections()
@@ -147,9 +175,39 @@
         {
             if (connections_.contains(connection))
             {
-                connection->check_time(now);
+                check_connection(*connection, now);
             }
         }
+        parked_.close_idle_before(now - limits_.idle_timeout);
+    }
+
+    void check_connection(http_connection& connection, monotonic_time now)
+    {
+        bool const may_park =
+            connection.can_be_parked() &&
+            elapsed(connection.phase_start(), now) >= parking_delay;
+        if (may_park)
+        {
+            park(connection);
+        }
+        else
+        {
+            connection.check_time(now);
+        }
+    }
+
+    void park(http_connection& connection)
+    {
+        auto const socket = connection.release_socket();
+        if (socket < 0)
+        {
+            return;
+        }
+        if (!parked_.park(socket, connection.phase_start()))
+        {
+            ::close(socket);
+        }
+        connection_closed(&connection);
     }
 
     // Qt stops accepting for good when it runs out of descriptors.
@@ -167,6 +225,7 @@
     timer_service::subscription check_timer_;
     timer_service::subscription accept_timer_;
     std::unordered_set<http_connection*> connections_;
+    http_parked_connections parked_;
     qint64 held_bytes_ = 0;
     bool is_stopping_ = false;
 };
--- a/source/verbenacove/connection/upstream_client.cpp
+++ b/source/verbenacove/connection/upstream_client.cpp
@@ -246,22 +246,35 @@
             return;
         }
         auto& watched = sockets_[socket];
-        if (!watched.reads)
+        bool const wants_read = (events & CURL_POLL_IN) != 0;
+        bool const wants_write = (events & CURL_POLL_OUT) != 0;
+        if (wants_read && !watched.reads)
         {
             watched.reads =
                 notifier(socket, QSocketNotifier::Read, CURL_CSELECT_IN);
+        }
+        if (wants_write && !watched.writes)
+        {
             watched.writes =
                 notifier(socket, QSocketNotifier::Write, CURL_CSELECT_OUT);
         }
-        watched.reads->setEnabled((events & CURL_POLL_IN) != 0);
-        watched.writes->setEnabled((events & CURL_POLL_OUT) != 0);
+        enable(watched.reads, wants_read);
+        enable(watched.writes, wants_write);
+    }
+
+    static void enable(std::unique_ptr<QSocketNotifier> const& notifier,
+                       bool is_enabled)
+    {
+        if (notifier)
+        {
+            notifier->setEnabled(is_enabled);
+        }
     }
 
     std::unique_ptr<QSocketNotifier>
     notifier(curl_socket_t socket, QSocketNotifier::Type type, int event)
     {
         auto result = std::make_unique<QSocketNotifier>(socket, type);
-        result->setEnabled(false);
         QObject::connect(result.get(), &QSocketNotifier::activated, &context_,
                          [this, socket, event] { act(socket, event); });
         return result;
@@ -277,8 +290,11 @@
         }
         for (auto* const each : {&node.mapped().reads, &node.mapped().writes})
         {
-            (*each)->setEnabled(false);
-            each->release()->deleteLater();
+            if (*each)
+            {
+                (*each)->setEnabled(false);
+                each->release()->deleteLater();
+            }
         }
     }
 
