Share the blocking caller of tests and benchmark, and test a frozen server

Cause: the blocking caller stood twice; what a frozen server does with what came meanwhile was not shown.

Ruled out: putting the time checks off after a freeze.

--- a/bench/http_bench.cpp
+++ b/bench/http_bench.cpp
@@ -1,17 +1,13 @@
 // Measures the HTTP server alone, and the time that server and client
 // together add as a plain proxy. Usage: http_bench [SECONDS]
 
+#include "unit/http_blocking_caller.hpp"
 #include "verbenacove/connection/http_server.hpp"
 #include "verbenacove/connection/upstream_client.hpp"
 
 #include <QCoreApplication>
 #include <QThread>
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <algorithm>
 #include <atomic>
 #include <chrono>
@@ -95,72 +91,49 @@
     std::thread thread_;
 };
 
-/** A caller with one keep-alive connection and blocking calls. */
-class blocking_caller
+/** A caller that ends the program when something goes wrong. */
+class bench_caller
 {
 public:
-    explicit blocking_caller(quint16 port)
-        : socket_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    explicit bench_caller(quint16 port)
+        : caller_(port)
     {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(port);
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        int const on = 1;
-        ::setsockopt(socket_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-        if (::connect(socket_, reinterpret_cast<sockaddr*>(&address),
-                      sizeof(address)) != 0)
-        {
-            fail("cannot connect");
-        }
+        require(caller_.is_connected(), "cannot connect");
     }
 
-    ~blocking_caller() { ::close(socket_); }
-    blocking_caller(blocking_caller const&) = delete;
-    blocking_caller& operator=(blocking_caller const&) = delete;
-
     void send(QByteArray const& request) const
     {
-        auto const size = static_cast<std::size_t>(request.size());
-        if (::send(socket_, request.data(), size, MSG_NOSIGNAL) !=
-            request.size())
-        {
-            fail("cannot send");
-        }
+        require(caller_.send(request), "cannot send");
     }
 
     /** Waits for an answer of 200 with a body of so many bytes. */
     void receive(qsizetype body_bytes)
     {
-        input_.clear();
+        QByteArray input;
         qsizetype end = -1;
-        while (end < 0 || input_.size() < end + 4 + body_bytes)
+        while (end < 0 || input.size() < end + 4 + body_bytes)
         {
-            std::array<char, 4096> block{};
-            auto const count = ::recv(socket_, block.data(), block.size(), 0);
-            if (count <= 0)
-            {
-                fail("the connection closed");
-            }
-            input_.append(block.data(), static_cast<qsizetype>(count));
-            end = input_.indexOf("\r\n\r\n");
-        }
-        if (!input_.startsWith("HTTP/1.1 200 ") ||
-            input_.size() != end + 4 + body_bytes)
-        {
-            fail("not the right answer");
+            auto const bytes = caller_.receive();
+            require(!bytes.isEmpty(), "the connection closed");
+            input += bytes;
+            end = input.indexOf("\r\n\r\n");
         }
+        require(input.startsWith("HTTP/1.1 200 ") &&
+                    input.size() == end + 4 + body_bytes,
+                "not the right answer");
     }
 
 private:
-    [[noreturn]] static void fail(char const* what)
+    static void require(bool holds, char const* otherwise)
     {
-        std::fprintf(stderr, "%s\n", what);
-        std::exit(1);
+        if (!holds)
+        {
+            std::fprintf(stderr, "%s\n", otherwise);
+            std::exit(1);
+        }
     }
 
-    int socket_;
-    QByteArray input_;
+    blocking_caller const caller_;
 };
 
 /** The times that requests took. */
@@ -197,11 +170,11 @@
 latencies call_on_and_on(quint16 port, QByteArray const& request,
                          qsizetype answer_bytes, steady_clock::time_point end)
 {
-    std::vector<std::unique_ptr<blocking_caller>> callers;
+    std::vector<std::unique_ptr<bench_caller>> callers;
     callers.reserve(connection_count / caller_threads);
     for (int i = 0; i < connection_count / caller_threads; ++i)
     {
-        callers.push_back(std::make_unique<blocking_caller>(port));
+        callers.push_back(std::make_unique<bench_caller>(port));
     }
     latencies result;
     while (steady_clock::now() < end)
@@ -267,11 +240,11 @@
         });
     measure_full_speed("server", server, lookup_request(), small_answer_bytes,
                        seconds);
-    std::vector<std::unique_ptr<blocking_caller>> idle;
+    std::vector<std::unique_ptr<bench_caller>> idle;
     idle.reserve(idle_connection_count);
     for (int i = 0; i < idle_connection_count; ++i)
     {
-        idle.push_back(std::make_unique<blocking_caller>(server.port()));
+        idle.push_back(std::make_unique<bench_caller>(server.port()));
         idle.back()->send(lookup_request());
         idle.back()->receive(small_answer_bytes);
     }
@@ -302,7 +275,7 @@
 latencies call_steadily(quint16 port, int seconds)
 {
     auto const request = call_request();
-    blocking_caller caller(port);
+    bench_caller caller(port);
     latencies result;
     auto due = steady_clock::now();
     auto const end = due + std::chrono::seconds(seconds);
--- a/tests/unit/http_memory_test.cpp
+++ b/tests/unit/http_memory_test.cpp
@@ -1,12 +1,11 @@
+#include "http_blocking_caller.hpp"
 #include "http_test_tools.hpp"
 
 #include <doctest/doctest.h>
 
 #include <QFile>
 
-#include <netinet/in.h>
 #include <sys/resource.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -35,56 +34,6 @@
     return file.readAll().split(' ').at(1).toLongLong() * 4096;
 }
 
-/** A caller apart from Qt, which takes next to no memory itself. */
-class blocking_caller
-{
-public:
-    explicit blocking_caller(quint16 port)
-        : socket_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
-    {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(port);
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        REQUIRE(::connect(socket_, reinterpret_cast<sockaddr*>(&address),
-                          sizeof(address)) == 0);
-    }
-
-    ~blocking_caller() { ::close(socket_); }
-    blocking_caller(blocking_caller const&) = delete;
-    blocking_caller& operator=(blocking_caller const&) = delete;
-
-    /** Writes it all; false when the server has cut the connection. */
-    bool send(QByteArray const& bytes) const
-    {
-        qsizetype sent = 0;
-        while (sent < bytes.size())
-        {
-            auto const rest = static_cast<std::size_t>(bytes.size() - sent);
-            auto const count =
-                ::send(socket_, bytes.data() + sent, rest, MSG_NOSIGNAL);
-            if (count <= 0)
-            {
-                return false;
-            }
-            sent += count;
-        }
-        return true;
-    }
-
-    /** Returns the first bytes that came. */
-    QByteArray receive() const
-    {
-        QByteArray result(mebibyte, '\0');
-        auto const count =
-            ::recv(socket_, result.data(), mebibyte, MSG_DONTWAIT);
-        return result.left(std::max<qsizetype>(count, 0));
-    }
-
-private:
-    int socket_;
-};
-
 struct memory_fixture
 {
     explicit memory_fixture(http_limits limits = {})
@@ -139,7 +88,7 @@
                 return is_done.load();
             }));
         sender.join();
-        CHECK(caller.receive().startsWith("HTTP/1.1 413 "));
+        CHECK(caller.receive(MSG_DONTWAIT).startsWith("HTTP/1.1 413 "));
     }
     CHECK(handled == 0);
     MESSAGE("memory grew by at most ", highest_growth / 1024, " KiB");
@@ -185,7 +134,7 @@
     CHECK(wait_for([&] { return is_done.load(); }));
     sender.join();
     CHECK(is_all_sent);
-    CHECK(caller.receive().startsWith("HTTP/1.1 413 "));
+    CHECK(caller.receive(MSG_DONTWAIT).startsWith("HTTP/1.1 413 "));
     CHECK(handled == 0);
 }
 
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -1,8 +1,10 @@
+#include "http_blocking_caller.hpp"
 #include "http_test_tools.hpp"
 
 #include <doctest/doctest.h>
 
 #include <ostream>
+#include <thread>
 
 using namespace verbenacove;
 
@@ -384,6 +386,27 @@
     CHECK_FALSE(fixture.kept.front()->is_cancelled());
 }
 
+TEST_CASE("http server: a process frozen beyond all bounds: what callers sent "
+          "in the meantime is answered")
+{
+    server_fixture fixture(short_limits());
+    std::vector<std::unique_ptr<blocking_caller>> callers;
+    for (int i = 0; i < 20; ++i)
+    {
+        callers.push_back(
+            std::make_unique<blocking_caller>(fixture.server.port()));
+        callers.back()->send(i % 2 == 0 ? "" : "GET /x HTTP/1.1\r\n");
+    }
+    run_for(milliseconds(100));
+    for (int i = 0; i < 20; ++i)
+    {
+        callers[static_cast<std::size_t>(i)]->send(
+            i % 2 == 0 ? get_x : "Host: a\r\n\r\n");
+    }
+    std::this_thread::sleep_for(milliseconds(700));
+    CHECK(wait_for([&] { return fixture.handled == 20; }, milliseconds(2000)));
+}
+
 TEST_CASE("http server: a caller that does not read its answer: closed")
 {
     server_fixture fixture(short_limits());
