Tell a resend the truth when its first copy holds the key

Cause: a resend that had seen the key held by an earlier copy went on to claim it, and answered `not-run` when that later claim met no quorum or the deadline, while the earlier copy ran.

Change: once the key was seen held, the answer is 409 in-progress with `may-have-run`.

Found by reading, along the way: - The wait for an outcome's commit could outlast the deadline by up to 1.5 s; it ends with the deadline now. - A claim granted after its caller had left was sent all the same; it is released, for nothing was sent. Once sent, it is not cancelled, so that a resend finds the outcome. - The codes `no-upstream`, `overloaded` and `deadline` came with verdicts that the API does not list for them, or before the deadline; the code follows from the worst verdict and the clock.

--- a/source/verbenacove/request/attempt_loop.cpp
+++ b/source/verbenacove/request/attempt_loop.cpp
@@ -12,6 +12,8 @@
 /** The part of the time left that the first of several attempts may use. */
 constexpr double first_attempt_share = 0.5;
 constexpr milliseconds shortest_shared_time{200};
+/** An attempt's timer, in whole milliseconds, may fire this early. */
+constexpr milliseconds timer_tolerance{2};
 
 bool is_shed(http_response const& answer)
 {
@@ -77,9 +79,8 @@
         request_.kind, tried_, [](region_name const&) { return true; });
     if (!choice)
     {
-        finish_without_answer(
-            worst_ == run_verdict::not_run ? "no-upstream" : "upstream-failed",
-            "No upstream can take the request.");
+        finish_without_answer(failure_code("no-upstream"),
+                              "No upstream can take the request.");
         return;
     }
     send_to(std::move(*choice), time_left);
@@ -136,11 +137,9 @@
         try_next();
         return;
     }
-    bool const is_late = result.end == attempt_end::timed_out_after_send ||
-                         result.end == attempt_end::timed_out_before_send;
-    finish_without_answer(is_late   ? "deadline"
-                          : is_sent ? "upstream-failed"
-                                    : "no-upstream",
+    bool const is_late =
+        elapsed(clock_.now(), request_.deadline) <= timer_tolerance;
+    finish_without_answer(is_late ? "deadline" : failure_code("no-upstream"),
                           result.reason.toUtf8());
 }
 
@@ -156,7 +155,7 @@
             try_next();
             return;
         }
-        finish_without_answer("overloaded",
+        finish_without_answer(failure_code("overloaded"),
                               "All upstreams are at their limit.");
         return;
     }
@@ -214,6 +213,12 @@
     }
 }
 
+QByteArray attempt_loop::failure_code(QByteArray const& code_if_not_run) const
+{
+    return worst_ == run_verdict::not_run ? code_if_not_run
+                                          : QByteArray("upstream-failed");
+}
+
 void attempt_loop::finish_without_answer(QByteArray code, QByteArray message)
 {
     attempts_end end;
--- a/source/verbenacove/request/attempt_loop.hpp
+++ b/source/verbenacove/request/attempt_loop.hpp
@@ -88,6 +88,7 @@
     milliseconds attempt_time(milliseconds time_left) const;
     void note(attempt_outcome outcome);
     void finish(attempts_end end);
+    QByteArray failure_code(QByteArray const& code_if_not_run) const;
     void finish_without_answer(QByteArray code, QByteArray message);
 
     outgoing_request request_;
--- a/source/verbenacove/request/request_flow.cpp
+++ b/source/verbenacove/request/request_flow.cpp
@@ -233,8 +233,7 @@
 {
     if (time_left() <= milliseconds(0))
     {
-        answer_error(504, "deadline", "The deadline has passed.",
-                     run_verdict::not_run);
+        answer_unclaimed(504, "deadline", "The deadline has passed.");
         return;
     }
     holder_ = services_.claims.next_holder();
@@ -252,23 +251,17 @@
         // The claim may yet be committed, but only its holder may send, and
         // the holder gives up here.
         release();
-        answer_error(503, "no-quorum",
-                     "No majority of the control replicas answers.",
-                     run_verdict::not_run);
+        answer_unclaimed(503, "no-quorum",
+                         "No majority of the control replicas answers.");
         return;
     }
     switch (answer->result)
     {
     case claim_result::granted:
-    {
-        auto request = outgoing();
-        attempt_loop::start(std::move(request), pool_, services_.upstreams,
-                            services_.clock,
-                            [self = shared_from_this()](attempts_end const& end)
-                            { self->take_claimed_end(end); });
+        send_claimed();
         return;
-    }
     case claim_result::held:
+        is_known_held_ = true;
         wait_for_holder();
         return;
     case claim_result::finished:
@@ -287,17 +280,47 @@
     default:
         break;
     }
-    answer_error(503, "overloaded", "The request cannot be claimed now.",
-                 run_verdict::not_run);
+    answer_unclaimed(503, "overloaded", "The request cannot be claimed now.");
+}
+
+void request_flow::send_claimed()
+{
+    if (exchange_->is_cancelled())
+    {
+        // Nothing was sent, so that a resend may claim the key anew.
+        release();
+        return;
+    }
+    // Not cancelled from here on: the outcome is for the caller's resend.
+    attempt_loop::start(outgoing(), pool_, services_.upstreams, services_.clock,
+                        [self = shared_from_this()](attempts_end const& end)
+                        { self->take_claimed_end(end); });
+}
+
+void request_flow::answer_unclaimed(int status, QByteArray const& code,
+                                    QByteArray const& message)
+{
+    if (is_known_held_)
+    {
+        // An earlier copy held the key, so `not-run` would mislead.
+        answer_in_progress();
+        return;
+    }
+    answer_error(status, code, message, run_verdict::not_run);
+}
+
+void request_flow::answer_in_progress()
+{
+    answer_error(409, "in-progress",
+                 "An earlier copy of the request is under way.",
+                 run_verdict::may_have_run);
 }
 
 void request_flow::wait_for_holder()
 {
     if (exchange_->is_cancelled() || time_left() <= claim_poll_interval)
     {
-        answer_error(409, "in-progress",
-                     "An earlier copy of the request is under way.",
-                     run_verdict::may_have_run);
+        answer_in_progress();
         return;
     }
     waiting_ = services_.timers.call_after(claim_poll_interval,
@@ -376,7 +399,9 @@
             call();
         }
     };
-    waiting_ = services_.timers.call_after(longest_outcome_wait,
+    auto const wait =
+        std::clamp(time_left(), milliseconds(0), longest_outcome_wait);
+    waiting_ = services_.timers.call_after(wait,
                                            [self = shared_from_this(), answer]
                                            {
                                                auto const ended =
--- a/source/verbenacove/request/request_flow.hpp
+++ b/source/verbenacove/request/request_flow.hpp
@@ -58,11 +58,15 @@
     // A non-idempotent one.
     void claim();
     void take_claim(std::optional<claim_answer> const& answer);
+    void send_claimed();
     void wait_for_holder();
     void replay(claim_outcome const& outcome);
     void take_claimed_end(attempts_end const& end);
     void store_outcome(attempts_end const& end);
     void release();
+    void answer_unclaimed(int status, QByteArray const& code,
+                          QByteArray const& message);
+    void answer_in_progress();
 
     void answer_error(int status, QByteArray const& code,
                       QByteArray const& message, run_verdict verdict);
@@ -79,6 +83,8 @@
     claim_key key_;
     claim_holder holder_;
     request_fingerprint fingerprint_;
+    /** An earlier copy was seen to hold the key. */
+    bool is_known_held_ = false;
     timer_service::subscription waiting_;
     std::weak_ptr<attempt_loop> loop_;
 };
