Admit requests by class and quarantine those that crash upstreams

Change: a request enters admission before it is claimed or sent, and waits for its holder without a slot; attempts note crash evidence, an upstream that lost a connection is probed, and a suspect is sent alone or not at all. One request_class serves records, admission and choice. Left: crash news are not yet shared between entries.

--- a/bench/steering_world.hpp
+++ b/bench/steering_world.hpp
@@ -219,7 +219,7 @@
         auto const one = std::make_shared<attempt>();
         one->kind = kind < interactive_share ? request_class::interactive
                     : kind < 1 - bulk_share  ? request_class::non_idempotent
-                                             : request_class::bulk;
+                                             : request_class::batch;
         one->arrived = now_;
         one->entry = draw_entry();
         entries[one->entry].budget->count_request();
@@ -288,7 +288,7 @@
         count_busy(upstream);
         ++upstream.busy;
         auto const mean_ms =
-            one->kind == request_class::bulk ? bulk_service_ms : service_ms;
+            one->kind == request_class::batch ? bulk_service_ms : service_ms;
         std::lognormal_distribution<> draw(
             std::log(mean_ms) - service_sigma * service_sigma / 2,
             service_sigma);
--- a/source/verbenacove/process/traffic_server.cpp
+++ b/source/verbenacove/process/traffic_server.cpp
@@ -20,6 +20,9 @@
 {
 
 constexpr int announcement_interval_ms = 1000;
+/** How often requests that wait for a slot are looked through. */
+constexpr milliseconds expiry_interval{20};
+constexpr milliseconds probe_timeout{500};
 constexpr qsizetype longest_announcement = 4096;
 QByteArray const call_prefix = "/v1/call/";
 
@@ -38,6 +41,8 @@
 traffic_server::traffic_server(entry_settings settings, incarnation started,
                                announcement_listener announced)
     : settings_(std::move(settings))
+    , crashes_(clock_)
+    , slots_(clock_)
     , announced_(std::move(announced))
     , ranking_(clock_, std::random_device{}())
     , claims_(settings_.control, settings_.name, started)
@@ -48,6 +53,7 @@
 
 bool traffic_server::start()
 {
+    expiry_ = timers_.call_every(expiry_interval, [this] { slots_.expire(); });
     return http_.listen(settings_.http);
 }
 
@@ -61,6 +67,97 @@
     {
         pool(name)->chooser.update(view_->upstreams.value(name));
     }
+    update_slots();
+    note_restarts();
+}
+
+void traffic_server::update_slots()
+{
+    auto const now = clock_.now();
+    for (auto const& name : view_->config->services())
+    {
+        int slots = 0;
+        for (auto const& upstream : view_->upstreams.value(name))
+        {
+            bool const is_usable =
+                upstream.state == upstream_state::serving &&
+                elapsed(upstream.reported_at, now) <= settings_.upstream_lease;
+            slots += is_usable ? upstream.slots.value() : 0;
+        }
+        slots_.set_slots(name, slot_count(slots));
+    }
+}
+
+void traffic_server::note_restarts()
+{
+    QHash<upstream_id, incarnation> known;
+    for (auto const& upstreams : view_->upstreams)
+    {
+        for (auto const& upstream : upstreams)
+        {
+            auto const before =
+                incarnations_.value(upstream.id, upstream.incarnation);
+            if (before < upstream.incarnation)
+            {
+                crashes_.upstream_gone(upstream.id, before);
+            }
+            known.insert(upstream.id, upstream.incarnation);
+        }
+    }
+    incarnations_ = std::move(known);
+}
+
+void traffic_server::probe(upstream_view const& upstream)
+{
+    attempt_request health;
+    health.address = upstream.address;
+    health.method = "GET";
+    health.target = "/health";
+    health.connect_timeout = probe_timeout;
+    health.time_left = probe_timeout;
+    upstreams_.start(
+        std::move(health),
+        [this, id = upstream.id,
+         known = upstream.incarnation](attempt_result const& result)
+        {
+            if (result.end == attempt_end::connect_failed)
+            {
+                crashes_.upstream_gone(id, known);
+                return;
+            }
+            auto const body =
+                QJsonDocument::fromJson(result.response.body).object();
+            incarnation const now(
+                body.value(QStringLiteral("incarnation")).toInteger());
+            if (now == known)
+            {
+                crashes_.upstream_alive(id, known);
+            }
+            else if (now > known)
+            {
+                crashes_.upstream_gone(id, known);
+            }
+        });
+}
+
+request_services traffic_server::services()
+{
+    return {{upstreams_, clock_, timers_, crashes_,
+             [this](upstream_view const& upstream) { probe(upstream); },
+             [](region_name const&)
+             {
+                 return true;
+             }},
+            claims_,
+            slots_,
+            settings_.connect_timeout,
+            settings_.trace_one_in,
+            [this](service_name const& answered, run_verdict verdict,
+                   int status, std::chrono::microseconds duration)
+            {
+                metrics_.count_request(answered.value(), verdict_word(verdict),
+                                       status, duration);
+            }};
 }
 
 void traffic_server::handle(exchange_ptr const& exchange)
@@ -157,20 +254,7 @@
                                            "There is no such service."));
         return;
     }
-    request_services const services{
-        upstreams_,
-        claims_,
-        clock_,
-        timers_,
-        settings_.connect_timeout,
-        settings_.trace_one_in,
-        [this](service_name const& answered, run_verdict verdict, int status,
-               std::chrono::microseconds duration)
-        {
-            metrics_.count_request(answered.value(), verdict_word(verdict),
-                                   status, duration);
-        }};
-    request_flow::start(services, exchange, *service,
+    request_flow::start(services(), exchange, *service,
                         name_end < 0 ? QByteArray("/") : path.mid(name_end),
                         pool(name));
 }
--- a/source/verbenacove/process/traffic_server.hpp
+++ b/source/verbenacove/process/traffic_server.hpp
@@ -61,12 +61,20 @@
     void handle_unknown(exchange_ptr const& exchange);
     QByteArray lookup_body(service_name const& service,
                            caller_place const& caller);
+    request_services services();
+    void update_slots();
+    void note_restarts();
+    void probe(upstream_view const& upstream);
     std::shared_ptr<service_pool> pool(service_name const& service);
 
     entry_settings settings_;
     steady_clock_source clock_;
     timer_service timers_;
     entry_metrics metrics_;
+    quarantine crashes_;
+    admission slots_;
+    timer_service::subscription expiry_;
+    QHash<upstream_id, incarnation> incarnations_;
     announcement_listener announced_;
     steering_view_ptr view_ = std::make_shared<steering_view const>();
     lookup_ranking ranking_;
--- a/source/verbenacove/request/admission.hpp
+++ b/source/verbenacove/request/admission.hpp
@@ -3,6 +3,7 @@
 
 #include "verbenacove/core/clock.hpp"
 #include "verbenacove/core/ids.hpp"
+#include "verbenacove/request/request_class.hpp"
 
 #include <QHash>
 
@@ -19,17 +20,6 @@
  */
 using admission_ticket = strong_type<struct admission_ticket_tag, qint64>;
 
-/** The classes of requests, the one that is served first in front. */
-enum class request_class
-{
-    interactive,
-    non_idempotent,
-    batch
-};
-
-/** How many classes there are. */
-constexpr std::size_t request_class_count = 3;
-
 /** What became of a request that asked to be admitted. */
 enum class admission_decision
 {
--- a/source/verbenacove/request/attempt_loop.cpp
+++ b/source/verbenacove/request/attempt_loop.cpp
@@ -12,6 +12,8 @@
 /** The part of the time left that the first of several attempts may use. */
 constexpr double first_attempt_share = 0.5;
 constexpr milliseconds shortest_shared_time{200};
+/** How long a request waits that may go to no upstream for the moment. */
+constexpr milliseconds pause_of_suspect{50};
 /** An attempt's timer, in whole milliseconds, may fire this early. */
 constexpr milliseconds timer_tolerance{2};
 
@@ -31,11 +33,11 @@
 
 std::shared_ptr<attempt_loop>
 attempt_loop::start(outgoing_request request,
-                    std::shared_ptr<service_pool> pool, upstream_client& client,
-                    clock_source const& clock, callback done)
+                    std::shared_ptr<service_pool> pool,
+                    attempt_services const& services, callback done)
 {
     std::shared_ptr<attempt_loop> loop(new attempt_loop(
-        std::move(request), std::move(pool), client, clock, std::move(done)));
+        std::move(request), std::move(pool), services, std::move(done)));
     loop->pool_->retries.count_request();
     loop->try_next();
     return loop;
@@ -43,12 +45,10 @@
 
 attempt_loop::attempt_loop(outgoing_request request,
                            std::shared_ptr<service_pool> pool,
-                           upstream_client& client, clock_source const& clock,
-                           callback done)
+                           attempt_services const& services, callback done)
     : request_(std::move(request))
     , pool_(std::move(pool))
-    , client_(client)
-    , clock_(clock)
+    , services_(services)
     , done_(std::move(done))
 {
 }
@@ -58,13 +58,13 @@
     is_cancelled_ = true;
     if (running_)
     {
-        client_.cancel(*running_);
+        services_.upstreams.cancel(*running_);
     }
 }
 
 void attempt_loop::try_next()
 {
-    auto const time_left = elapsed(clock_.now(), request_.deadline);
+    auto const time_left = elapsed(services_.clock.now(), request_.deadline);
     if (is_cancelled_)
     {
         finish_without_answer("cancelled", "The caller has left.");
@@ -75,8 +75,26 @@
         finish_without_answer("deadline", "The deadline has passed.");
         return;
     }
-    auto choice = pool_->chooser.choose(
-        request_.kind, tried_, [](region_name const&) { return true; });
+    auto const permission = services_.crashes.permission(request_.fingerprint);
+    if (permission == send_permission::refused)
+    {
+        // Earlier copies of it ran, if this one did not.
+        worst_ = run_verdict::may_have_run;
+        finish_without_answer("quarantined",
+                              "The request has crashed too many upstreams.");
+        return;
+    }
+    if (permission == send_permission::undecided)
+    {
+        try_later();
+        return;
+    }
+    auto choice = choose();
+    if (!choice && permission == send_permission::alone)
+    {
+        try_later();
+        return;
+    }
     if (!choice)
     {
         finish_without_answer(failure_code("no-upstream"),
@@ -86,6 +104,36 @@
     send_to(std::move(*choice), time_left);
 }
 
+std::optional<upstream_chooser::choice> attempt_loop::choose()
+{
+    // A suspect goes where nothing else runs, and nothing joins it there.
+    auto excluded = tried_;
+    while (true)
+    {
+        auto choice = pool_->chooser.choose(request_.kind, excluded,
+                                            services_.other_regions);
+        if (!choice || services_.crashes.can_start(request_.fingerprint,
+                                                   choice->upstream().id))
+        {
+            return choice;
+        }
+        excluded.push_back(choice->upstream().id);
+    }
+}
+
+void attempt_loop::try_later()
+{
+    pause_ = services_.timers.call_after(pause_of_suspect,
+                                         [self = shared_from_this()]
+                                         {
+                                             // Moved out first: it keeps the
+                                             // loop alive by its callback.
+                                             auto const ended =
+                                                 std::move(self->pause_);
+                                             self->try_next();
+                                         });
+}
+
 void attempt_loop::send_to(upstream_chooser::choice choice,
                            milliseconds time_left)
 {
@@ -107,11 +155,14 @@
     attempt.connect_timeout =
         std::min(request_.connect_timeout, attempt.time_left);
     attempt.may_reuse_connection = request_.may_run_again;
+    number_ =
+        services_.crashes.start(request_.fingerprint, choice.upstream().id,
+                                choice.upstream().incarnation);
     choice_ = std::move(choice);
-    attempt_started_ = clock_.now();
-    running_ = client_.start(std::move(attempt),
-                             [self = shared_from_this()](attempt_result result)
-                             { self->take_result(std::move(result)); });
+    attempt_started_ = services_.clock.now();
+    running_ = services_.upstreams.start(
+        std::move(attempt), [self = shared_from_this()](attempt_result result)
+        { self->take_result(std::move(result)); });
 }
 
 void attempt_loop::take_result(attempt_result result)
@@ -119,6 +170,7 @@
     running_.reset();
     span_.note("reason", result.reason);
     span_.end();
+    note_crash_evidence(result.end);
     bool const is_sent = may_have_been_sent(result.end);
     if (is_sent)
     {
@@ -144,11 +196,33 @@
         return;
     }
     bool const is_late =
-        elapsed(clock_.now(), request_.deadline) <= timer_tolerance;
+        elapsed(services_.clock.now(), request_.deadline) <= timer_tolerance;
     finish_without_answer(is_late ? "deadline" : failure_code("no-upstream"),
                           result.reason.toUtf8());
 }
 
+void attempt_loop::note_crash_evidence(attempt_end end)
+{
+    auto const number = std::exchange(number_, std::nullopt);
+    if (!number)
+    {
+        return;
+    }
+    switch (end)
+    {
+    case attempt_end::answered:
+        services_.crashes.answered(*number);
+        return;
+    case attempt_end::failed_after_send:
+        services_.crashes.lost(*number);
+        services_.connection_lost(choice_->upstream());
+        return;
+    default:
+        break;
+    }
+    services_.crashes.ended(*number);
+}
+
 void attempt_loop::take_answer(attempt_result result)
 {
     auto& answer = result.response;
@@ -182,7 +256,7 @@
 
 bool attempt_loop::may_try_again(run_verdict verdict)
 {
-    bool const has_time = clock_.now() < request_.deadline;
+    bool const has_time = services_.clock.now() < request_.deadline;
     if (is_cancelled_ || attempts_ >= maximum_attempts || !has_time)
     {
         return false;
@@ -214,7 +288,7 @@
     {
         choice_->finish(outcome,
                         std::chrono::duration_cast<std::chrono::microseconds>(
-                            clock_.now() - attempt_started_));
+                            services_.clock.now() - attempt_started_));
         choice_.reset();
     }
 }
--- a/source/verbenacove/request/attempt_loop.hpp
+++ b/source/verbenacove/request/attempt_loop.hpp
@@ -2,8 +2,10 @@
 #define VERBENACOVE_REQUEST_ATTEMPT_LOOP_HPP
 
 #include "verbenacove/connection/upstream_client.hpp"
+#include "verbenacove/core/timer_service.hpp"
 #include "verbenacove/core/trace.hpp"
 #include "verbenacove/core/verdict.hpp"
+#include "verbenacove/request/quarantine.hpp"
 #include "verbenacove/request/retry_budget.hpp"
 #include "verbenacove/request/upstream_chooser.hpp"
 
@@ -22,6 +24,20 @@
     retry_budget retries;
 };
 
+/** What attempts use of their entry; all of it outlives them. */
+struct attempt_services
+{
+    upstream_client& upstreams;
+    clock_source const& clock;
+    timer_service& timers;
+    quarantine& crashes;
+    /** Called when an upstream's connection was lost with a request in hand,
+        to find out whether its process is gone. */
+    std::function<void(upstream_view const&)> connection_lost;
+    /** Asked before an attempt goes to another region. */
+    upstream_chooser::region_permit other_regions;
+};
+
 /** One request as it is to reach an upstream. */
 struct outgoing_request
 {
@@ -30,6 +46,7 @@
     QByteArray target;
     std::vector<http_header> headers;
     QByteArray body;
+    request_fingerprint fingerprint;
     monotonic_time deadline;
     /** Whether a request that may have run may be sent again. */
     bool may_run_again = false;
@@ -69,21 +86,23 @@
 
     /** Starts the attempts; the loop keeps itself alive until their end.
 
-        The client and the clock must outlive the loop.
+        @see attempt_services
     */
     static std::shared_ptr<attempt_loop>
     start(outgoing_request request, std::shared_ptr<service_pool> pool,
-          upstream_client& client, clock_source const& clock, callback done);
+          attempt_services const& services, callback done);
 
     /** Ends the attempts: the caller has left. What runs is cancelled. */
     void cancel();
 
 private:
     attempt_loop(outgoing_request request, std::shared_ptr<service_pool> pool,
-                 upstream_client& client, clock_source const& clock,
-                 callback done);
+                 attempt_services const& services, callback done);
 
     void try_next();
+    std::optional<upstream_chooser::choice> choose();
+    void try_later();
+    void note_crash_evidence(attempt_end end);
     void send_to(upstream_chooser::choice choice, milliseconds time_left);
     void take_result(attempt_result result);
     void take_answer(attempt_result result);
@@ -96,13 +115,14 @@
 
     outgoing_request request_;
     std::shared_ptr<service_pool> pool_;
-    upstream_client& client_;
-    clock_source const& clock_;
+    attempt_services services_;
     callback done_;
     std::vector<upstream_id> tried_;
     std::optional<upstream_chooser::choice> choice_;
     std::optional<upstream_client::attempt_id> running_;
     trace_span span_;
+    std::optional<attempt_number> number_;
+    timer_service::subscription pause_;
     monotonic_time attempt_started_{};
     run_verdict worst_ = run_verdict::not_run;
     int attempts_ = 0;
--- a/source/verbenacove/request/request_class.hpp
+++ b/source/verbenacove/request/request_class.hpp
@@ -1,22 +1,19 @@
 #ifndef VERBENACOVE_REQUEST_REQUEST_CLASS_HPP
 #define VERBENACOVE_REQUEST_REQUEST_CLASS_HPP
 
+#include "verbenacove/version/service_record.hpp"
+
+#include <cstddef>
+
 namespace verbenacove
 {
 
-/** How a request is to be treated, from the record of its service. */
-enum class request_class
-{
-    /** Someone waits for the answer; it may be sent again. */
-    interactive,
-    /** It runs at most once. */
-    non_idempotent,
-    /** It can wait, but must not be lost; it may be sent again. */
-    bulk
-};
+/** How a request is to be treated, from the record of its service; the class
+    that is served first stands in front. */
+using request_class = service_class;
 
 /** The number of request classes. */
-constexpr int request_class_count = 3;
+constexpr std::size_t request_class_count = 3;
 
 } // namespace verbenacove
 
--- a/source/verbenacove/request/request_flow.cpp
+++ b/source/verbenacove/request/request_flow.cpp
@@ -41,26 +41,16 @@
                        { return character > 0x20 && character < 0x7f; });
 }
 
-request_class class_of(service_class kind)
-{
-    switch (kind)
-    {
-    case service_class::interactive:
-        return request_class::interactive;
-    case service_class::non_idempotent:
-        return request_class::non_idempotent;
-    case service_class::batch:
-        break;
-    }
-    return request_class::bulk;
-}
-
 int status_of(QByteArray const& code)
 {
     if (code == "deadline")
     {
         return 504;
     }
+    if (code == "quarantined")
+    {
+        return 429;
+    }
     return code == "upstream-failed" ? 502 : 503;
 }
 
@@ -102,7 +92,7 @@
 void request_flow::begin()
 {
     auto const& request = exchange_->request();
-    started_ = services_.clock.now();
+    started_ = services_.attempts.clock.now();
     span_ = trace_span::begin(QStringLiteral("request"),
                               parse_traceparent(request.header("traceparent")),
                               services_.sample_one_in);
@@ -119,15 +109,80 @@
                      run_verdict::not_run);
         return;
     }
-    if (policy_.request_class != service_class::non_idempotent)
+    auto target = path_;
+    if (!request.query.isEmpty())
+    {
+        target += '?' + request.query;
+    }
+    fingerprint_ = fingerprint_of(request.method, target, request.body);
+    if (!is_claimed() || read_key())
+    {
+        enter();
+    }
+}
+
+// Admission.
+
+void request_flow::enter()
+{
+    if (exchange_->is_cancelled())
     {
-        send();
         return;
     }
-    if (read_key())
+    auto const entered = services_.slots.enter(
+        service_.name, policy_.request_class, deadline_,
+        [self = shared_from_this()](admission_decision decision)
+        { self->take_decision(decision); });
+    ticket_ = entered.ticket;
+    if (entered.decision == admission_decision::waiting)
     {
-        claim();
+        exchange_->on_cancelled(
+            [flow = weak_from_this()]
+            {
+                if (auto const waiting = flow.lock())
+                {
+                    waiting->leave();
+                }
+            });
+        return;
     }
+    take_decision(entered.decision);
+}
+
+void request_flow::take_decision(admission_decision decision)
+{
+    switch (decision)
+    {
+    case admission_decision::admitted:
+        if (is_claimed())
+        {
+            claim();
+        }
+        else
+        {
+            send();
+        }
+        return;
+    case admission_decision::deadline:
+        answer_unclaimed(504, "deadline", "The deadline has passed.");
+        return;
+    default:
+        break;
+    }
+    answer_unclaimed(503, "overloaded", "No upstream has a free slot.");
+}
+
+void request_flow::leave()
+{
+    if (auto const ticket = std::exchange(ticket_, std::nullopt))
+    {
+        services_.slots.leave(*ticket);
+    }
+}
+
+bool request_flow::is_claimed() const
+{
+    return policy_.request_class == request_class::non_idempotent;
 }
 
 bool request_flow::read_deadline()
@@ -148,7 +203,7 @@
         }
         left = milliseconds(value);
     }
-    deadline_ = services_.clock.now() + left;
+    deadline_ = services_.attempts.clock.now() + left;
     return true;
 }
 
@@ -172,13 +227,7 @@
                      run_verdict::not_run);
         return false;
     }
-    auto target = path_;
-    if (!request.query.isEmpty())
-    {
-        target += '?' + request.query;
-    }
     key_ = {service_.name, request_key(QString::fromLatin1(key))};
-    fingerprint_ = fingerprint_of(request.method, target, request.body);
     return true;
 }
 
@@ -186,7 +235,8 @@
 {
     auto const& request = exchange_->request();
     outgoing_request out;
-    out.kind = class_of(policy_.request_class);
+    out.kind = policy_.request_class;
+    out.fingerprint = fingerprint_;
     out.method = request.method;
     out.target = path_.isEmpty() ? QByteArray("/") : path_;
     if (!request.query.isEmpty())
@@ -204,9 +254,7 @@
     out.deadline = deadline_;
     out.connect_timeout = services_.connect_timeout;
     out.trace = span_.context();
-    out.may_run_again =
-        policy_.request_class != service_class::non_idempotent &&
-        service_.retry;
+    out.may_run_again = !is_claimed() && service_.retry;
     return out;
 }
 
@@ -214,10 +262,10 @@
 
 void request_flow::send()
 {
-    auto const loop = attempt_loop::start(
-        outgoing(), pool_, services_.upstreams, services_.clock,
-        [self = shared_from_this()](attempts_end const& end)
-        { self->answer_attempts(end); });
+    auto const loop =
+        attempt_loop::start(outgoing(), pool_, services_.attempts,
+                            [self = shared_from_this()](attempts_end const& end)
+                            { self->answer_attempts(end); });
     exchange_->on_cancelled(
         [loop = std::weak_ptr(loop)]
         {
@@ -271,6 +319,8 @@
         return;
     case claim_result::held:
         is_known_held_ = true;
+        // It waits without a slot.
+        leave();
         wait_for_holder();
         return;
     case claim_result::finished:
@@ -298,10 +348,11 @@
     {
         // Nothing was sent, so that a resend may claim the key anew.
         release();
+        leave();
         return;
     }
     // Not cancelled from here on: the outcome is for the caller's resend.
-    attempt_loop::start(outgoing(), pool_, services_.upstreams, services_.clock,
+    attempt_loop::start(outgoing(), pool_, services_.attempts,
                         [self = shared_from_this()](attempts_end const& end)
                         { self->take_claimed_end(end); });
 }
@@ -332,15 +383,17 @@
         answer_in_progress();
         return;
     }
-    waiting_ = services_.timers.call_after(claim_poll_interval,
-                                           [self = shared_from_this()]
-                                           {
-                                               // Moved out first: it keeps the
-                                               // flow alive by its callback.
-                                               auto const ended =
-                                                   std::move(self->waiting_);
-                                               self->claim();
-                                           });
+    waiting_ =
+        services_.attempts.timers.call_after(claim_poll_interval,
+                                             [self = shared_from_this()]
+                                             {
+                                                 // Moved out first: it keeps
+                                                 // the flow alive by its
+                                                 // callback.
+                                                 auto const ended =
+                                                     std::move(self->waiting_);
+                                                 self->enter();
+                                             });
 }
 
 void request_flow::replay(claim_outcome const& outcome)
@@ -410,13 +463,14 @@
     };
     auto const wait =
         std::clamp(time_left(), milliseconds(0), longest_outcome_wait);
-    waiting_ = services_.timers.call_after(wait,
-                                           [self = shared_from_this(), answer]
-                                           {
-                                               auto const ended =
-                                                   std::move(self->waiting_);
-                                               answer();
-                                           });
+    waiting_ =
+        services_.attempts.timers.call_after(wait,
+                                             [self = shared_from_this(), answer]
+                                             {
+                                                 auto const ended =
+                                                     std::move(self->waiting_);
+                                                 answer();
+                                             });
     services_.claims.propose(
         outcome_command{key_, holder_, std::move(outcome)}, settle_time,
         [self = shared_from_this(),
@@ -461,15 +515,16 @@
     span_.note("verdict", QString::fromLatin1(verdict_word(verdict)));
     span_.note("status", QString::number(response.status));
     span_.end();
+    leave();
     services_.answered(service_.name, verdict, response.status,
                        std::chrono::duration_cast<std::chrono::microseconds>(
-                           services_.clock.now() - started_));
+                           services_.attempts.clock.now() - started_));
     exchange_->respond(with_verdict(std::move(response), verdict));
 }
 
 milliseconds request_flow::time_left() const
 {
-    return elapsed(services_.clock.now(), deadline_);
+    return elapsed(services_.attempts.clock.now(), deadline_);
 }
 
 } // namespace verbenacove
--- a/source/verbenacove/request/request_flow.hpp
+++ b/source/verbenacove/request/request_flow.hpp
@@ -4,6 +4,7 @@
 #include "verbenacove/connection/http_exchange.hpp"
 #include "verbenacove/core/timer_service.hpp"
 #include "verbenacove/core/trace.hpp"
+#include "verbenacove/request/admission.hpp"
 #include "verbenacove/request/attempt_loop.hpp"
 #include "verbenacove/request/claim_service.hpp"
 #include "verbenacove/version/service_record.hpp"
@@ -17,10 +18,9 @@
 /** What requests use of their entry; all of it outlives them. */
 struct request_services
 {
-    upstream_client& upstreams;
+    attempt_services attempts;
     claim_service& claims;
-    clock_source const& clock;
-    timer_service& timers;
+    admission& slots;
     milliseconds connect_timeout{500};
     /** A request without a trace is traced once in so many; 0 never. */
     int sample_one_in = 0;
@@ -57,6 +57,14 @@
     void begin();
     bool read_deadline();
     bool read_key();
+    bool is_claimed() const;
+
+    // Admission.
+    void enter();
+    void take_decision(admission_decision decision);
+    void leave();
+
+    // Sending.
     void send();
     outgoing_request outgoing() const;
 
@@ -88,6 +96,7 @@
     QByteArray path_;
     std::shared_ptr<service_pool> pool_;
     request_policy policy_;
+    std::optional<admission_ticket> ticket_;
     monotonic_time deadline_{};
     claim_key key_;
     claim_holder holder_;
--- a/source/verbenacove/request/upstream_chooser.cpp
+++ b/source/verbenacove/request/upstream_chooser.cpp
@@ -314,7 +314,7 @@
                               region_permit const& permit)
 {
     // Bulk work waits for its own region while that has an upstream at all.
-    if (nearest && kind == request_class::bulk)
+    if (nearest && kind == request_class::batch)
     {
         return nullptr;
     }
--- a/tests/unit/upstream_chooser_test.cpp
+++ b/tests/unit/upstream_chooser_test.cpp
@@ -107,7 +107,7 @@
     publish({draining, starting, view(3)});
     for (int i = 0; i < 20; ++i)
     {
-        auto taken = chooser->choose(request_class::bulk);
+        auto taken = chooser->choose(request_class::batch);
         REQUIRE(taken);
         CHECK(taken->upstream().id == id_of(3));
     }
@@ -231,17 +231,17 @@
     for (int i = 0; i < 3; ++i)
     {
         std::vector<upstream_id> const others{id_of(2), id_of(3)};
-        chooser->choose(request_class::bulk, others)
+        chooser->choose(request_class::batch, others)
             ->finish(attempt_outcome::failed, milliseconds(1));
     }
     clock.advance(milliseconds(1001));
     publish(set);
-    auto const again = chooser->choose(request_class::bulk, {id_of(2)});
+    auto const again = chooser->choose(request_class::batch, {id_of(2)});
     CHECK(again->upstream().id == id_of(3));
-    auto const probe = chooser->choose(request_class::bulk);
+    auto const probe = chooser->choose(request_class::batch);
     CHECK(probe->upstream().id == id_of(1));
     // One probe at a time.
-    CHECK(chooser->choose(request_class::bulk)->upstream().id != id_of(1));
+    CHECK(chooser->choose(request_class::batch)->upstream().id != id_of(1));
 }
 
 TEST_CASE_FIXTURE(chooser_fixture,
@@ -290,7 +290,7 @@
     };
     CHECK_FALSE(chooser->choose(request_class::interactive, {}, refuse));
     CHECK(asked.size() == 2);
-    auto taken = chooser->choose(request_class::bulk, {}, allow_all);
+    auto taken = chooser->choose(request_class::batch, {}, allow_all);
     REQUIRE(taken);
     CHECK(taken->is_other_region());
 }
@@ -309,7 +309,7 @@
     CHECK(chooser->choose(request_class::interactive, {}, allow_all)
               ->is_other_region());
     CHECK_FALSE(
-        chooser->choose(request_class::bulk, {}, allow_all)->is_other_region());
+        chooser->choose(request_class::batch, {}, allow_all)->is_other_region());
 }
 
 TEST_CASE_FIXTURE(chooser_fixture,
