Refuse connections at once when the operators' door stops accepting

Cause: the library leaves the listening socket open, so the kernel went on taking connections that nobody would serve. Change: the socket is shut down for listening; a test connects in the middle of a stop.

--- a/source/verbenacove/process/operator_connector.cpp
+++ b/source/verbenacove/process/operator_connector.cpp
@@ -171,6 +171,8 @@
     if (daemon_ != nullptr && quiesced_socket_ < 0)
     {
         quiesced_socket_ = MHD_quiesce_daemon(daemon_);
+        // It stays open till the daemon ends, but the kernel takes no more.
+        ::shutdown(quiesced_socket_, SHUT_RDWR);
     }
 }
 
--- a/tests/unit/config_store_test.cpp
+++ b/tests/unit/config_store_test.cpp
@@ -453,6 +453,23 @@
     CHECK(view->rule(service_name(QStringLiteral("ledger"))) != nullptr);
 }
 
+TEST_CASE_FIXTURE(store_fixture, "query: history is full: oldest is dropped")
+{
+    store = config_store({.history = 2});
+    for (int i = 0; i < 4; ++i)
+    {
+        apply(put(numbered("c", i), numbered("s", i), 0));
+    }
+    store = config_store::restore(store.snapshot(), {.history = 2}).value();
+    auto const changes =
+        store.query({{QStringLiteral("what"), QStringLiteral("history")}})
+            .value(QStringLiteral("changes"))
+            .toArray();
+    REQUIRE(changes.size() == 2);
+    CHECK(changes[1].toMap().value(QStringLiteral("change_id")) ==
+          QCborValue(QStringLiteral("c2")));
+}
+
 TEST_CASE_FIXTURE(store_fixture, "query: list and history: paged and filtered")
 {
     for (int i = 0; i < 5; ++i)
--- a/tests/unit/operator_service_test.cpp
+++ b/tests/unit/operator_service_test.cpp
@@ -382,6 +382,9 @@
         std::this_thread::sleep_for(milliseconds(1));
     }
     first.connector.stop_accepting();
+    QTcpSocket late;
+    late.connectToHost(first.address().host, first.address().port);
+    CHECK_FALSE(late.waitForConnected(1000));
     while (first.connector.active_requests() > 0)
     {
         std::this_thread::sleep_for(milliseconds(1));
