--- a/source/verbenacove/request/attempt_loop.hpp
+++ b/source/verbenacove/request/attempt_loop.hpp
@@ -2,6 +2,7 @@
 #define VERBENACOVE_REQUEST_ATTEMPT_LOOP_HPP
 
 #include "verbenacove/connection/upstream_client.hpp"
+#include "verbenacove/core/trace.hpp"
 #include "verbenacove/core/verdict.hpp"
 #include "verbenacove/request/retry_budget.hpp"
 #include "verbenacove/request/upstream_chooser.hpp"
@@ -33,6 +34,8 @@
     /** Whether a request that may have run may be sent again. */
     bool may_run_again = false;
     milliseconds connect_timeout{500};
+    /** The span of the whole request. */
+    trace_context trace;
 };
 
 /** How the attempts at a request ended. */
@@ -88,6 +91,7 @@
     milliseconds attempt_time(milliseconds time_left) const;
     void note(attempt_outcome outcome);
     void finish(attempts_end end);
+    QByteArray failure_code(QByteArray const& code_if_not_run) const;
     void finish_without_answer(QByteArray code, QByteArray message);
 
     outgoing_request request_;
@@ -98,6 +102,7 @@
     std::vector<upstream_id> tried_;
     std::optional<upstream_chooser::choice> choice_;
     std::optional<upstream_client::attempt_id> running_;
+    trace_span span_;
     monotonic_time attempt_started_{};
     run_verdict worst_ = run_verdict::not_run;
     int attempts_ = 0;
--- a/tests/unit/http_memory_test.cpp
+++ b/tests/unit/http_memory_test.cpp
@@ -1,12 +1,11 @@
+#include "http_blocking_caller.hpp"
 #include "http_test_tools.hpp"
 
 #include <doctest/doctest.h>
 
 #include <QFile>
 
-#include <netinet/in.h>
 #include <sys/resource.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -35,56 +34,6 @@
     return file.readAll().split(' ').at(1).toLongLong() * 4096;
 }
 
-/** A caller apart from Qt, which takes next to no memory itself. */
-class blocking_caller
-{
-public:
-    explicit blocking_caller(quint16 port)
-        : socket_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
-    {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(port);
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        REQUIRE(::connect(socket_, reinterpret_cast<sockaddr*>(&address),
-                          sizeof(address)) == 0);
-    }
-
-    ~blocking_caller() { ::close(socket_); }
-    blocking_caller(blocking_caller const&) = delete;
-    blocking_caller& operator=(blocking_caller const&) = delete;
-
-    /** Writes it all; false when the server has cut the connection. */
-    bool send(QByteArray const& bytes) const
-    {
-        qsizetype sent = 0;
-        while (sent < bytes.size())
-        {
-            auto const rest = static_cast<std::size_t>(bytes.size() - sent);
-            auto const count =
-                ::send(socket_, bytes.data() + sent, rest, MSG_NOSIGNAL);
-            if (count <= 0)
-            {
-                return false;
-            }
-            sent += count;
-        }
-        return true;
-    }
-
-    /** Returns the first bytes that came. */
-    QByteArray receive() const
-    {
-        QByteArray result(mebibyte, '\0');
-        auto const count =
-            ::recv(socket_, result.data(), mebibyte, MSG_DONTWAIT);
-        return result.left(std::max<qsizetype>(count, 0));
-    }
-
-private:
-    int socket_;
-};
-
 struct memory_fixture
 {
     explicit memory_fixture(http_limits limits = {})
@@ -139,7 +88,7 @@
                 return is_done.load();
             }));
         sender.join();
-        CHECK(caller.receive().startsWith("HTTP/1.1 413 "));
+        CHECK(caller.receive(MSG_DONTWAIT).startsWith("HTTP/1.1 413 "));
     }
     CHECK(handled == 0);
     MESSAGE("memory grew by at most ", highest_growth / 1024, " KiB");
@@ -168,24 +117,40 @@
     }
 }
 
+TEST_CASE_FIXTURE(memory_fixture, "http server: a refused caller that goes on "
+                                  "sending: sends it all, then reads why")
+{
+    blocking_caller const caller(server.port());
+    bool is_all_sent = false;
+    std::atomic<bool> is_done = false;
+    std::thread sender(
+        [&]
+        {
+            caller.send("POST /x HTTP/1.1\r\nHost: a\r\n"
+                        "Content-Length: 8388608\r\n\r\n");
+            is_all_sent = caller.send(QByteArray(8 * mebibyte, 'a'));
+            is_done = true;
+        });
+    CHECK(wait_for([&] { return is_done.load(); }));
+    sender.join();
+    CHECK(is_all_sent);
+    CHECK(caller.receive(MSG_DONTWAIT).startsWith("HTTP/1.1 413 "));
+    CHECK(handled == 0);
+}
+
 TEST_CASE_FIXTURE(memory_fixture, "http server: no file descriptors left: it "
                                   "accepts again once there are some")
 {
     rlimit saved{};
     REQUIRE(::getrlimit(RLIMIT_NOFILE, &saved) == 0);
-    raw_caller first(server.port());
-    REQUIRE(wait_for(
-        [&]
-        { return first.socket.state() == QAbstractSocket::ConnectedState; }));
-    run_for(milliseconds(50));
-    raw_caller second(server.port());
+    blocking_caller const caller(server.port());
     // The caller has its descriptor; the server is to get none.
     auto const lowest_free = ::dup(0);
     ::close(lowest_free);
     rlimit tight = saved;
     tight.rlim_cur = static_cast<rlim_t>(lowest_free);
     REQUIRE(::setrlimit(RLIMIT_NOFILE, &tight) == 0);
-    second.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    caller.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
     run_for(milliseconds(200));
     CHECK(handled == 0);
     REQUIRE(::setrlimit(RLIMIT_NOFILE, &saved) == 0);
