--- a/source/verbenacove/process/control_server.cpp
+++ b/source/verbenacove/process/control_server.cpp
@@ -39,6 +39,7 @@
     , rpc_([this](QCborMap const& request, reply_function const& reply)
            { handle(request, reply); })
     , reports_(clock_)
+    , grants_(state_, node_, clock_)
 {
 }
 
@@ -95,9 +96,10 @@
         QLatin1String name;
         handler handle;
     };
-    static std::array<named_handler, 3> const handlers{
+    static std::array<named_handler, 4> const handlers{
         {{QLatin1String("sync"), &control_server::handle_sync},
          {QLatin1String("report"), &control_server::handle_report},
+         {QLatin1String("grant"), &control_server::handle_grants},
          {QLatin1String("claim"), &control_server::handle_claim}}};
     auto const name = cbor_text(request, "m");
     if (name.startsWith(QLatin1String("raft.")))
@@ -169,6 +171,22 @@
     reply({{QLatin1String("status"), QLatin1String("ok")}});
 }
 
+void control_server::handle_grants(QCborMap const& request,
+                                   reply_function const& reply)
+{
+    grants_.answer(cbor_array(request, "requests"),
+                   [this, reply](std::optional<QCborArray> const& answers)
+                   {
+                       if (!answers)
+                       {
+                           reply(refusal());
+                           return;
+                       }
+                       reply({{QLatin1String("status"), QLatin1String("ok")},
+                              {QLatin1String("answers"), *answers}});
+                   });
+}
+
 void control_server::send_report()
 {
     reports_.forget_old();
--- a/source/verbenacove/process/control_server.hpp
+++ b/source/verbenacove/process/control_server.hpp
@@ -6,6 +6,7 @@
 #include "verbenacove/process/control_settings.hpp"
 #include "verbenacove/process/control_state.hpp"
 #include "verbenacove/process/entry_reports.hpp"
+#include "verbenacove/process/grant_service.hpp"
 #include "verbenacove/process/raft_node.hpp"
 #include "verbenacove/process/raft_rpc_transport.hpp"
 
@@ -70,6 +71,7 @@
     void answer_sync(QCborMap const& request, reply_function const& reply);
     void handle_report(QCborMap const& request, reply_function const& reply);
     void send_report();
+    void handle_grants(QCborMap const& request, reply_function const& reply);
     void abandon_former(QCborMap const& request);
     void propose(QCborMap command, raft_node::proposal_callback done);
     void schedule_flush();
@@ -87,6 +89,7 @@
     timer_service::subscription stopping_;
     timer_service::subscription report_;
     entry_reports reports_;
+    grant_service grants_;
     bool is_flush_due_ = false;
     QObject context_;
 };
--- a/source/verbenacove/process/control_state.cpp
+++ b/source/verbenacove/process/control_state.cpp
@@ -3,7 +3,9 @@
 #include "verbenacove/core/cbor.hpp"
 #include "verbenacove/core/log.hpp"
 
+#include <algorithm>
 #include <utility>
+#include <variant>
 
 namespace verbenacove
 {
@@ -17,6 +19,8 @@
 auto const claim_key_name = QLatin1String("claim");
 auto const config_key = QLatin1String("config");
 auto const claims_key = QLatin1String("claims");
+auto const holders_key = QLatin1String("holders");
+auto const caps_key = QLatin1String("highest_caps");
 
 } // namespace
 
@@ -34,8 +38,16 @@
 {
     if (command.contains(change_key))
     {
-        return config_.apply(command.value(change_key).toMap(), index);
+        auto const result =
+            config_.apply(command.value(change_key).toMap(), index);
+        refresh_limits();
+        return result;
     }
+    return apply_claim(command, index);
+}
+
+QCborMap control_state::apply_claim(QCborMap const& command, log_index index)
+{
     auto const parsed =
         parse_claim_log_command(command.value(claim_key_name).toMap());
     if (!parsed)
@@ -45,13 +57,63 @@
                             .arg(index.value()));
         return {};
     }
+    if (auto const* gone = std::get_if<abandon_command>(&parsed->command))
+    {
+        // Each entry's process begins with this command.
+        note_holder(gone->entry);
+    }
     return to_cbor(claims_.apply(*parsed));
 }
 
+void control_state::note_holder(entry_id const& entry)
+{
+    bool const is_known =
+        std::find(holders_.begin(), holders_.end(), entry) != holders_.end();
+    if (!is_known && holders_.size() < maximum_holders)
+    {
+        holders_.push_back(entry);
+    }
+}
+
+void control_state::refresh_limits()
+{
+    if (view_->version() == config_.version())
+    {
+        return;
+    }
+    auto const next = view_->apply_delta(config_.delta_since(view_->version()),
+                                         view_->term());
+    if (!next)
+    {
+        state_log.error(QStringLiteral("The configuration has no view."));
+        return;
+    }
+    view_ = *next;
+    limits_ = limited_resources(*view_);
+    for (auto& [name, limit] : limits_)
+    {
+        auto& highest = highest_caps_[name];
+        highest = std::max(highest, limit.cap.value());
+        limit.highest_cap = grant_amount(highest);
+    }
+}
+
 QByteArray control_state::snapshot() const
 {
+    QCborArray holders;
+    for (auto const& holder : holders_)
+    {
+        holders.append(holder.value());
+    }
+    QCborMap caps;
+    for (auto const& [name, cap] : highest_caps_)
+    {
+        caps[name.value()] = cap;
+    }
     QCborMap const state{{config_key, config_.snapshot()},
-                         {claims_key, claims_.snapshot()}};
+                         {claims_key, claims_.snapshot()},
+                         {holders_key, holders},
+                         {caps_key, caps}};
     return state.toCborValue().toCbor();
 }
 
@@ -66,6 +128,19 @@
     }
     config_ = std::move(*config);
     claims_ = std::move(*claims);
+    holders_.clear();
+    for (auto const& holder : map.value(holders_key).toArray())
+    {
+        holders_.emplace_back(holder.toString());
+    }
+    highest_caps_.clear();
+    for (auto const& cap : map.value(caps_key).toMap())
+    {
+        highest_caps_[resource_name(cap.first.toString())] =
+            cap.second.toInteger();
+    }
+    view_ = config_view::empty();
+    refresh_limits();
     return true;
 }
 
--- a/source/verbenacove/process/control_state.hpp
+++ b/source/verbenacove/process/control_state.hpp
@@ -1,9 +1,14 @@
 #ifndef VERBENACOVE_PROCESS_CONTROL_STATE_HPP
 #define VERBENACOVE_PROCESS_CONTROL_STATE_HPP
 
+#include "verbenacove/process/limited_resources.hpp"
 #include "verbenacove/process/state_machine.hpp"
 #include "verbenacove/version/claim_table.hpp"
 #include "verbenacove/version/config_store.hpp"
+#include "verbenacove/version/config_view.hpp"
+
+#include <map>
+#include <vector>
 
 namespace verbenacove
 {
@@ -28,9 +33,32 @@
     config_store const& config() const { return config_; }
     claim_table const& claims() const { return claims_; }
 
+    /** Returns the entries that have ever been here, oldest first; each may
+        hold floors of limits. At most `maximum_holders`. */
+    std::vector<entry_id> const& holders() const { return holders_; }
+
+    /** Returns the limits in force, with the highest cap that each ever had.
+     */
+    std::map<resource_name, grant_limit> const& limits() const
+    {
+        return limits_;
+    }
+
+    /** The most entries that hold grants; further ones get none. */
+    static constexpr std::size_t maximum_holders = 16;
+
 private:
+    QCborMap apply_claim(QCborMap const& command, log_index index);
+    void note_holder(entry_id const& entry);
+    void refresh_limits();
+
     config_store config_;
     claim_table claims_;
+    std::vector<entry_id> holders_;
+    /** Of all resources that ever had a limit. */
+    std::map<resource_name, qint64> highest_caps_;
+    std::map<resource_name, grant_limit> limits_;
+    config_view_ptr view_ = config_view::empty();
 };
 
 } // namespace verbenacove
--- a/source/verbenacove/process/traffic_server.cpp
+++ b/source/verbenacove/process/traffic_server.cpp
@@ -1,5 +1,6 @@
 #include "verbenacove/process/traffic_server.hpp"
 
+#include "verbenacove/core/cbor.hpp"
 #include "verbenacove/process/upstream_directory.hpp"
 
 #include <QJsonArray>
@@ -23,6 +24,7 @@
 /** How often requests that wait for a slot are looked through. */
 constexpr milliseconds expiry_interval{20};
 constexpr milliseconds probe_timeout{500};
+constexpr milliseconds grant_interval{1000};
 constexpr qsizetype longest_announcement = 4096;
 QByteArray const call_prefix = "/v1/call/";
 
@@ -43,9 +45,11 @@
     : settings_(std::move(settings))
     , crashes_(clock_)
     , slots_(clock_)
+    , regions_(settings_.name, started, settings_.region, clock_)
     , announced_(std::move(announced))
     , ranking_(clock_, std::random_device{}())
     , claims_(settings_.control, settings_.name, started)
+    , control_(settings_.control)
     , http_(settings_.limits,
             [this](exchange_ptr const& exchange) { handle(exchange); })
 {
@@ -54,6 +58,8 @@
 bool traffic_server::start()
 {
     expiry_ = timers_.call_every(expiry_interval, [this] { slots_.expire(); });
+    grant_timer_ =
+        timers_.call_every(grant_interval, [this] { ask_for_grants(); });
     return http_.listen(settings_.http);
 }
 
@@ -67,6 +73,7 @@
     {
         pool(name)->chooser.update(view_->upstreams.value(name));
     }
+    regions_.update(*view_->config);
     update_slots();
     note_restarts();
 }
@@ -140,14 +147,39 @@
         });
 }
 
+void traffic_server::ask_for_grants()
+{
+    QCborArray requests;
+    for (auto const& request : regions_.next_requests())
+    {
+        requests.append(to_cbor(request));
+    }
+    if (requests.isEmpty())
+    {
+        return;
+    }
+    control_.call_leader(
+        {{QLatin1String("m"), QLatin1String("grant")},
+         {QLatin1String("requests"), requests}},
+        grant_interval,
+        [this](std::optional<QCborMap> const& reply)
+        {
+            for (auto const& value :
+                 reply ? cbor_array(*reply, "answers") : QCborArray())
+            {
+                if (auto const answer = parse_grant_answer(value.toMap()))
+                {
+                    regions_.take(*answer);
+                }
+            }
+        });
+}
+
 request_services traffic_server::services()
 {
     return {{upstreams_, clock_, timers_, crashes_,
              [this](upstream_view const& upstream) { probe(upstream); },
-             [](region_name const&)
-             {
-                 return true;
-             }},
+             regions_},
             claims_,
             slots_,
             settings_.connect_timeout,
--- a/source/verbenacove/process/traffic_server.hpp
+++ b/source/verbenacove/process/traffic_server.hpp
@@ -5,6 +5,7 @@
 #include "verbenacove/process/control_claim_service.hpp"
 #include "verbenacove/process/entry_settings.hpp"
 #include "verbenacove/process/metrics.hpp"
+#include "verbenacove/process/region_budget.hpp"
 #include "verbenacove/process/steering_view.hpp"
 #include "verbenacove/request/request_flow.hpp"
 
@@ -64,6 +65,7 @@
     request_services services();
     void update_slots();
     void note_restarts();
+    void ask_for_grants();
     void probe(upstream_view const& upstream);
     std::shared_ptr<service_pool> pool(service_name const& service);
 
@@ -73,6 +75,8 @@
     entry_metrics metrics_;
     quarantine crashes_;
     admission slots_;
+    region_budget regions_;
+    timer_service::subscription grant_timer_;
     timer_service::subscription expiry_;
     QHash<upstream_id, incarnation> incarnations_;
     announcement_listener announced_;
@@ -80,6 +84,7 @@
     lookup_ranking ranking_;
     QHash<service_name, std::shared_ptr<service_pool>> pools_;
     control_claim_service claims_;
+    control_client control_;
     upstream_client upstreams_;
     http_server http_;
 };
--- a/source/verbenacove/request/attempt_loop.cpp
+++ b/source/verbenacove/request/attempt_loop.cpp
@@ -110,8 +110,18 @@
     auto excluded = tried_;
     while (true)
     {
-        auto choice = pool_->chooser.choose(request_.kind, excluded,
-                                            services_.other_regions);
+        auto choice =
+            pool_->chooser.choose(request_.kind, excluded,
+                                  [this](region_name const& region) {
+                                      return services_.regions.permits(region);
+                                  });
+        bool const is_over_limit =
+            choice && !choice->is_other_region() &&
+            !services_.regions.permits(choice->upstream().region);
+        if (is_over_limit)
+        {
+            return std::nullopt;
+        }
         if (!choice || services_.crashes.can_start(request_.fingerprint,
                                                    choice->upstream().id))
         {
@@ -158,6 +168,7 @@
     number_ =
         services_.crashes.start(request_.fingerprint, choice.upstream().id,
                                 choice.upstream().incarnation);
+    services_.regions.begin(choice.upstream().region, attempt.body.size());
     choice_ = std::move(choice);
     attempt_started_ = services_.clock.now();
     running_ = services_.upstreams.start(
@@ -171,6 +182,8 @@
     span_.note("reason", result.reason);
     span_.end();
     note_crash_evidence(result.end);
+    services_.regions.end(choice_->upstream().region,
+                          result.response.body.size());
     bool const is_sent = may_have_been_sent(result.end);
     if (is_sent)
     {
--- a/source/verbenacove/request/attempt_loop.hpp
+++ b/source/verbenacove/request/attempt_loop.hpp
@@ -6,6 +6,7 @@
 #include "verbenacove/core/trace.hpp"
 #include "verbenacove/core/verdict.hpp"
 #include "verbenacove/request/quarantine.hpp"
+#include "verbenacove/request/region_gate.hpp"
 #include "verbenacove/request/retry_budget.hpp"
 #include "verbenacove/request/upstream_chooser.hpp"
 
@@ -34,8 +35,7 @@
     /** Called when an upstream's connection was lost with a request in hand,
         to find out whether its process is gone. */
     std::function<void(upstream_view const&)> connection_lost;
-    /** Asked before an attempt goes to another region. */
-    upstream_chooser::region_permit other_regions;
+    region_gate& regions;
 };
 
 /** One request as it is to reach an upstream. */
--- /dev/null
+++ b/source/verbenacove/request/region_gate.hpp
@@ -0,0 +1,33 @@
+#ifndef VERBENACOVE_REQUEST_REGION_GATE_HPP
+#define VERBENACOVE_REQUEST_REGION_GATE_HPP
+
+#include "verbenacove/core/ids.hpp"
+
+#include <QtGlobal>
+
+namespace verbenacove
+{
+
+/** Says whether attempts may go to a region, within the limits that operators
+    set, and counts those that do.
+
+    @see region_budget
+*/
+class region_gate
+{
+public:
+    virtual ~region_gate() = default;
+
+    /** Returns whether one more attempt may go to a region now. */
+    virtual bool permits(region_name const& region) = 0;
+
+    /** Counts an attempt that starts, and the bytes that it sends. */
+    virtual void begin(region_name const& region, qint64 sent_bytes) = 0;
+
+    /** Counts an attempt that ends, and the bytes that it received. */
+    virtual void end(region_name const& region, qint64 received_bytes) = 0;
+};
+
+} // namespace verbenacove
+
+#endif
