--- a/source/verbenacove/version/claim_table.hpp
+++ b/source/verbenacove/version/claim_table.hpp
@@ -6,11 +6,14 @@
 #include "verbenacove/request/fingerprint.hpp"
 
 #include <QByteArray>
+#include <QCborArray>
 #include <QCborMap>
 #include <QHash>
+#include <QSet>
 
 #include <boost/leaf/result.hpp>
 
+#include <array>
 #include <list>
 #include <optional>
 #include <variant>
@@ -256,14 +259,34 @@
     restore(QByteArray const& bytes, claim_limits const& limits = {});
 
 private:
+    // A million of them fit only if each is small: names are shared, and an
+    // outcome is held as the bytes that a snapshot needs.
     struct record
     {
         claim_key key;
-        request_fingerprint fingerprint;
+        std::array<char, fingerprint_bytes> fingerprint{};
         claim_holder holder;
         log_time since;
         bool is_abandoned = false;
-        std::optional<claim_outcome> outcome;
+        /** Empty while there is none. */
+        QByteArray outcome;
+        /** The size of the outcome's headers and body. */
+        qsizetype stored = 0;
+    };
+
+    /** Finds a record by its key without a second copy of the key. */
+    struct key_view
+    {
+        claim_key const* key;
+
+        friend bool operator==(key_view a, key_view b)
+        {
+            return *a.key == *b.key;
+        }
+        friend size_t qHash(key_view view, size_t seed = 0)
+        {
+            return verbenacove::qHash(*view.key, seed);
+        }
     };
 
     using record_list = std::list<record>;
@@ -296,11 +319,17 @@
     void close(record_list::iterator found);
     void erase(record_list& records, record_list::iterator found);
     void note_gone(entry_id const& entry, incarnation last_gone);
-    claim_outcome bounded(claim_outcome const& outcome) const;
+    bool has_room_for(qsizetype stored) const;
+    claim_outcome store(record& found, claim_outcome const& outcome);
+    QString shared_name(QString const& name);
+    boost::leaf::result<void> restore_record(QCborArray const& fields,
+                                             bool is_open);
+    boost::leaf::result<void> restore_fence(QCborArray const& fields);
+    boost::leaf::result<void> restore_gone(QCborArray const& fields);
 
     static bool is_open(record const& found);
     static claim_answer state_of(record const& found);
-    static qsizetype outcome_size(std::optional<claim_outcome> const& outcome);
+    static std::optional<claim_outcome> outcome_of(record const& found);
 
     claim_limits limits_;
     log_time now_;
@@ -310,9 +339,11 @@
     record_list closed_;
     std::list<fence> fences_;
     std::list<gone_entry> gone_;
-    QHash<claim_key, record_list::iterator> claims_;
-    QHash<claim_holder, log_time> fenced_;
+    QHash<key_view, record_list::iterator> claims_;
+    QSet<claim_holder> fenced_;
     QHash<entry_id, std::list<gone_entry>::iterator> gone_entries_;
+    // One copy of each service's and entry's name.
+    QSet<QString> names_;
 };
 
 } // namespace verbenacove
--- a/tests/unit/claim_table_test.cpp
+++ b/tests/unit/claim_table_test.cpp
@@ -254,6 +254,35 @@
     CHECK(restore_keeps_all());
 }
 
+TEST_CASE_FIXTURE(claims_fixture, "snapshot: any byte changed: no crash")
+{
+    claim(1, holder(1, 1));
+    finish(1, holder(1, 1), ran_with("x"));
+    claim(2, holder(1, 2));
+    release(3, holder(1, 3));
+    abandon(4, 1);
+    auto const bytes = table.snapshot();
+    int refused = 0;
+    for (qsizetype at = 0; at < bytes.size(); ++at)
+    {
+        for (int change = 1; change < 256; ++change)
+        {
+            auto changed = bytes;
+            changed[at] = char(changed.at(at) ^ change);
+            boost::leaf::try_handle_all(
+                [&]() -> boost::leaf::result<void>
+                {
+                    BOOST_LEAF_AUTO(again, claim_table::restore(changed));
+                    again.find(key(1));
+                    again.snapshot();
+                    return {};
+                },
+                [&] { ++refused; });
+        }
+    }
+    CHECK(refused > 0);
+}
+
 TEST_CASE("command: a field missing or wrong: an error")
 {
     claim_log_command const command{
