--- a/tests/unit/http_test_tools.hpp
+++ b/tests/unit/http_test_tools.hpp
@@ -30,6 +30,12 @@
     }
 }
 
+/** The base of fixtures whose members need the event loop. */
+struct application_fixture
+{
+    application_fixture() { ensure_application(); }
+};
+
 /** Runs the event loop until the condition holds; false after the time. */
 inline bool wait_for(std::function<bool()> const& condition,
                      milliseconds limit = milliseconds(10000))
--- a/tests/unit/upstream_client_test.cpp
+++ b/tests/unit/upstream_client_test.cpp
@@ -9,6 +9,9 @@
 
 #include <sys/socket.h>
 
+#include <map>
+#include <random>
+
 using namespace verbenacove;
 
 namespace
@@ -44,10 +47,8 @@
     std::array<QTcpSocket, 8> sockets;
 };
 
-struct client_fixture
+struct client_fixture : application_fixture
 {
-    client_fixture() { ensure_application(); }
-
     static attempt_request post_to(socket_address const& address)
     {
         attempt_request result;
@@ -487,6 +488,86 @@
     CHECK(client.attempts_in_flight() == 0);
 }
 
+TEST_CASE_FIXTURE(client_fixture, "upstream client: many attempts at once to "
+                                  "a faulty upstream: own answers, sent once")
+{
+    constexpr int attempt_count = 200;
+    for (unsigned seed = 1; seed <= 5; ++seed)
+    {
+        CAPTURE(seed);
+        std::mt19937 random(seed);
+        std::map<QByteArray, int> times_seen;
+        raw_upstream upstream(
+            [&](QTcpSocket& socket, QByteArray const& received)
+            {
+                auto const body =
+                    received.mid(received.indexOf("\r\n\r\n") + 4);
+                ++times_seen[body];
+                auto const answer = "HTTP/1.1 200 OK\r\nContent-Length: " +
+                                    QByteArray::number(body.size()) +
+                                    "\r\n\r\n" + body;
+                bool const may_stay = received.contains("X-Kept");
+                milliseconds const delay(random() % 50);
+                switch (random() % 6)
+                {
+                case 0:
+                    socket.write(answer);
+                    break;
+                case 1:
+                    later.push_back(timers.call_after(
+                        delay, [&socket, answer] { socket.write(answer); }));
+                    break;
+                case 2:
+                    socket.write(answer.chopped(1));
+                    socket.disconnectFromHost();
+                    break;
+                case 3:
+                    // On a kept connection this could be the next one's.
+                    socket.write(may_stay ? answer : answer + answer);
+                    break;
+                case 4:
+                    reset(socket);
+                    break;
+                default:
+                    break;
+                }
+            });
+        int ended = 0;
+        int answered = 0;
+        for (int i = 0; i < attempt_count; ++i)
+        {
+            auto request = post_to(upstream.address());
+            request.body = "request " + QByteArray::number(i);
+            request.may_reuse_connection = i % 2 == 0;
+            request.time_left = milliseconds(400);
+            if (request.may_reuse_connection)
+            {
+                request.headers = {{"X-Kept", "1"}};
+            }
+            client.start(request,
+                         [&, body = request.body](attempt_result const& result)
+                         {
+                             ++ended;
+                             if (result.end == attempt_end::answered)
+                             {
+                                 ++answered;
+                                 CHECK(result.response.body == body);
+                             }
+                             CHECK((may_have_been_sent(result.end) ||
+                                    times_seen[body] == 0));
+                         });
+            run_for(milliseconds(i % 10 == 0 ? 2 : 0));
+        }
+        REQUIRE(wait_for([&] { return ended == attempt_count; }));
+        later.clear();
+        for (auto const& [body, times] : times_seen)
+        {
+            CHECK(times <= 1);
+        }
+        CHECK(answered > attempt_count / 4);
+    }
+}
+
 TEST_CASE("upstream client: destroyed with attempts in flight: no call")
 {
     ensure_application();
