Refuse claims while a thousand proposals wait for their commit

Cause: while the control replicas had no quorum, each refused claim left a release behind that was tried for up to a minute, without a bound on their number. A further claim is now answered `full` without being proposed, which the caller hears as 503 overloaded, not-run; it leaves no release behind. Found by reading; the bound itself has no test yet.

--- a/source/verbenacove/process/control_claim_service.cpp
+++ b/source/verbenacove/process/control_claim_service.cpp
@@ -2,7 +2,10 @@
 
 #include "verbenacove/core/cbor.hpp"
 
+#include <QTimer>
+
 #include <utility>
+#include <variant>
 
 namespace verbenacove
 {
@@ -19,13 +22,24 @@
 void control_claim_service::propose(command_type command,
                                     milliseconds time_left, callback done)
 {
+    bool const is_claim = std::holds_alternative<claim_command>(command);
+    if (is_claim && open_proposals_ >= maximum_open_proposals)
+    {
+        QTimer::singleShot(0, &context_,
+                           [done = std::move(done)] {
+                               done(claim_answer{claim_result::full, {}, {}});
+                           });
+        return;
+    }
+    ++open_proposals_;
     claim_log_command const proposed{log_time(0), std::move(command)};
     QCborMap request{{QLatin1String("m"), QLatin1String("claim")},
                      {QLatin1String("command"), to_cbor(proposed)}};
     client_.call_leader(
         std::move(request), time_left,
-        [done = std::move(done)](std::optional<QCborMap> const& reply)
+        [this, done = std::move(done)](std::optional<QCborMap> const& reply)
         {
+            --open_proposals_;
             if (!reply)
             {
                 done(std::nullopt);
--- a/source/verbenacove/process/control_claim_service.hpp
+++ b/source/verbenacove/process/control_claim_service.hpp
@@ -11,6 +11,11 @@
 class control_claim_service : public claim_service
 {
 public:
+    /** The proposals that may wait for their commit when a further claim is
+        made; it is answered `full` then, without having been proposed. An
+        outcome or a release is proposed all the same: each follows a claim. */
+    static constexpr int maximum_open_proposals = 1000;
+
     /** @param started  differs from that of every earlier process of this
                         entry, and is higher */
     control_claim_service(std::vector<socket_address> const& control,
@@ -25,6 +30,8 @@
     entry_id own_id_;
     incarnation started_;
     qint64 next_nonce_ = 1;
+    int open_proposals_ = 0;
+    QObject context_;
 };
 
 } // namespace verbenacove
