--- a/tests/integration/at_most_once_test.cpp
+++ b/tests/integration/at_most_once_test.cpp
@@ -122,6 +122,7 @@
                          {QStringLiteral("--slots"), QStringLiteral("40")});
         }
         put_proxies_between_replicas();
+        put_proxies_before_first_entry();
     }
 
     bool serve()
@@ -259,6 +260,14 @@
         }
     }
 
+    /** Delays what the first entry sends to a replica from now on. */
+    void delay_first_entry(int replica, milliseconds delay)
+    {
+        tcp_faults faults;
+        faults.delay = delay;
+        entry_proxies_.at(std::size_t(replica - 1))->set_faults(faults);
+    }
+
     /** Checks what was promised for some releases, once all is quiet.
 
         A verdict tells of the send that it answers. So a send that was told
@@ -421,6 +430,20 @@
                            });
     }
 
+    void put_proxies_before_first_entry()
+    {
+        for (int i = 1; i <= replica_count; ++i)
+        {
+            auto const name = numbered("control", i);
+            entry_proxies_.push_back(
+                std::make_unique<fault_proxy>(address(name, door::internal)));
+            advertise(name, door::internal, entry_proxies_.back()->address(),
+                      numbered("entry", 1));
+        }
+    }
+
+    /** Between the first entry and each replica. */
+    std::vector<std::unique_ptr<fault_proxy>> entry_proxies_;
     /** By target and viewer. */
     std::map<std::pair<int, int>, std::unique_ptr<fault_proxy>> proxies_;
     std::atomic<int> last_key_ = 0;
@@ -667,6 +690,38 @@
     }
 }
 
+TEST_CASE_FIXTURE(dispatch_fixture,
+                  "release: claim reaches the leader after it was given up: "
+                  "does not hold the key")
+{
+    constexpr milliseconds link_delay{1200};
+    for (quint32 seed = 1; seed <= 3; ++seed)
+    {
+        std::mt19937 random(seed);
+        // The entry has found the leader, and an open connection to it.
+        auto const probe = new_release(seed);
+        cluster.send_until_told(probe, 1, {}, send_deadline * 2, 4);
+        int const leader = cluster.leader();
+        REQUIRE(leader > 0);
+        cluster.delay_first_entry(leader, link_delay);
+        auto const release = new_release(seed);
+        auto const deadline = milliseconds(draw(random, 150, 350));
+        threads.emplace_back(
+            [this, release, deadline]
+            { cluster.send(release, 1, {}, send_deadline, deadline); });
+        pause(100);
+        // The claim is on its way; what follows on new connections is faster.
+        cluster.delay_first_entry(leader, milliseconds(0));
+        join();
+        INFO(release->story());
+        CHECK(release->sends.front().is_told("not-run"));
+        pause(int(link_delay.count()) + 300);
+        cluster.send_until_told(release, 2, {}, send_deadline * 2, 2);
+        CHECK(release->sends.back().is_told("ran"));
+    }
+    cluster.check(releases);
+}
+
 TEST_CASE_FIXTURE(dispatch_fixture,
                   "release: resend waits for the first copy, quorum lost: is "
                   "not told not-run")
