--- a/source/verbenacove/process/entry_process.cpp
+++ b/source/verbenacove/process/entry_process.cpp
@@ -36,11 +36,12 @@
     , control_(settings_.control)
     , mesh_(settings_.name, settings_.peers, clock_,
             {[this](upstream_view const& upstream) { take_news(upstream); },
-             [this] { publish(); }, [](QCborMap const&) {},
+             [this] { publish(); },
+             [this](QCborMap const& news) { take_crashes(news); },
              [this] { return status(); }, [this] { return own_upstreams(); },
-             []
+             [this]
              {
-                 return QCborMap();
+                 return std::exchange(crashes_, {});
              }})
     , directory_(clock_)
 {
@@ -79,12 +80,31 @@
             { take_announcement(upstream); },
             Qt::QueuedConnection);
     };
+    auto const answered = [this](upstream_view upstream)
+    {
+        QMetaObject::invokeMethod(
+            &context_,
+            [this, upstream = std::move(upstream)] { take_news(upstream); },
+            Qt::QueuedConnection);
+    };
+    auto const crashed = [this](quarantine_news const& news)
+    {
+        QMetaObject::invokeMethod(
+            &context_,
+            [this, attached = to_cbor(news)]
+            {
+                crashes_ = attached;
+                mesh_.send_now();
+            },
+            Qt::QueuedConnection);
+    };
     QMetaObject::invokeMethod(
         traffic_context_.get(),
         [&]
         {
-            traffic_ = std::make_unique<traffic_server>(settings_, started_,
-                                                        announced);
+            traffic_ = std::make_unique<traffic_server>(
+                settings_, started_,
+                traffic_server::listener{announced, answered, crashed});
             if (!traffic_->start())
             {
                 error = settings_.http.text() + QStringLiteral(": ") +
@@ -262,6 +282,17 @@
     publish_soon();
 }
 
+void entry_process::take_crashes(QCborMap const& news)
+{
+    auto const parsed = parse_quarantine_news(news);
+    if (!parsed || !traffic_)
+    {
+        return;
+    }
+    call_on_traffic([this, parsed = *parsed]
+                    { traffic_->merge_crashes(parsed); });
+}
+
 std::vector<upstream_view> entry_process::own_upstreams()
 {
     std::vector<upstream_view> result;
--- a/source/verbenacove/process/entry_process.hpp
+++ b/source/verbenacove/process/entry_process.hpp
@@ -48,6 +48,7 @@
     bool take_configuration(QCborMap const& reply, bool is_first);
     void take_announcement(upstream_view upstream);
     void take_news(upstream_view const& upstream);
+    void take_crashes(QCborMap const& news);
     void publish();
     void publish_soon();
     void finish_stop();
@@ -64,6 +65,8 @@
     upstream_directory directory_;
     QHash<upstream_id, monotonic_time> announced_here_;
     config_view_ptr config_ = config_view::empty();
+    /** What goes along with the next round of the mesh. */
+    QCborMap crashes_;
     int reads_ = 0;
     bool is_ready_ = false;
     bool is_reading_ = false;
--- a/source/verbenacove/process/traffic_server.hpp
+++ b/source/verbenacove/process/traffic_server.hpp
@@ -10,7 +10,9 @@
 #include "verbenacove/request/request_flow.hpp"
 
 #include <QHash>
+#include <QSet>
 
+#include <deque>
 #include <functional>
 #include <memory>
 
@@ -25,11 +27,19 @@
 class traffic_server
 {
 public:
-    /** What is called for an upstream's announcement, on this thread. */
-    using announcement_listener = std::function<void(upstream_view)>;
+    /** What is called with news, on this thread. */
+    struct listener
+    {
+        /** An upstream announced itself here. */
+        std::function<void(upstream_view)> announced;
+        /** An upstream whose news had grown old answered a question. */
+        std::function<void(upstream_view)> answered;
+        /** Crashes that the other entries should hear of. */
+        std::function<void(quarantine_news)> crashed;
+    };
 
     traffic_server(entry_settings settings, incarnation started,
-                   announcement_listener announced);
+                   listener calls);
     traffic_server(traffic_server const&) = delete;
     traffic_server& operator=(traffic_server const&) = delete;
 
@@ -42,6 +52,12 @@
     /** Steers by another view from now on. */
     void update(steering_view_ptr const& view);
 
+    /** Takes in another entry's news of crashes. */
+    void merge_crashes(quarantine_news const& news)
+    {
+        crashes_.merge_news(news);
+    }
+
     /** Takes no new connections; what is in hand goes on. */
     void stop_accepting() { http_.stop_accepting(); }
 
@@ -66,6 +82,9 @@
     void update_slots();
     void note_restarts();
     void ask_for_grants();
+    void tell_crashes();
+    void ask_silent_upstreams();
+    void ask_upstream(upstream_view const& upstream);
     void probe(upstream_view const& upstream);
     std::shared_ptr<service_pool> pool(service_name const& service);
 
@@ -79,7 +98,11 @@
     timer_service::subscription grant_timer_;
     timer_service::subscription expiry_;
     QHash<upstream_id, incarnation> incarnations_;
-    announcement_listener announced_;
+    listener calls_;
+    timer_service::subscription crash_timer_;
+    std::deque<news_position> told_crashes_;
+    timer_service::subscription silence_timer_;
+    QSet<upstream_id> asked_;
     steering_view_ptr view_ = std::make_shared<steering_view const>();
     lookup_ranking ranking_;
     QHash<service_name, std::shared_ptr<service_pool>> pools_;
--- a/source/verbenacove/process/upstream_directory.cpp
+++ b/source/verbenacove/process/upstream_directory.cpp
@@ -27,18 +27,6 @@
         QString::fromLatin1(key), QString::fromLatin1(allowed)});
 }
 
-std::optional<upstream_state> parse_state(QString const& word)
-{
-    for (std::size_t i = 0; i < state_words.size(); ++i)
-    {
-        if (word == QLatin1String(state_words[i]))
-        {
-            return static_cast<upstream_state>(i);
-        }
-    }
-    return std::nullopt;
-}
-
 bool is_name(QString const& text)
 {
     static QRegularExpression const pattern(
@@ -87,6 +75,18 @@
 
 } // namespace
 
+std::optional<upstream_state> parse_upstream_state(QString const& word)
+{
+    for (std::size_t i = 0; i < state_words.size(); ++i)
+    {
+        if (word == QLatin1String(state_words[i]))
+        {
+            return static_cast<upstream_state>(i);
+        }
+    }
+    return std::nullopt;
+}
+
 boost::leaf::result<upstream_view> parse_announcement(QJsonObject const& object,
                                                       monotonic_time now)
 {
@@ -113,7 +113,7 @@
     view.incarnation = incarnation(number("incarnation"));
     view.reported_at = now;
     view.first_seen = now;
-    auto const state = parse_state(text("state"));
+    auto const state = parse_upstream_state(text("state"));
     if (!state)
     {
         return wrong("state", "starting, serving or draining");
--- a/source/verbenacove/process/upstream_directory.hpp
+++ b/source/verbenacove/process/upstream_directory.hpp
@@ -10,6 +10,7 @@
 
 #include <boost/leaf/result.hpp>
 
+#include <optional>
 #include <vector>
 
 namespace verbenacove
@@ -26,6 +27,9 @@
 boost::leaf::result<upstream_view> parse_announcement(QJsonObject const& object,
                                                       monotonic_time now);
 
+/** Reads `starting`, `serving` or `draining`; nothing for another word. */
+std::optional<upstream_state> parse_upstream_state(QString const& word);
+
 /** Returns an upstream's news for another entry; its age goes with it, since
     clocks differ. */
 QCborMap to_cbor(upstream_view const& upstream, monotonic_time now);
