--- a/source/verbenacove/request/upstream_record.hpp
+++ b/source/verbenacove/request/upstream_record.hpp
@@ -79,14 +79,17 @@
         attempts in flight count with their age so far. */
     double slowness(monotonic_time now) const;
 
-    /** Returns true when slowness has been seen at all. */
-    bool has_latency() const { return has_latency_; }
-
-    /** Returns the share of attempts that failed of late, 0 to 1. */
+    /** Returns the share of attempts that failed or were refused of late, 0
+        to 1. */
     double failure_share(monotonic_time now) const;
 
-    /** Returns true while consecutive failures keep it out of use. */
-    bool is_ejected() const { return is_ejected_; }
+    /** Returns true when it failed and has not answered since, for a minute
+        after the last failure. */
+    bool is_suspect(monotonic_time now) const;
+
+    /** Returns true while consecutive failures keep it out of use; it ends
+        with an answer, or some time after no probe was made. */
+    bool is_ejected(monotonic_time now) const;
 
     /** Returns true when it is ejected and one attempt may try it. */
     bool needs_probe(monotonic_time now) const;
