--- a/bench/capacity_cluster.hpp
+++ b/bench/capacity_cluster.hpp
@@ -183,11 +183,13 @@
     timer_service::subscription round_;
 };
 
-/** Real control replicas and at most one real entry, with one service. */
+/** Real control replicas, at most one real entry, and upstream stand-ins that
+    announce to it; with one service. */
 class capacity_cluster : public support::cluster_fixture
 {
 public:
-    capacity_cluster(QString const& binaries, int replicas, bool has_entry)
+    capacity_cluster(QString const& binaries, int replicas, bool has_entry,
+                     int upstreams = 0)
         : cluster_fixture(binaries)
     {
         support::place const where{QStringLiteral("wcape"),
@@ -200,6 +202,11 @@
         {
             add_entry(QStringLiteral("entry-1"), where);
         }
+        for (int i = 1; i <= upstreams; ++i)
+        {
+            add_upstream(QStringLiteral("upstream-%1").arg(i),
+                         QStringLiteral("gradebook"), where);
+        }
         require(start_all(), "to start the processes");
         for (int i = 1; i <= replicas; ++i)
         {
--- a/bench/capacity_mesh_bench.cpp
+++ b/bench/capacity_mesh_bench.cpp
@@ -23,10 +23,12 @@
     double megabytes = 0;
 };
 
-/** Measures an entry that starts afresh among this many fake ones. */
-cost measure(QString const& binaries, int peers, int upstreams_of_each)
+/** Measures an entry that starts afresh among this many fake ones, and to
+    which some upstreams announce themselves. */
+cost measure(QString const& binaries, int peers, int upstreams_of_each,
+             int own_upstreams = 0)
 {
-    capacity_cluster cluster(binaries, 1, true);
+    capacity_cluster cluster(binaries, 1, true, own_upstreams);
     auto const target =
         cluster.address(QStringLiteral("entry-1"), support::door::peer);
     timer_service timers;
@@ -111,6 +113,19 @@
     cpu.print("CPU", "% of a core", "upstream");
 }
 
+/** Measures about what Karoo and Benjelloun have: 12 entries and 37 upstreams,
+    4 of which announce to the entry itself. */
+void measure_present_size(QString const& binaries)
+{
+    constexpr int peers = 11;
+    constexpr int upstreams_of_each = 3;
+    constexpr int own_upstreams = 4;
+    std::printf("The size of today\n");
+    print_heading();
+    auto const at = measure(binaries, peers, upstreams_of_each, own_upstreams);
+    print_row(peers, peers * upstreams_of_each + own_upstreams, at);
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -123,5 +138,6 @@
     auto const binaries = QString::fromLocal8Bit(argv[1]);
     measure_peers(binaries);
     measure_upstreams(binaries);
+    measure_present_size(binaries);
     return 0;
 }
--- a/bench/capacity_state_bench.cpp
+++ b/bench/capacity_state_bench.cpp
@@ -69,7 +69,7 @@
     bench::line_fit apply_fit;
     bench::line_fit whole_fit;
     bench::line_fit view_fit;
-    for (int const count : {500, 1000, 2000, 5000, 10000})
+    for (int const count : {500, 1000, 2000, 5000, 10000, 20000})
     {
         auto const heap = heap_megabytes();
         config_store store;
