Publish upstreams' reports ten times a second, and sort only what is named

An entry rebuilt all it publishes to the traffic thread up to 50 times a second while reports came in, and a look-up sorted all entries to name 8. State changes are still published at once; only reports wait, for 100 ms in place of 20 ms, and they are up to a second old when they come.

--- a/source/verbenacove/process/entry_process.cpp
+++ b/source/verbenacove/process/entry_process.cpp
@@ -23,7 +23,7 @@
 constexpr milliseconds read_timeout{600};
 constexpr milliseconds first_read_timeout{2000};
 constexpr milliseconds refresh_interval{1000};
-constexpr milliseconds publish_delay{20};
+constexpr milliseconds publish_delay{100};
 constexpr milliseconds stop_poll_interval{50};
 /** How long an upstream that announces here is this entry's to spread. */
 constexpr milliseconds announced_here_lease{3000};
--- a/source/verbenacove/request/lookup_ranking.cpp
+++ b/source/verbenacove/request/lookup_ranking.cpp
@@ -69,12 +69,14 @@
             order.push_back(place(caller, other));
         }
     }
-    std::sort(order.begin(), order.end(),
-              [](ranked const& a, ranked const& b) {
-                  return a.tier != b.tier ? a.tier < b.tier : a.order < b.order;
-              });
+    auto const named = std::min(order.size(), largest_list);
+    std::partial_sort(
+        order.begin(), order.begin() + static_cast<std::ptrdiff_t>(named),
+        order.end(),
+        [](ranked const& a, ranked const& b)
+        { return a.tier != b.tier ? a.tier < b.tier : a.order < b.order; });
     std::vector<entry_view> result;
-    for (std::size_t i = 0; i < std::min(order.size(), largest_list); ++i)
+    for (std::size_t i = 0; i < named; ++i)
     {
         result.push_back(*order[i].entry);
     }
