Take only whole CBOR from outside

Cause: Qt 6.4 hands out a map for bytes that are cut, and reads beyond its end when asked for a key (seen under valgrind). Ruled out: a check at each place.

--- a/source/verbenacove/connection/frame_socket.cpp
+++ b/source/verbenacove/connection/frame_socket.cpp
@@ -1,6 +1,7 @@
 #include "verbenacove/connection/frame_socket.hpp"
 
-#include <QCborValue>
+#include "verbenacove/core/cbor.hpp"
+
 #include <QtEndian>
 
 #include <utility>
@@ -76,13 +77,13 @@
         }
         auto const payload = buffer_.mid(length_bytes, length);
         buffer_.remove(0, length_bytes + static_cast<qsizetype>(length));
-        auto const value = QCborValue::fromCbor(payload);
-        if (!value.isMap())
+        auto const message = parse_cbor_map(payload);
+        if (!message)
         {
             socket_->abort();
             return;
         }
-        calls_.message(value.toMap());
+        calls_.message(*message);
         if (!*alive)
         {
             return;
--- a/source/verbenacove/core/cbor.hpp
+++ b/source/verbenacove/core/cbor.hpp
@@ -8,9 +8,29 @@
 #include <QCborValue>
 #include <QString>
 
+#include <optional>
+
 namespace verbenacove
 {
 
+/** Reads bytes as one whole CBOR map; nothing when they are cut, followed by
+    more, or something else.
+
+    Use it for all bytes from outside: Qt 6.4 hands out a map for bytes that
+    are cut, and reads beyond its end when it is asked for a key.
+*/
+inline std::optional<QCborMap> parse_cbor_map(QByteArray const& bytes)
+{
+    QCborParserError error;
+    auto const value = QCborValue::fromCbor(bytes, &error);
+    if (error.error != QCborError::NoError || error.offset != bytes.size() ||
+        !value.isMap())
+    {
+        return std::nullopt;
+    }
+    return value.toMap();
+}
+
 /** Returns the whole number under a key, or the fallback. */
 inline qint64 cbor_number(QCborMap const& map, char const* key,
                           qint64 fallback = 0)
--- a/source/verbenacove/process/control_state.cpp
+++ b/source/verbenacove/process/control_state.cpp
@@ -119,7 +119,12 @@
 
 bool control_state::restore(QByteArray const& state)
 {
-    auto const map = QCborValue::fromCbor(state).toMap();
+    auto const parsed = parse_cbor_map(state);
+    if (!parsed)
+    {
+        return false;
+    }
+    auto const& map = *parsed;
     auto config = config_store::restore(map.value(config_key).toMap());
     auto claims = claim_table::restore(map.value(claims_key).toByteArray());
     if (!config || !claims)
--- a/source/verbenacove/process/peer_mesh.cpp
+++ b/source/verbenacove/process/peer_mesh.cpp
@@ -137,10 +137,9 @@
     while (socket_.hasPendingDatagrams())
     {
         auto const datagram = socket_.receiveDatagram();
-        auto const value = QCborValue::fromCbor(datagram.data());
-        if (value.isMap())
+        if (auto const message = parse_cbor_map(datagram.data()))
         {
-            take(value.toMap());
+            take(*message);
         }
     }
 }
--- a/source/verbenacove/process/raft_storage.cpp
+++ b/source/verbenacove/process/raft_storage.cpp
@@ -46,7 +46,7 @@
 
 QCborMap map_of(QByteArray const& bytes)
 {
-    return QCborValue::fromCbor(bytes).toMap();
+    return parse_cbor_map(bytes).value_or(QCborMap());
 }
 
 boost::leaf::error_id failure(QString const& file, QString const& reason)
