--- a/source/verbenacove/process/traffic_server.cpp
+++ b/source/verbenacove/process/traffic_server.cpp
@@ -1,5 +1,6 @@
 #include "verbenacove/process/traffic_server.hpp"
 
+#include "verbenacove/core/cbor.hpp"
 #include "verbenacove/process/upstream_directory.hpp"
 
 #include <QJsonArray>
@@ -20,6 +21,19 @@
 {
 
 constexpr int announcement_interval_ms = 1000;
+/** How often requests that wait for a slot are looked through. */
+constexpr milliseconds expiry_interval{20};
+constexpr milliseconds probe_timeout{500};
+constexpr milliseconds grant_interval{1000};
+constexpr milliseconds crash_interval{250};
+/** News are told this many times, since a datagram may be lost. */
+constexpr std::size_t crash_repeats = 12;
+/** News of crashes that fit a datagram. */
+constexpr std::size_t crashes_per_round = 8;
+constexpr milliseconds silence_interval{250};
+/** The age of news from which an upstream is asked directly. */
+constexpr milliseconds silent_after{1500};
+constexpr int longest_asked_set = 64;
 constexpr qsizetype longest_announcement = 4096;
 QByteArray const call_prefix = "/v1/call/";
 
@@ -36,11 +50,15 @@
 } // namespace
 
 traffic_server::traffic_server(entry_settings settings, incarnation started,
-                               announcement_listener announced)
+                               listener calls)
     : settings_(std::move(settings))
-    , announced_(std::move(announced))
+    , crashes_(clock_)
+    , slots_(clock_)
+    , regions_(settings_.name, started, settings_.region, clock_)
+    , calls_(std::move(calls))
     , ranking_(clock_, std::random_device{}())
     , claims_(settings_.control, settings_.name, started)
+    , control_(settings_.control)
     , http_(settings_.limits,
             [this](exchange_ptr const& exchange) { handle(exchange); })
 {
@@ -48,6 +66,13 @@
 
 bool traffic_server::start()
 {
+    expiry_ = timers_.call_every(expiry_interval, [this] { slots_.expire(); });
+    crash_timer_ =
+        timers_.call_every(crash_interval, [this] { tell_crashes(); });
+    silence_timer_ = timers_.call_every(silence_interval,
+                                        [this] { ask_silent_upstreams(); });
+    grant_timer_ =
+        timers_.call_every(grant_interval, [this] { ask_for_grants(); });
     return http_.listen(settings_.http);
 }
 
@@ -61,6 +86,196 @@
     {
         pool(name)->chooser.update(view_->upstreams.value(name));
     }
+    regions_.update(*view_->config);
+    update_slots();
+    note_restarts();
+}
+
+void traffic_server::update_slots()
+{
+    auto const now = clock_.now();
+    for (auto const& name : view_->config->services())
+    {
+        int slots = 0;
+        for (auto const& upstream : view_->upstreams.value(name))
+        {
+            bool const is_usable =
+                upstream.state == upstream_state::serving &&
+                elapsed(upstream.reported_at, now) <= settings_.upstream_lease;
+            slots += is_usable ? upstream.slots.value() : 0;
+        }
+        slots_.set_slots(name, slot_count(slots));
+    }
+}
+
+void traffic_server::note_restarts()
+{
+    QHash<upstream_id, incarnation> known;
+    for (auto const& upstreams : view_->upstreams)
+    {
+        for (auto const& upstream : upstreams)
+        {
+            auto const before =
+                incarnations_.value(upstream.id, upstream.incarnation);
+            if (before < upstream.incarnation)
+            {
+                crashes_.upstream_gone(upstream.id, before);
+            }
+            known.insert(upstream.id, upstream.incarnation);
+        }
+    }
+    incarnations_ = std::move(known);
+}
+
+void traffic_server::probe(upstream_view const& upstream)
+{
+    attempt_request health;
+    health.address = upstream.address;
+    health.method = "GET";
+    health.target = "/health";
+    health.connect_timeout = probe_timeout;
+    health.time_left = probe_timeout;
+    upstreams_.start(
+        std::move(health),
+        [this, id = upstream.id,
+         known = upstream.incarnation](attempt_result const& result)
+        {
+            if (result.end == attempt_end::connect_failed)
+            {
+                crashes_.upstream_gone(id, known);
+                return;
+            }
+            auto const body =
+                QJsonDocument::fromJson(result.response.body).object();
+            incarnation const now(
+                body.value(QStringLiteral("incarnation")).toInteger());
+            if (now == known)
+            {
+                crashes_.upstream_alive(id, known);
+            }
+            else if (now > known)
+            {
+                crashes_.upstream_gone(id, known);
+            }
+        });
+}
+
+void traffic_server::tell_crashes()
+{
+    auto const since =
+        told_crashes_.empty() ? news_position(0) : told_crashes_.front();
+    auto news = crashes_.export_news(since);
+    if (news.records.size() > crashes_per_round)
+    {
+        news.records.resize(crashes_per_round);
+    }
+    told_crashes_.push_back(news.next);
+    if (told_crashes_.size() > crash_repeats)
+    {
+        told_crashes_.pop_front();
+    }
+    if (!news.records.empty())
+    {
+        calls_.crashed(std::move(news));
+    }
+}
+
+void traffic_server::ask_silent_upstreams()
+{
+    auto const now = clock_.now();
+    for (auto const& upstreams : view_->upstreams)
+    {
+        for (auto const& upstream : upstreams)
+        {
+            auto const age = elapsed(upstream.reported_at, now);
+            bool const is_due = age >= silent_after &&
+                                age < settings_.upstream_lease * 4 &&
+                                asked_.size() < longest_asked_set &&
+                                !asked_.contains(upstream.id);
+            if (is_due)
+            {
+                ask_upstream(upstream);
+            }
+        }
+    }
+}
+
+void traffic_server::ask_upstream(upstream_view const& upstream)
+{
+    asked_.insert(upstream.id);
+    attempt_request health;
+    health.address = upstream.address;
+    health.method = "GET";
+    health.target = "/health";
+    health.connect_timeout = probe_timeout;
+    health.time_left = probe_timeout;
+    auto const asked_at = clock_.now();
+    upstreams_.start(
+        std::move(health),
+        [this, upstream, asked_at](attempt_result const& result)
+        {
+            asked_.remove(upstream.id);
+            auto const body =
+                QJsonDocument::fromJson(result.response.body).object();
+            auto const state = parse_upstream_state(
+                body.value(QStringLiteral("state")).toString());
+            incarnation const now(
+                body.value(QStringLiteral("incarnation")).toInteger());
+            if (result.end != attempt_end::answered || !state ||
+                now != upstream.incarnation)
+            {
+                return;
+            }
+            auto fresh = upstream;
+            fresh.state = *state;
+            fresh.reported_at = asked_at;
+            calls_.answered(std::move(fresh));
+        });
+}
+
+void traffic_server::ask_for_grants()
+{
+    QCborArray requests;
+    for (auto const& request : regions_.next_requests())
+    {
+        requests.append(to_cbor(request));
+    }
+    if (requests.isEmpty())
+    {
+        return;
+    }
+    control_.call_leader(
+        {{QLatin1String("m"), QLatin1String("grant")},
+         {QLatin1String("requests"), requests}},
+        grant_interval,
+        [this](std::optional<QCborMap> const& reply)
+        {
+            for (auto const& value :
+                 reply ? cbor_array(*reply, "answers") : QCborArray())
+            {
+                if (auto const answer = parse_grant_answer(value.toMap()))
+                {
+                    regions_.take(*answer);
+                }
+            }
+        });
+}
+
+request_services traffic_server::services()
+{
+    return {{upstreams_, clock_, timers_, crashes_,
+             [this](upstream_view const& upstream) { probe(upstream); },
+             regions_},
+            claims_,
+            slots_,
+            settings_.connect_timeout,
+            settings_.trace_one_in,
+            [this](service_name const& answered, run_verdict verdict,
+                   int status, std::chrono::microseconds duration)
+            {
+                metrics_.count_request(answered.value(), verdict_word(verdict),
+                                       status, duration);
+            }};
 }
 
 void traffic_server::handle(exchange_ptr const& exchange)
@@ -71,11 +286,12 @@
         QByteArrayView path;
         handler handle;
     };
-    static std::array<route, 4> const routes{
+    static std::array<route, 5> const routes{
         {{"GET", "/v1/lookup", &traffic_server::handle_lookup},
          {"POST", "/v1/announce", &traffic_server::handle_announcement},
          {"GET", "/healthz", &traffic_server::handle_health},
-         {"GET", "/readyz", &traffic_server::handle_readiness}}};
+         {"GET", "/readyz", &traffic_server::handle_readiness},
+         {"GET", "/metrics", &traffic_server::handle_metrics}}};
     auto const& request = exchange->request();
     if (request.path.startsWith(call_prefix))
     {
@@ -115,6 +331,7 @@
     caller_place const caller{
         region_name(query.queryItemValue(QStringLiteral("region"))),
         zone_name(query.queryItemValue(QStringLiteral("zone")))};
+    metrics_.count_lookup();
     exchange->respond(json_response(200, lookup_body(service, caller)));
 }
 
@@ -155,9 +372,7 @@
                                            "There is no such service."));
         return;
     }
-    request_services const services{upstreams_, claims_, clock_, timers_,
-                                    settings_.connect_timeout};
-    request_flow::start(services, exchange, *service,
+    request_flow::start(services(), exchange, *service,
                         name_end < 0 ? QByteArray("/") : path.mid(name_end),
                         pool(name));
 }
@@ -181,7 +396,8 @@
         {
             BOOST_LEAF_AUTO(
                 upstream, parse_announcement(document.object(), clock_.now()));
-            announced_(std::move(upstream));
+            metrics_.count_announcement();
+            calls_.announced(std::move(upstream));
             QJsonArray entries;
             for (auto const& entry :
                  ranking_.rank({settings_.region, settings_.zone}, view_->self,
@@ -231,6 +447,20 @@
     exchange->respond(json_response(200, "{\"status\":\"ready\"}"));
 }
 
+void traffic_server::handle_metrics(exchange_ptr const& exchange)
+{
+    std::size_t upstreams = 0;
+    for (auto const& of_service : view_->upstreams)
+    {
+        upstreams += of_service.size();
+    }
+    metrics_.set_state(view_->config->version().value(), view_->entries.size(),
+                       upstreams, http_.open_exchanges());
+    exchange->respond({200,
+                       {{"Content-Type", "text/plain; version=0.0.4"}},
+                       metrics_.text()});
+}
+
 void traffic_server::handle_unknown(exchange_ptr const& exchange)
 {
     exchange->respond(
--- a/source/verbenacove/request/attempt_loop.cpp
+++ b/source/verbenacove/request/attempt_loop.cpp
@@ -12,6 +12,10 @@
 /** The part of the time left that the first of several attempts may use. */
 constexpr double first_attempt_share = 0.5;
 constexpr milliseconds shortest_shared_time{200};
+/** How long a request waits that may go to no upstream for the moment. */
+constexpr milliseconds pause_of_suspect{50};
+/** An attempt's timer, in whole milliseconds, may fire this early. */
+constexpr milliseconds timer_tolerance{2};
 
 bool is_shed(http_response const& answer)
 {
@@ -29,11 +33,11 @@
 
 std::shared_ptr<attempt_loop>
 attempt_loop::start(outgoing_request request,
-                    std::shared_ptr<service_pool> pool, upstream_client& client,
-                    clock_source const& clock, callback done)
+                    std::shared_ptr<service_pool> pool,
+                    attempt_services const& services, callback done)
 {
     std::shared_ptr<attempt_loop> loop(new attempt_loop(
-        std::move(request), std::move(pool), client, clock, std::move(done)));
+        std::move(request), std::move(pool), services, std::move(done)));
     loop->pool_->retries.count_request();
     loop->try_next();
     return loop;
@@ -41,12 +45,10 @@
 
 attempt_loop::attempt_loop(outgoing_request request,
                            std::shared_ptr<service_pool> pool,
-                           upstream_client& client, clock_source const& clock,
-                           callback done)
+                           attempt_services const& services, callback done)
     : request_(std::move(request))
     , pool_(std::move(pool))
-    , client_(client)
-    , clock_(clock)
+    , services_(services)
     , done_(std::move(done))
 {
 }
@@ -56,13 +58,13 @@
     is_cancelled_ = true;
     if (running_)
     {
-        client_.cancel(*running_);
+        services_.upstreams.cancel(*running_);
     }
 }
 
 void attempt_loop::try_next()
 {
-    auto const time_left = elapsed(clock_.now(), request_.deadline);
+    auto const time_left = elapsed(services_.clock.now(), request_.deadline);
     if (is_cancelled_)
     {
         finish_without_answer("cancelled", "The caller has left.");
@@ -73,18 +75,75 @@
         finish_without_answer("deadline", "The deadline has passed.");
         return;
     }
-    auto choice = pool_->chooser.choose(
-        request_.kind, tried_, [](region_name const&) { return true; });
+    auto const permission = services_.crashes.permission(request_.fingerprint);
+    if (permission == send_permission::refused)
+    {
+        // Earlier copies of it ran, if this one did not.
+        worst_ = run_verdict::may_have_run;
+        finish_without_answer("quarantined",
+                              "The request has crashed too many upstreams.");
+        return;
+    }
+    if (permission == send_permission::undecided)
+    {
+        try_later();
+        return;
+    }
+    auto choice = choose();
+    if (!choice && permission == send_permission::alone)
+    {
+        try_later();
+        return;
+    }
     if (!choice)
     {
-        finish_without_answer(
-            worst_ == run_verdict::not_run ? "no-upstream" : "upstream-failed",
-            "No upstream can take the request.");
+        finish_without_answer(failure_code("no-upstream"),
+                              "No upstream can take the request.");
         return;
     }
     send_to(std::move(*choice), time_left);
 }
 
+std::optional<upstream_chooser::choice> attempt_loop::choose()
+{
+    // A suspect goes where nothing else runs, and nothing joins it there.
+    auto excluded = tried_;
+    while (true)
+    {
+        auto choice =
+            pool_->chooser.choose(request_.kind, excluded,
+                                  [this](region_name const& region) {
+                                      return services_.regions.permits(region);
+                                  });
+        bool const is_over_limit =
+            choice && !choice->is_other_region() &&
+            !services_.regions.permits(choice->upstream().region);
+        if (is_over_limit)
+        {
+            return std::nullopt;
+        }
+        if (!choice || services_.crashes.can_start(request_.fingerprint,
+                                                   choice->upstream().id))
+        {
+            return choice;
+        }
+        excluded.push_back(choice->upstream().id);
+    }
+}
+
+void attempt_loop::try_later()
+{
+    pause_ = services_.timers.call_after(pause_of_suspect,
+                                         [self = shared_from_this()]
+                                         {
+                                             // Moved out first: it keeps the
+                                             // loop alive by its callback.
+                                             auto const ended =
+                                                 std::move(self->pause_);
+                                             self->try_next();
+                                         });
+}
+
 void attempt_loop::send_to(upstream_chooser::choice choice,
                            milliseconds time_left)
 {
@@ -97,21 +156,72 @@
     attempt.headers = request_.headers;
     attempt.headers.push_back(
         {"Deadline-Ms", QByteArray::number(qint64(time_left.count()))});
+    span_ = trace_span::begin_child(QStringLiteral("attempt"),
+                                    span_kind::client, request_.trace);
+    span_.note("upstream", choice.upstream().id.value());
+    attempt.headers.push_back({"traceparent", span_.context().text()});
     attempt.body = request_.body;
-    attempt.time_left = attempt_time(time_left);
+    attempt.time_left = time_left;
     attempt.connect_timeout =
         std::min(request_.connect_timeout, attempt.time_left);
     attempt.may_reuse_connection = request_.may_run_again;
+    number_ =
+        services_.crashes.start(request_.fingerprint, choice.upstream().id,
+                                choice.upstream().incarnation);
+    services_.regions.begin(choice.upstream().region, attempt.body.size());
     choice_ = std::move(choice);
-    attempt_started_ = clock_.now();
-    running_ = client_.start(std::move(attempt),
-                             [self = shared_from_this()](attempt_result result)
-                             { self->take_result(std::move(result)); });
+    attempt_started_ = services_.clock.now();
+    running_ = services_.upstreams.start(
+        std::move(attempt), [self = shared_from_this()](attempt_result result)
+        { self->take_result(std::move(result)); });
+    limit_attempt(time_left);
+}
+
+void attempt_loop::limit_attempt(milliseconds time_left)
+{
+    // A silent upstream must leave time for another one.
+    bool const is_shared = request_.may_run_again &&
+                           attempts_ < maximum_attempts &&
+                           time_left > shortest_shared_time;
+    if (!is_shared)
+    {
+        return;
+    }
+    auto const share = std::chrono::duration_cast<milliseconds>(
+        time_left * first_attempt_share);
+    attempt_limit_ =
+        services_.timers.call_after(share,
+                                    [weak = weak_from_this()]
+                                    {
+                                        if (auto const self = weak.lock())
+                                        {
+                                            self->give_up_attempt();
+                                        }
+                                    });
+}
+
+void attempt_loop::give_up_attempt()
+{
+    // Without a retry to follow, it may go on until the deadline.
+    bool const has_retry =
+        running_ && !is_cancelled_ && pool_->retries.take_retry();
+    if (has_retry)
+    {
+        is_given_up_ = true;
+        services_.upstreams.cancel(*running_);
+    }
 }
 
 void attempt_loop::take_result(attempt_result result)
 {
     running_.reset();
+    attempt_limit_.cancel();
+    bool const is_given_up = std::exchange(is_given_up_, false);
+    span_.note("reason", result.reason);
+    span_.end();
+    note_crash_evidence(result.end);
+    services_.regions.end(choice_->upstream().region,
+                          result.response.body.size());
     bool const is_sent = may_have_been_sent(result.end);
     if (is_sent)
     {
@@ -125,25 +235,49 @@
     bool const is_cancelled =
         result.end == attempt_end::cancelled_before_send ||
         result.end == attempt_end::cancelled_after_send;
-    note(is_cancelled ? attempt_outcome::cancelled : attempt_outcome::failed);
+    note(is_cancelled && !is_given_up ? attempt_outcome::cancelled
+                                      : attempt_outcome::failed);
     if (is_sent)
     {
         worst_ = run_verdict::may_have_run;
     }
-    if (!is_cancelled && may_try_again(is_sent ? run_verdict::may_have_run
-                                               : run_verdict::not_run))
+    bool const has_next =
+        is_given_up ||
+        (!is_cancelled && may_try_again(is_sent ? run_verdict::may_have_run
+                                                : run_verdict::not_run));
+    if (has_next)
     {
         try_next();
         return;
     }
-    bool const is_late = result.end == attempt_end::timed_out_after_send ||
-                         result.end == attempt_end::timed_out_before_send;
-    finish_without_answer(is_late   ? "deadline"
-                          : is_sent ? "upstream-failed"
-                                    : "no-upstream",
+    bool const is_late =
+        elapsed(services_.clock.now(), request_.deadline) <= timer_tolerance;
+    finish_without_answer(is_late ? "deadline" : failure_code("no-upstream"),
                           result.reason.toUtf8());
 }
 
+void attempt_loop::note_crash_evidence(attempt_end end)
+{
+    auto const number = std::exchange(number_, std::nullopt);
+    if (!number)
+    {
+        return;
+    }
+    switch (end)
+    {
+    case attempt_end::answered:
+        services_.crashes.answered(*number);
+        return;
+    case attempt_end::failed_after_send:
+        services_.crashes.lost(*number);
+        services_.connection_lost(choice_->upstream());
+        return;
+    default:
+        break;
+    }
+    services_.crashes.ended(*number);
+}
+
 void attempt_loop::take_answer(attempt_result result)
 {
     auto& answer = result.response;
@@ -156,7 +290,7 @@
             try_next();
             return;
         }
-        finish_without_answer("overloaded",
+        finish_without_answer(failure_code("overloaded"),
                               "All upstreams are at their limit.");
         return;
     }
@@ -177,7 +311,7 @@
 
 bool attempt_loop::may_try_again(run_verdict verdict)
 {
-    bool const has_time = clock_.now() < request_.deadline;
+    bool const has_time = services_.clock.now() < request_.deadline;
     if (is_cancelled_ || attempts_ >= maximum_attempts || !has_time)
     {
         return false;
@@ -189,31 +323,23 @@
     return request_.may_run_again && pool_->retries.take_retry();
 }
 
-milliseconds attempt_loop::attempt_time(milliseconds time_left) const
-{
-    // A silent upstream must leave time for another one.
-    bool const is_shared = request_.may_run_again &&
-                           attempts_ < maximum_attempts &&
-                           time_left > shortest_shared_time;
-    if (!is_shared)
-    {
-        return time_left;
-    }
-    return std::chrono::duration_cast<milliseconds>(time_left *
-                                                    first_attempt_share);
-}
-
 void attempt_loop::note(attempt_outcome outcome)
 {
     if (choice_)
     {
         choice_->finish(outcome,
                         std::chrono::duration_cast<std::chrono::microseconds>(
-                            clock_.now() - attempt_started_));
+                            services_.clock.now() - attempt_started_));
         choice_.reset();
     }
 }
 
+QByteArray attempt_loop::failure_code(QByteArray const& code_if_not_run) const
+{
+    return worst_ == run_verdict::not_run ? code_if_not_run
+                                          : QByteArray("upstream-failed");
+}
+
 void attempt_loop::finish_without_answer(QByteArray code, QByteArray message)
 {
     attempts_end end;
--- a/source/verbenacove/request/request_flow.hpp
+++ b/source/verbenacove/request/request_flow.hpp
@@ -3,10 +3,13 @@
 
 #include "verbenacove/connection/http_exchange.hpp"
 #include "verbenacove/core/timer_service.hpp"
+#include "verbenacove/core/trace.hpp"
+#include "verbenacove/request/admission.hpp"
 #include "verbenacove/request/attempt_loop.hpp"
 #include "verbenacove/request/claim_service.hpp"
 #include "verbenacove/version/service_record.hpp"
 
+#include <functional>
 #include <memory>
 
 namespace verbenacove
@@ -15,11 +18,16 @@
 /** What requests use of their entry; all of it outlives them. */
 struct request_services
 {
-    upstream_client& upstreams;
+    attempt_services attempts;
     claim_service& claims;
-    clock_source const& clock;
-    timer_service& timers;
+    admission& slots;
     milliseconds connect_timeout{500};
+    /** A request without a trace is traced once in so many; 0 never. */
+    int sample_one_in = 0;
+    /** Called with each answer, for metrics. */
+    std::function<void(service_name const&, run_verdict, int status,
+                       std::chrono::microseconds)>
+        answered;
 };
 
 /** One caller's request, from its arrival to its answer.
@@ -49,6 +57,14 @@
     void begin();
     bool read_deadline();
     bool read_key();
+    bool is_claimed() const;
+
+    // Admission.
+    void enter();
+    void take_decision(admission_decision decision);
+    void leave();
+
+    // Sending.
     void send();
     outgoing_request outgoing() const;
 
@@ -58,15 +74,20 @@
     // A non-idempotent one.
     void claim();
     void take_claim(std::optional<claim_answer> const& answer);
+    void send_claimed();
     void wait_for_holder();
     void replay(claim_outcome const& outcome);
     void take_claimed_end(attempts_end const& end);
     void store_outcome(attempts_end const& end);
     void release();
+    void answer_unclaimed(int status, QByteArray const& code,
+                          QByteArray const& message);
+    void answer_in_progress();
 
     void answer_error(int status, QByteArray const& code,
                       QByteArray const& message, run_verdict verdict);
     void answer_end(attempts_end const& end);
+    void respond(http_response response, run_verdict verdict);
     milliseconds time_left() const;
 
     request_services services_;
@@ -75,12 +96,17 @@
     QByteArray path_;
     std::shared_ptr<service_pool> pool_;
     request_policy policy_;
+    std::optional<admission_ticket> ticket_;
     monotonic_time deadline_{};
     claim_key key_;
     claim_holder holder_;
     request_fingerprint fingerprint_;
+    /** An earlier copy was seen to hold the key. */
+    bool is_known_held_ = false;
     timer_service::subscription waiting_;
-    std::weak_ptr<attempt_loop> loop_;
+    trace_span span_;
+    trace_span claim_span_;
+    monotonic_time started_{};
 };
 
 } // namespace verbenacove
