Use fresh connections by default; keep the log's time by monotonic clocks

Ruled out: a look at the socket before each reuse, which stands, but cannot see an answer that arrives after the next request has gone. Change: [upstreams] keep_connections, off by default; the leader proposes the log's time from the last one applied and its own monotonic clock.

--- a/source/verbenacove/process/control_server.cpp
+++ b/source/verbenacove/process/control_server.cpp
@@ -3,7 +3,6 @@
 #include "verbenacove/core/cbor.hpp"
 #include "verbenacove/core/log.hpp"
 
-#include <QDateTime>
 #include <QMetaObject>
 
 #include <algorithm>
@@ -38,6 +37,7 @@
             settings_.listen, settings_.name)
     , rpc_([this](QCborMap const& request, reply_function const& reply)
            { handle(request, reply); })
+    , log_time_seen_(clock_.now())
     , reports_(clock_)
     , grants_(state_, node_, clock_)
 {
@@ -191,6 +191,8 @@
 
 void control_server::send_report()
 {
+    // Also notes when the log's time was last seen to move.
+    next_log_time();
     reports_.forget_old();
     auto const leader = node_.leader();
     if (!leader || node_.is_leader())
@@ -303,10 +305,17 @@
     return answer;
 }
 
-qint64 control_server::next_log_time() const
+qint64 control_server::next_log_time()
 {
-    return std::max(QDateTime::currentMSecsSinceEpoch(),
-                    state_.claims().now().value());
+    auto const known = state_.claims().now();
+    if (known != log_time_)
+    {
+        log_time_ = known;
+        log_time_seen_ = clock_.now();
+    }
+    // By this process's monotonic clock: a wrong time of day on one VM must
+    // not let keys run out early.
+    return known.value() + elapsed(log_time_seen_, clock_.now()).count();
 }
 
 } // namespace verbenacove
--- a/source/verbenacove/process/control_server.hpp
+++ b/source/verbenacove/process/control_server.hpp
@@ -76,7 +76,7 @@
     void propose(QCborMap command, raft_node::proposal_callback done);
     void schedule_flush();
     QCborMap refusal() const;
-    qint64 next_log_time() const;
+    qint64 next_log_time();
 
     control_settings settings_;
     steady_clock_source clock_;
@@ -88,6 +88,8 @@
     timer_service::subscription tick_;
     timer_service::subscription stopping_;
     timer_service::subscription report_;
+    log_time log_time_;
+    monotonic_time log_time_seen_{};
     entry_reports reports_;
     grant_service grants_;
     bool is_flush_due_ = false;
--- a/source/verbenacove/process/entry_settings.cpp
+++ b/source/verbenacove/process/entry_settings.cpp
@@ -53,6 +53,8 @@
     settings.upstream_lease =
         reader.duration("upstreams", "lease", settings.upstream_lease,
                         milliseconds(500), one_minute);
+    settings.keeps_connections =
+        reader.number("upstreams", "keep_connections", 0, 0, 1) == 1;
     settings.connect_timeout =
         reader.duration("upstreams", "connect_timeout",
                         settings.connect_timeout, milliseconds(10), one_minute);
--- a/source/verbenacove/process/entry_settings.hpp
+++ b/source/verbenacove/process/entry_settings.hpp
@@ -29,6 +29,10 @@
     milliseconds lookup_ttl{2000};
     /** How long an upstream is believed without news. */
     milliseconds upstream_lease{3000};
+    /** Whether idempotent requests may go on connections that were used
+        before: faster, but an upstream that answers twice can then give a
+        caller another one's answer. */
+    bool keeps_connections = false;
     /** How long to wait for an upstream to accept a connection. */
     milliseconds connect_timeout{500};
     /** A request that brings no trace is traced once in so many; 0 never. */
--- a/source/verbenacove/process/traffic_server.cpp
+++ b/source/verbenacove/process/traffic_server.cpp
@@ -269,6 +269,7 @@
             claims_,
             slots_,
             settings_.connect_timeout,
+            settings_.keeps_connections,
             settings_.trace_one_in,
             [this](service_name const& answered, run_verdict verdict,
                    int status, std::chrono::microseconds duration)
--- a/source/verbenacove/request/attempt_loop.cpp
+++ b/source/verbenacove/request/attempt_loop.cpp
@@ -164,7 +164,7 @@
     attempt.time_left = time_left;
     attempt.connect_timeout =
         std::min(request_.connect_timeout, attempt.time_left);
-    attempt.may_reuse_connection = request_.may_run_again;
+    attempt.may_reuse_connection = request_.may_reuse_connection;
     number_ =
         services_.crashes.start(request_.fingerprint, choice.upstream().id,
                                 choice.upstream().incarnation);
--- a/source/verbenacove/request/attempt_loop.hpp
+++ b/source/verbenacove/request/attempt_loop.hpp
@@ -50,6 +50,8 @@
     monotonic_time deadline;
     /** Whether a request that may have run may be sent again. */
     bool may_run_again = false;
+    /** Whether it may go on a connection that was used before. */
+    bool may_reuse_connection = false;
     milliseconds connect_timeout{500};
     /** The span of the whole request. */
     trace_context trace;
--- a/source/verbenacove/request/request_flow.cpp
+++ b/source/verbenacove/request/request_flow.cpp
@@ -254,6 +254,7 @@
     out.deadline = deadline_;
     out.connect_timeout = services_.connect_timeout;
     out.trace = span_.context();
+    out.may_reuse_connection = services_.keeps_connections && !is_claimed();
     out.may_run_again = !is_claimed() && service_.retry;
     return out;
 }
--- a/source/verbenacove/request/request_flow.hpp
+++ b/source/verbenacove/request/request_flow.hpp
@@ -22,6 +22,8 @@
     claim_service& claims;
     admission& slots;
     milliseconds connect_timeout{500};
+    /** Whether idempotent requests may go on connections used before. */
+    bool keeps_connections = false;
     /** A request without a trace is traced once in so many; 0 never. */
     int sample_one_in = 0;
     /** Called with each answer, for metrics. */
