Count the log time of claims by the leader's monotonic clock

Cause: a leader proposed the wall clock's time since 1970, while the log time starts at 0 and a command moves it by 60 s at most. So each command aged all claims by a minute, and a key was forgotten after 1440 commands (24 h), some 720 releases: a resend ran again. Seen by the case "sent again after a thousand others": the key ran twice, with two different `ran` answers.

--- a/source/verbenacove/process/control_server.cpp
+++ b/source/verbenacove/process/control_server.cpp
@@ -3,7 +3,6 @@
 #include "verbenacove/core/cbor.hpp"
 #include "verbenacove/core/log.hpp"
 
-#include <QDateTime>
 #include <QMetaObject>
 
 #include <algorithm>
@@ -303,10 +302,20 @@
     return answer;
 }
 
-qint64 control_server::next_log_time() const
+qint64 control_server::next_log_time()
 {
-    return std::max(QDateTime::currentMSecsSinceEpoch(),
-                    state_.claims().now().value());
+    auto const applied = state_.claims().now().value();
+    auto const now = clock_.now();
+    auto const counted = log_time_base_ + elapsed(log_clock_base_, now).count();
+    // The first reading of a term, or a leader whose clock was ahead.
+    if (log_time_term_ != node_.term() || applied > counted)
+    {
+        log_time_term_ = node_.term();
+        log_time_base_ = applied;
+        log_clock_base_ = now;
+        return applied;
+    }
+    return counted;
 }
 
 } // namespace verbenacove
--- a/source/verbenacove/process/control_server.hpp
+++ b/source/verbenacove/process/control_server.hpp
@@ -76,7 +76,10 @@
     void propose(QCborMap command, raft_node::proposal_callback done);
     void schedule_flush();
     QCborMap refusal() const;
-    qint64 next_log_time() const;
+    /** Returns the log time of a command that is proposed now: what the log
+        had when this replica's term began, and what its monotonic clock has
+        counted since. */
+    qint64 next_log_time();
 
     control_settings settings_;
     steady_clock_source clock_;
@@ -91,6 +94,9 @@
     entry_reports reports_;
     grant_service grants_;
     bool is_flush_due_ = false;
+    log_term log_time_term_;
+    qint64 log_time_base_ = 0;
+    monotonic_time log_clock_base_{};
     QObject context_;
 };
 
--- a/tests/integration/at_most_once_test.cpp
+++ b/tests/integration/at_most_once_test.cpp
@@ -722,6 +722,41 @@
     cluster.check(releases);
 }
 
+TEST_CASE_FIXTURE(dispatch_fixture,
+                  "release: sent again after a thousand others: is not run "
+                  "again")
+{
+    constexpr int others = 1000;
+    constexpr int callers = 20;
+    auto const first = new_release(1);
+    cluster.send_until_told(first, 1, {}, send_deadline * 2, 4);
+    REQUIRE(first->sends.back().is_told("ran"));
+    std::atomic<int> ran = 0;
+    for (int caller = 0; caller < callers; ++caller)
+    {
+        threads.emplace_back(
+            [this, caller, &ran]
+            {
+                for (int i = 0; i < others / callers; ++i)
+                {
+                    auto const other = std::make_shared<release_record>();
+                    other->key = cluster.next_key("other");
+                    cluster.send(other, (caller + i) % entry_count + 1, {},
+                                 send_deadline * 2);
+                    ran += other->sends.back().is_told("ran") ? 1 : 0;
+                }
+            });
+    }
+    join();
+    CHECK(ran >= others * 9 / 10);
+    for (int entry = 1; entry <= entry_count; ++entry)
+    {
+        cluster.send(first, entry, {}, send_deadline * 2);
+        CHECK(first->sends.back().is_told("ran"));
+    }
+    cluster.check(releases);
+}
+
 TEST_CASE_FIXTURE(dispatch_fixture,
                   "release: resend waits for the first copy, quorum lost: is "
                   "not told not-run")
