--- a/source/verbenacove/process/control_server.hpp
+++ b/source/verbenacove/process/control_server.hpp
@@ -76,6 +76,8 @@
     void propose(QCborMap command, raft_node::proposal_callback done);
     void schedule_flush();
     QCborMap refusal() const;
+    /** Returns the log time of a command that is proposed now: what the log
+        held last, and what the monotonic clock has counted since. */
     qint64 next_log_time();
 
     control_settings settings_;
