--- a/tests/integration/replica_loss_test.cpp
+++ b/tests/integration/replica_loss_test.cpp
@@ -135,13 +135,14 @@
                 {QStringLiteral("read"), QStringLiteral("service"), service});
             CHECK(found.exit_code == 0);
         }
-        for (auto const& [key, body] : ran_)
+        for (auto const& item : ran_)
         {
+            auto const& key = item.first;
             CAPTURE(key.toStdString());
             auto const again = release(key, 2);
             CHECK(again.is(200));
             CHECK(again.headers.value("run-replayed") == "true");
-            CHECK(again.body == body);
+            CHECK(again.body == item.second);
         }
         std::map<QByteArray, int> runs;
         for (auto const& run : read_run_log(
@@ -149,10 +150,10 @@
         {
             ++runs[run.key];
         }
-        for (auto const& [key, count] : runs)
+        for (auto const& item : runs)
         {
-            CAPTURE(key.toStdString());
-            CHECK(count == 1);
+            CAPTURE(item.first.toStdString());
+            CHECK(item.second == 1);
         }
         for (auto const& key : not_run_)
         {
