--- a/source/verbenacove/process/control_server.hpp
+++ b/source/verbenacove/process/control_server.hpp
@@ -76,7 +76,9 @@
     void propose(QCborMap command, raft_node::proposal_callback done);
     void schedule_flush();
     QCborMap refusal() const;
-    qint64 next_log_time() const;
+    /** Returns the log time of a command that is proposed now: what the log
+        held last, and what the monotonic clock has counted since. */
+    qint64 next_log_time();
 
     control_settings settings_;
     steady_clock_source clock_;
@@ -88,6 +90,8 @@
     timer_service::subscription tick_;
     timer_service::subscription stopping_;
     timer_service::subscription report_;
+    log_time log_time_;
+    monotonic_time log_time_seen_{};
     entry_reports reports_;
     grant_service grants_;
     bool is_flush_due_ = false;
