Join the look-ups once others were heard, leave with whole answers

Cause: under a rolling restart a new test saw requests refused. Ruled out: missing slots, as each service had 20 in each region.

Change: an entry is ready once it has the configuration and three rounds of the mesh have passed (1.5 s after its start). From the start of a stop each answer is its connection's last, so that no caller keeps a connection that the exit would cut. The stop waits for answers that are not sent whole, not only for unanswered requests, and half a second more for an answer of a look-up and a request of its last moment to travel.

--- a/source/verbenacove/connection/http_server.cpp
+++ b/source/verbenacove/connection/http_server.cpp
@@ -55,9 +55,11 @@
         }
     }
 
+    void prepare_stop() { is_stopping_ = true; }
+
     void stop_accepting()
     {
-        is_stopping_ = true;
+        prepare_stop();
         close();
     }
 
@@ -71,6 +73,14 @@
         return result;
     }
 
+    int busy_connections() const
+    {
+        return static_cast<int>(
+            std::count_if(connections_.begin(), connections_.end(),
+                          [](http_connection const* connection)
+                          { return !connection->is_idle(); }));
+    }
+
     void request_arrived(std::shared_ptr<http_exchange> exchange) override
     {
         handle_(std::move(exchange));
@@ -252,6 +262,11 @@
     return core_->errorString();
 }
 
+void http_server::prepare_stop()
+{
+    core_->prepare_stop();
+}
+
 void http_server::stop_accepting()
 {
     core_->stop_accepting();
@@ -262,4 +277,9 @@
     return core_->open_exchanges();
 }
 
+int http_server::busy_connections() const
+{
+    return core_->busy_connections();
+}
+
 } // namespace verbenacove
--- a/source/verbenacove/connection/http_server.hpp
+++ b/source/verbenacove/connection/http_server.hpp
@@ -45,16 +45,30 @@
     /** Returns why listen failed. */
     QString error_text() const;
 
+    /** Makes each answer from now on its connection's last; new connections
+        are still taken.
+
+        @see stop_accepting
+    */
+    void prepare_stop();
+
     /** Closes the listener; open exchanges end normally, and each answer
         from now on is its connection's last.
 
-        @see open_exchanges
+        @see prepare_stop, open_exchanges
     */
     void stop_accepting();
 
     /** Returns how many requests have not been answered. */
     int open_exchanges() const;
 
+    /** Returns how many connections have a request in hand or on its way, or
+        an answer that has not been sent whole; the limits' times end each.
+
+        @see stop_accepting
+    */
+    int busy_connections() const;
+
 private:
     class core;
     std::unique_ptr<core> core_;
--- a/source/verbenacove/process/entry_process.cpp
+++ b/source/verbenacove/process/entry_process.cpp
@@ -25,6 +25,10 @@
 constexpr milliseconds refresh_interval{1000};
 constexpr milliseconds publish_delay{100};
 constexpr milliseconds stop_poll_interval{50};
+/** In this time each other entry tells of its upstreams more than once. */
+constexpr milliseconds hearing_time = 3 * peer_mesh::round_interval;
+/** A look-up's answer and a request of its last moment take time as well. */
+constexpr milliseconds stop_margin{500};
 /** How long an upstream that announces here is this entry's to spread. */
 constexpr milliseconds announced_here_lease{3000};
 
@@ -122,6 +126,12 @@
                                             directory_.forget_old();
                                             publish();
                                         });
+    hearing_timer_ = timers_.call_after(hearing_time,
+                                        [this]
+                                        {
+                                            has_heard_others_ = true;
+                                            take_readiness();
+                                        });
     read_first_configuration();
     publish();
     return {};
@@ -138,11 +148,12 @@
     entry_log.info(QStringLiteral("Leaving the look-ups."));
     mesh_.send_now();
     publish();
+    call_on_traffic([this] { traffic_->prepare_stop(); });
     // The others may name this entry until they hear of it or believe it
     // gone, and callers keep that answer for its time to live.
-    stop_timer_ =
-        timers_.call_after(settings_.lookup_ttl + peer_mesh::entry_lease,
-                           [this] { finish_stop(); });
+    stop_timer_ = timers_.call_after(settings_.lookup_ttl +
+                                         peer_mesh::entry_lease + stop_margin,
+                                     [this] { finish_stop(); });
 }
 
 void entry_process::finish_stop()
@@ -156,7 +167,7 @@
             int open = 0;
             QMetaObject::invokeMethod(
                 traffic_context_.get(),
-                [this, &open] { open = traffic_->open_exchanges(); },
+                [this, &open] { open = traffic_->busy_connections(); },
                 Qt::BlockingQueuedConnection);
             if (open == 0)
             {
@@ -249,14 +260,28 @@
     }
     if (is_first)
     {
-        is_ready_ = true;
-        entry_log.info(QStringLiteral("Ready, with configuration %1.")
-                           .arg(config_->version().value()));
+        has_configuration_ = true;
+        take_readiness();
     }
     publish();
     return true;
 }
 
+// An entry that knows no upstream yet would refuse the requests that the
+// look-ups send it.
+void entry_process::take_readiness()
+{
+    if (is_ready_ || !has_configuration_ || !has_heard_others_)
+    {
+        return;
+    }
+    is_ready_ = true;
+    entry_log.info(QStringLiteral("Ready, with configuration %1.")
+                       .arg(config_->version().value()));
+    mesh_.send_now();
+    publish();
+}
+
 // Upstreams.
 
 void entry_process::take_announcement(upstream_view upstream)
--- a/source/verbenacove/process/entry_process.hpp
+++ b/source/verbenacove/process/entry_process.hpp
@@ -49,6 +49,7 @@
     void take_announcement(upstream_view upstream);
     void take_news(upstream_view const& upstream);
     void take_crashes(QCborMap const& news);
+    void take_readiness();
     void publish();
     void publish_soon();
     void finish_stop();
@@ -68,12 +69,15 @@
     /** What goes along with the next round of the mesh. */
     QCborMap crashes_;
     int reads_ = 0;
+    bool has_configuration_ = false;
+    bool has_heard_others_ = false;
     bool is_ready_ = false;
     bool is_reading_ = false;
     bool is_stopping_ = false;
     bool is_publish_due_ = false;
     std::function<void()> stopped_;
 
+    timer_service::subscription hearing_timer_;
     timer_service::subscription read_timer_;
     timer_service::subscription refresh_timer_;
     timer_service::subscription publish_timer_;
--- a/source/verbenacove/process/traffic_server.cpp
+++ b/source/verbenacove/process/traffic_server.cpp
@@ -435,7 +435,9 @@
     if (!view_->is_ready)
     {
         exchange->respond(not_run_response(
-            503, "not-ready", "No configuration has been read yet."));
+            503, "not-ready",
+            "This entry has yet to read the configuration or to "
+            "hear the others."));
         return;
     }
     if (!view_->self.is_serving)
--- a/source/verbenacove/process/traffic_server.hpp
+++ b/source/verbenacove/process/traffic_server.hpp
@@ -58,11 +58,15 @@
         crashes_.merge_news(news);
     }
 
+    /** Ends each connection with its next answer; new ones are taken. */
+    void prepare_stop() { http_.prepare_stop(); }
+
     /** Takes no new connections; what is in hand goes on. */
     void stop_accepting() { http_.stop_accepting(); }
 
-    /** Returns how many requests are in hand. */
-    int open_exchanges() const { return http_.open_exchanges(); }
+    /** Returns how many connections have a request in hand or on its way, or
+        an answer that has not been sent whole. */
+    int busy_connections() const { return http_.busy_connections(); }
 
 private:
     using exchange_ptr = std::shared_ptr<http_exchange>;
