Count attempts in flight whether or not their region has a limit

Cause: a region's attempts in flight were counted only while a limit stood. A limit set, or removed and set again, while requests ran began at 0, and the ends of the earlier ones took later ones off the count: with a usable share of 5, 10 requests ran. Change: attempts in flight are counted per region at all times. The new test of region_budget had 2 of 11 cases fail before (limit set while requests run; limit removed and set again) and none after.

--- a/source/verbenacove/process/region_budget.cpp
+++ b/source/verbenacove/process/region_budget.cpp
@@ -90,19 +90,16 @@
 
 void region_budget::begin(region_name const& region, qint64 sent_bytes)
 {
-    if (auto* const slots = find(slots_resource(region)))
-    {
-        ++slots->in_flight;
-    }
+    ++running_[slots_resource(region)];
     count_bits(link_resource(own_region_, region), sent_bytes);
 }
 
 void region_budget::end(region_name const& region, qint64 received_bytes)
 {
-    auto* const slots = find(slots_resource(region));
-    if (slots != nullptr && slots->in_flight > 0)
+    auto const slots = running_.find(slots_resource(region));
+    if (slots != running_.end() && --slots->second == 0)
     {
-        --slots->in_flight;
+        running_.erase(slots);
     }
     count_bits(link_resource(region, own_region_), received_bytes);
 }
@@ -142,7 +139,7 @@
     {
         return true;
     }
-    if (of->in_flight < holder_.usable(name).value())
+    if (running(name) < holder_.usable(name).value())
     {
         return true;
     }
@@ -166,7 +163,7 @@
     auto const most = holder_.usable(name).value();
     if (!of.is_link)
     {
-        return grant_amount(std::min(of.in_flight, most));
+        return grant_amount(std::min(running(name), most));
     }
     auto const passed = std::max<qint64>(elapsed(of.asked, now).count(), 1);
     return grant_amount(std::min(of.used_bits / passed, most));
@@ -187,4 +184,10 @@
     return found == uses_.end() ? nullptr : &found->second;
 }
 
+qint64 region_budget::running(resource_name const& slots) const
+{
+    auto const found = running_.find(slots);
+    return found == running_.end() ? 0 : found->second;
+}
+
 } // namespace verbenacove
--- a/source/verbenacove/process/region_budget.hpp
+++ b/source/verbenacove/process/region_budget.hpp
@@ -54,7 +54,6 @@
     struct use
     {
         bool is_link = false;
-        qint64 in_flight = 0;
         /** Bits that may be used at once; below zero after an overrun. */
         double bits_left = 0;
         monotonic_time filled{};
@@ -72,11 +71,15 @@
                         monotonic_time now) const;
     grant_amount demand(use const& of, grant_amount in_use) const;
     use* find(resource_name const& name);
+    qint64 running(resource_name const& slots) const;
 
     region_name own_region_;
     clock_source const& clock_;
     grant_holder holder_;
     std::map<resource_name, use> uses_;
+    /** Attempts in flight by their region's slots, limited or not: a limit can
+        come and go while they run. */
+    std::map<resource_name, qint64> running_;
 };
 
 } // namespace verbenacove
