Let a frame hold the largest configuration

Cause: 20,000 records, the store's bound, measure 5.05 MB as one message, and a frame was bound to 4 MiB, so that an entry could not have started above about 16,600 records (worked out, not run). Change: 16 MiB.

--- a/source/verbenacove/connection/frame_socket.hpp
+++ b/source/verbenacove/connection/frame_socket.hpp
@@ -23,11 +23,11 @@
 {
 public:
     /** The longest frame that is sent or taken, in bytes. */
-    static constexpr qint64 maximum_frame_bytes = 4 * 1024 * 1024;
+    static constexpr qint64 maximum_frame_bytes = 16 * 1024 * 1024;
 
     /** The most bytes that may wait to be sent before the connection is taken
         for silent. */
-    static constexpr qint64 maximum_unsent_bytes = 16 * 1024 * 1024;
+    static constexpr qint64 maximum_unsent_bytes = 48 * 1024 * 1024;
 
     /** What is called for each message, and once when the connection ends.
         Neither is called after the frame_socket is destroyed. */
