Ask again after an upstream that closed a connection and may be gone

Cause: a process that ends closes its connections before the socket that it listens on, so the one question that followed a lost connection could be accepted and cut off, and decided nothing. The losses were forgotten after 5 s and did not count as crashes. Change: the attempts ask again each 200 ms while it is undecided, also after the request's end, 5 s at most. Ruled out: counting an unanswered question as a crash, since a silent network would quarantine innocent requests.

--- a/source/verbenacove/request/attempt_loop.cpp
+++ b/source/verbenacove/request/attempt_loop.cpp
@@ -14,6 +14,8 @@
 constexpr milliseconds shortest_shared_time{200};
 /** How long a request waits that may go to no upstream for the moment. */
 constexpr milliseconds pause_of_suspect{50};
+/** How long after a question that decided nothing the next one comes. */
+constexpr milliseconds pause_of_question{200};
 /** An attempt's timer, in whole milliseconds, may fire this early. */
 constexpr milliseconds timer_tolerance{2};
 
@@ -270,7 +272,9 @@
         return;
     case attempt_end::failed_after_send:
         services_.crashes.lost(*number);
-        services_.connection_lost(choice_->upstream());
+        lost_.push_back(choice_->upstream());
+        services_.connection_lost(lost_.back());
+        ask_about_lost_later();
         return;
     default:
         break;
@@ -278,6 +282,38 @@
     services_.crashes.ended(*number);
 }
 
+// A process that ends closes its connections before the socket it listens on,
+// so that the first question may be accepted and then cut off. Goes on after
+// the request's end, until it is known or too late to matter.
+void attempt_loop::ask_about_lost_later()
+{
+    next_question_ =
+        services_.timers.call_after(pause_of_question,
+                                    [self = shared_from_this()]
+                                    {
+                                        auto const ended =
+                                            std::move(self->next_question_);
+                                        self->ask_about_lost();
+                                    });
+}
+
+void attempt_loop::ask_about_lost()
+{
+    std::erase_if(lost_,
+                  [this](upstream_view const& upstream) {
+                      return !services_.crashes.is_undecided(
+                          upstream.id, upstream.incarnation);
+                  });
+    for (auto const& upstream : lost_)
+    {
+        services_.connection_lost(upstream);
+    }
+    if (!lost_.empty())
+    {
+        ask_about_lost_later();
+    }
+}
+
 void attempt_loop::take_answer(attempt_result result)
 {
     auto& answer = result.response;
--- a/source/verbenacove/request/attempt_loop.hpp
+++ b/source/verbenacove/request/attempt_loop.hpp
@@ -103,6 +103,8 @@
     std::optional<upstream_chooser::choice> choose();
     void try_later();
     void note_crash_evidence(attempt_end end);
+    void ask_about_lost_later();
+    void ask_about_lost();
     void send_to(upstream_chooser::choice choice, milliseconds time_left);
     void take_result(attempt_result result);
     void take_answer(attempt_result result);
@@ -124,6 +126,9 @@
     trace_span span_;
     std::optional<attempt_number> number_;
     timer_service::subscription pause_;
+    /** Upstreams that closed a connection and may be gone. */
+    std::vector<upstream_view> lost_;
+    timer_service::subscription next_question_;
     timer_service::subscription attempt_limit_;
     monotonic_time attempt_started_{};
     run_verdict worst_ = run_verdict::not_run;
--- a/source/verbenacove/request/quarantine.cpp
+++ b/source/verbenacove/request/quarantine.cpp
@@ -233,6 +233,20 @@
                   });
 }
 
+bool quarantine::is_undecided(upstream_id const& upstream,
+                              incarnation upstream_incarnation) const
+{
+    auto const now = clock_.now();
+    return std::any_of(losses_.begin(), losses_.end(),
+                       [&](loss const& one)
+                       {
+                           return one.of.upstream == upstream &&
+                                  one.of.upstream_incarnation ==
+                                      upstream_incarnation &&
+                                  now - one.when < confirmation;
+                       });
+}
+
 quarantine_news quarantine::export_news(news_position since) const
 {
     std::vector<std::pair<news_position, request_fingerprint>> changed;
--- a/source/verbenacove/request/quarantine.hpp
+++ b/source/verbenacove/request/quarantine.hpp
@@ -169,6 +169,11 @@
     /** Notes that an upstream's process answered after a loss: no crash. */
     void upstream_alive(upstream_id const& upstream, incarnation alive);
 
+    /** Returns true while it is not known whether an upstream's process that
+        closed a connection is gone; at most for `confirmation`. */
+    bool is_undecided(upstream_id const& upstream,
+                      incarnation upstream_incarnation) const;
+
     /** Returns what has changed since a position, oldest first.
 
         A position holds for one process's life: begin at 0 when the other
