--- a/tests/integration/steady_callers.hpp
+++ b/tests/integration/steady_callers.hpp
@@ -108,8 +108,11 @@
 class steady_callers
 {
 public:
-    steady_callers(std::vector<socket_address> known, int count, quint32 seed)
+    /** Starts them; one request in so many is non-idempotent, 0 for none. */
+    steady_callers(std::vector<socket_address> known, int count, quint32 seed,
+                   int claimed_one_in = 4)
         : known_(std::move(known))
+        , claimed_one_in_(claimed_one_in)
     {
         for (int i = 0; i < count; ++i)
         {
@@ -167,7 +170,9 @@
         caller self{std::mt19937(seed), {}, {}};
         for (int i = 0; !is_stopping_; ++i)
         {
-            bool const is_claimed = self.random() % 4 == 0;
+            bool const is_claimed =
+                claimed_one_in_ > 0 &&
+                int(self.random() % 1024) % claimed_one_in_ == 0;
             auto const id = "c" + QByteArray::number(seed) + "-" +
                             QByteArray::number(number) + "-" +
                             QByteArray::number(i);
@@ -281,6 +286,7 @@
     }
 
     std::vector<socket_address> const known_;
+    int const claimed_one_in_;
     std::atomic<bool> is_stopping_ = false;
     std::atomic<int> done_ = 0;
     mutable std::mutex mutex_;
