Start a region's requests only in the first half of a grant of slots

Cause: an entry that is cut off from control used its grant of slots until the end; what it started last ran on while the leader gave the same slots to others. Seen by the new limit test: 37 requests ran at once under a cap of 32. Change: a grant of slots starts attempts for 2.5 s after it was asked for, then only the floor does. What takes longer than the rest of the grant (some 2.4 s) can still outlast it; the header says so. Ruled out: longer grants, which move the same edge.

--- a/source/verbenacove/process/region_budget.cpp
+++ b/source/verbenacove/process/region_budget.cpp
@@ -66,6 +66,7 @@
         auto const request = holder_.next_request(name, used, demand(of, used));
         if (request)
         {
+            of.last_request = request->sequence;
             requests.push_back(*request);
         }
         of.used_bits = 0;
@@ -75,6 +76,33 @@
     return requests;
 }
 
+void region_budget::take(grant_answer const& answer)
+{
+    auto* const of = find(answer.resource);
+    if (!holder_.take(answer) || of == nullptr)
+    {
+        return;
+    }
+    of->floor = answer.floor;
+    if (answer.sequence == of->last_request)
+    {
+        of->granted = of->asked;
+    }
+}
+
+grant_amount region_budget::usable(resource_name const& resource) const
+{
+    auto const most = holder_.usable(resource);
+    auto const found = uses_.find(resource);
+    if (found == uses_.end() || found->second.is_link)
+    {
+        return most;
+    }
+    auto const& of = found->second;
+    bool const is_fresh = elapsed(of.granted, clock_.now()) < slot_start_time;
+    return is_fresh ? most : std::min(most, of.floor);
+}
+
 bool region_budget::permits(region_name const& region)
 {
     // All are asked, so that each notes what it could not give.
@@ -139,7 +167,7 @@
     {
         return true;
     }
-    if (running(name) < holder_.usable(name).value())
+    if (running(name) < usable(name).value())
     {
         return true;
     }
--- a/source/verbenacove/process/region_budget.hpp
+++ b/source/verbenacove/process/region_budget.hpp
@@ -37,13 +37,14 @@
     std::vector<grant_request> next_requests();
 
     /** Takes an answer of the control leader. */
-    void take(grant_answer const& answer) { holder_.take(answer); }
+    void take(grant_answer const& answer);
 
-    /** Returns what may be used of a resource now. */
-    grant_amount usable(resource_name const& resource) const
-    {
-        return holder_.usable(resource);
-    }
+    /** Returns what attempts that start now may use of a resource. */
+    grant_amount usable(resource_name const& resource) const;
+
+    /** How long a grant of slots starts attempts; about half of the time that
+        it holds. */
+    static constexpr milliseconds slot_start_time{2500};
 
     bool permits(region_name const& region) override;
     void begin(region_name const& region, qint64 sent_bytes) override;
@@ -61,6 +62,10 @@
         qint64 used_bits = 0;
         qint64 refused = 0;
         monotonic_time asked{};
+        grant_sequence last_request;
+        /** When the newest grant was asked for. */
+        monotonic_time granted{};
+        grant_amount floor;
     };
 
     void fill(resource_name const& name, use& of);
--- a/tests/unit/region_budget_test.cpp
+++ b/tests/unit/region_budget_test.cpp
@@ -202,6 +202,21 @@
     CHECK(!test.start(wcape));
 }
 
+TEST_CASE("region budget: late in its grant of slots, only the floor starts")
+{
+    budget_fixture test;
+    test.put_limit(QStringLiteral("s"), slots_160);
+    test.budget.update(*test.view());
+    test.grow(3);
+    test.grant(test.budget);
+    auto const name = slots_resource(wcape);
+    test.clock.advance(region_budget::slot_start_time - step);
+    CHECK(test.usable(name) > floor_of_160);
+    test.clock.advance(step);
+    CHECK(test.usable(name) == floor_of_160);
+    CHECK(!test.start(wcape));
+}
+
 TEST_CASE("region budget: an answer that comes after a freeze is not used")
 {
     budget_fixture test;
