Hold a request for a moment when no upstream is to be had

Cause: drain_killed_test had 46 of 6346 and 77 of 5789 requests refused as no-upstream while 8 of 10 upstreams were killed one after the other: with the only live upstream reserved for a suspect, or its start not yet heard of, an entry refused at once. Ruled out: missing slots. Change: such a request asks again every 50 ms, for 1 s in all and within its deadline; one over a limit is refused at once as before.

--- a/source/verbenacove/request/attempt_loop.cpp
+++ b/source/verbenacove/request/attempt_loop.cpp
@@ -14,6 +14,8 @@
 constexpr milliseconds shortest_shared_time{200};
 /** How long a request waits that may go to no upstream for the moment. */
 constexpr milliseconds pause_of_suspect{50};
+/** How long a request waits in all when no upstream is to be had. */
+constexpr milliseconds longest_upstream_wait{1000};
 /** How long after a question that decided nothing the next one comes. */
 constexpr milliseconds pause_of_question{200};
 /** An attempt's timer, in whole milliseconds, may fire this early. */
@@ -92,7 +94,9 @@
         return;
     }
     auto choice = choose();
-    if (!choice && permission == send_permission::alone)
+    bool const may_wait = permission == send_permission::alone ||
+                          (!is_over_limit_ && may_wait_for_upstream());
+    if (!choice && may_wait)
     {
         try_later();
         return;
@@ -117,10 +121,9 @@
                                   [this](region_name const& region) {
                                       return services_.regions.permits(region);
                                   });
-        bool const is_over_limit =
-            choice && !choice->is_other_region() &&
-            !services_.regions.permits(choice->upstream().region);
-        if (is_over_limit)
+        is_over_limit_ = choice && !choice->is_other_region() &&
+                         !services_.regions.permits(choice->upstream().region);
+        if (is_over_limit_)
         {
             return std::nullopt;
         }
@@ -133,6 +136,18 @@
     }
 }
 
+bool attempt_loop::may_wait_for_upstream()
+{
+    // Upstreams are lost faster than others take their place, or the only
+    // one left is a suspect's for the moment.
+    auto const now = services_.clock.now();
+    if (!without_upstream_since_)
+    {
+        without_upstream_since_ = now;
+    }
+    return elapsed(*without_upstream_since_, now) < longest_upstream_wait;
+}
+
 void attempt_loop::try_later()
 {
     pause_ = services_.timers.call_after(pause_of_suspect,
--- a/source/verbenacove/request/attempt_loop.hpp
+++ b/source/verbenacove/request/attempt_loop.hpp
@@ -103,6 +103,7 @@
 
     void try_next();
     std::optional<upstream_chooser::choice> choose();
+    bool may_wait_for_upstream();
     void try_later();
     void note_crash_evidence(attempt_end end);
     void ask_about_lost_later();
@@ -136,6 +137,8 @@
     run_verdict worst_ = run_verdict::not_run;
     int attempts_ = 0;
     int sent_ = 0;
+    std::optional<monotonic_time> without_upstream_since_;
+    bool is_over_limit_ = false;
     bool is_cancelled_ = false;
     /** The running attempt was cancelled for the sake of the next one. */
     bool is_given_up_ = false;
--- a/tests/unit/upstream_chooser_test.cpp
+++ b/tests/unit/upstream_chooser_test.cpp
@@ -308,8 +308,8 @@
     }
     CHECK(chooser->choose(request_class::interactive, {}, allow_all)
               ->is_other_region());
-    CHECK_FALSE(
-        chooser->choose(request_class::batch, {}, allow_all)->is_other_region());
+    CHECK_FALSE(chooser->choose(request_class::batch, {}, allow_all)
+                    ->is_other_region());
 }
 
 TEST_CASE_FIXTURE(chooser_fixture,
