Split the watch over upstreams from the traffic server

Change: upstream_watch asks at /health, tells crashes and notes restarts, with one place that asks; behaviour as before. Attempts are counted.

--- a/source/verbenacove/process/metrics.cpp
+++ b/source/verbenacove/process/metrics.cpp
@@ -89,12 +89,13 @@
         .Observe(std::chrono::duration<double>(duration).count());
 }
 
-void entry_metrics::count_attempt(QString const& service, bool is_retry)
+void entry_metrics::count_attempts(QString const& service, int sent)
 {
-    attempts_
-        .Add({{"service", service.toStdString()},
-              {"retry", is_retry ? "true" : "false"}})
-        .Increment();
+    auto const name = service.toStdString();
+    attempts_.Add({{"service", name}, {"retry", "false"}})
+        .Increment(sent > 0 ? 1 : 0);
+    attempts_.Add({{"service", name}, {"retry", "true"}})
+        .Increment(sent > 1 ? sent - 1 : 0);
 }
 
 void entry_metrics::set_state(qint64 config_version, std::size_t entries,
--- a/source/verbenacove/process/metrics.hpp
+++ b/source/verbenacove/process/metrics.hpp
@@ -39,8 +39,9 @@
     void count_request(QString const& service, QByteArray const& verdict,
                        int status, std::chrono::microseconds duration);
 
-    /** Counts an attempt at an upstream. */
-    void count_attempt(QString const& service, bool is_retry);
+    /** Counts the attempts that were made for a request; all but the first
+        are retries. */
+    void count_attempts(QString const& service, int sent);
 
     /** Sets what the entry knows at the moment. */
     void set_state(qint64 config_version, std::size_t entries,
--- a/source/verbenacove/process/traffic_server.cpp
+++ b/source/verbenacove/process/traffic_server.cpp
@@ -23,17 +23,7 @@
 constexpr int announcement_interval_ms = 1000;
 /** How often requests that wait for a slot are looked through. */
 constexpr milliseconds expiry_interval{20};
-constexpr milliseconds probe_timeout{500};
 constexpr milliseconds grant_interval{1000};
-constexpr milliseconds crash_interval{250};
-/** News are told this many times, since a datagram may be lost. */
-constexpr std::size_t crash_repeats = 12;
-/** News of crashes that fit a datagram. */
-constexpr std::size_t crashes_per_round = 8;
-constexpr milliseconds silence_interval{250};
-/** The age of news from which an upstream is asked directly. */
-constexpr milliseconds silent_after{1500};
-constexpr int longest_asked_set = 64;
 constexpr qsizetype longest_announcement = 4096;
 QByteArray const call_prefix = "/v1/call/";
 
@@ -67,6 +57,8 @@
     , ranking_(clock_, std::random_device{}())
     , claims_(settings_.control, settings_.name, started)
     , control_(settings_.control)
+    , watch_(upstreams_, crashes_, clock_, timers_, settings_.upstream_lease,
+             {calls_.answered, calls_.crashed})
     , http_(settings_.limits,
             [this](exchange_ptr const& exchange) { handle(exchange); })
 {
@@ -75,10 +67,6 @@
 bool traffic_server::start()
 {
     expiry_ = timers_.call_every(expiry_interval, [this] { slots_.expire(); });
-    crash_timer_ =
-        timers_.call_every(crash_interval, [this] { tell_crashes(); });
-    silence_timer_ = timers_.call_every(silence_interval,
-                                        [this] { ask_silent_upstreams(); });
     grant_timer_ =
         timers_.call_every(grant_interval, [this] { ask_for_grants(); });
     return http_.listen(settings_.http);
@@ -97,7 +85,7 @@
     render_entries();
     regions_.update(*view_->config);
     update_slots();
-    note_restarts();
+    watch_.update(view_);
 }
 
 void traffic_server::update_slots()
@@ -117,131 +105,6 @@
     }
 }
 
-void traffic_server::note_restarts()
-{
-    QHash<upstream_id, incarnation> known;
-    for (auto const& upstreams : view_->upstreams)
-    {
-        for (auto const& upstream : upstreams)
-        {
-            auto const before =
-                incarnations_.value(upstream.id, upstream.incarnation);
-            if (before < upstream.incarnation)
-            {
-                crashes_.upstream_gone(upstream.id, before);
-            }
-            known.insert(upstream.id, upstream.incarnation);
-        }
-    }
-    incarnations_ = std::move(known);
-}
-
-void traffic_server::probe(upstream_view const& upstream)
-{
-    attempt_request health;
-    health.address = upstream.address;
-    health.method = "GET";
-    health.target = "/health";
-    health.connect_timeout = probe_timeout;
-    health.time_left = probe_timeout;
-    upstreams_.start(
-        std::move(health),
-        [this, id = upstream.id,
-         known = upstream.incarnation](attempt_result const& result)
-        {
-            if (result.end == attempt_end::connect_failed)
-            {
-                crashes_.upstream_gone(id, known);
-                return;
-            }
-            auto const body =
-                QJsonDocument::fromJson(result.response.body).object();
-            incarnation const now(
-                body.value(QStringLiteral("incarnation")).toInteger());
-            if (now == known)
-            {
-                crashes_.upstream_alive(id, known);
-            }
-            else if (now > known)
-            {
-                crashes_.upstream_gone(id, known);
-            }
-        });
-}
-
-void traffic_server::tell_crashes()
-{
-    auto const since =
-        told_crashes_.empty() ? news_position(0) : told_crashes_.front();
-    auto news = crashes_.export_news(since);
-    if (news.records.size() > crashes_per_round)
-    {
-        news.records.resize(crashes_per_round);
-    }
-    told_crashes_.push_back(news.next);
-    if (told_crashes_.size() > crash_repeats)
-    {
-        told_crashes_.pop_front();
-    }
-    if (!news.records.empty())
-    {
-        calls_.crashed(std::move(news));
-    }
-}
-
-void traffic_server::ask_silent_upstreams()
-{
-    auto const now = clock_.now();
-    for (auto const& upstreams : view_->upstreams)
-    {
-        for (auto const& upstream : upstreams)
-        {
-            auto const age = elapsed(upstream.reported_at, now);
-            bool const is_due = age >= silent_after &&
-                                age < settings_.upstream_lease * 4 &&
-                                asked_.size() < longest_asked_set &&
-                                !asked_.contains(upstream.id);
-            if (is_due)
-            {
-                ask_upstream(upstream);
-            }
-        }
-    }
-}
-
-void traffic_server::ask_upstream(upstream_view const& upstream)
-{
-    asked_.insert(upstream.id);
-    attempt_request health;
-    health.address = upstream.address;
-    health.method = "GET";
-    health.target = "/health";
-    health.connect_timeout = probe_timeout;
-    health.time_left = probe_timeout;
-    auto const asked_at = clock_.now();
-    upstreams_.start(
-        std::move(health),
-        [this, upstream, asked_at](attempt_result const& result)
-        {
-            asked_.remove(upstream.id);
-            auto const body =
-                QJsonDocument::fromJson(result.response.body).object();
-            auto const state = parse_upstream_state(
-                body.value(QStringLiteral("state")).toString());
-            incarnation const now(
-                body.value(QStringLiteral("incarnation")).toInteger());
-            if (result.end != attempt_end::answered || !state ||
-                now != upstream.incarnation)
-            {
-                return;
-            }
-            auto fresh = upstream;
-            fresh.state = *state;
-            fresh.reported_at = asked_at;
-            calls_.answered(std::move(fresh));
-        });
-}
-
 void traffic_server::ask_for_grants()
 {
     QCborArray requests;
@@ -273,7 +136,8 @@
 request_services traffic_server::services()
 {
     return {{upstreams_, clock_, timers_, crashes_,
-             [this](upstream_view const& upstream) { probe(upstream); },
+             [this](upstream_view const& upstream)
+             { watch_.check_crash(upstream); },
              regions_},
             claims_,
             slots_,
@@ -285,6 +149,10 @@
             {
                 metrics_.count_request(answered.value(), verdict_word(verdict),
                                        status, duration);
+            },
+            [this](service_name const& attempted, int sent)
+            {
+                metrics_.count_attempts(attempted.value(), sent);
             }};
 }
 
--- a/source/verbenacove/process/traffic_server.hpp
+++ b/source/verbenacove/process/traffic_server.hpp
@@ -7,12 +7,11 @@
 #include "verbenacove/process/metrics.hpp"
 #include "verbenacove/process/region_budget.hpp"
 #include "verbenacove/process/steering_view.hpp"
+#include "verbenacove/process/upstream_watch.hpp"
 #include "verbenacove/request/request_flow.hpp"
 
 #include <QHash>
-#include <QSet>
 
-#include <deque>
 #include <functional>
 #include <memory>
 
@@ -93,12 +92,7 @@
                            caller_place const& caller);
     request_services services();
     void update_slots();
-    void note_restarts();
     void ask_for_grants();
-    void tell_crashes();
-    void ask_silent_upstreams();
-    void ask_upstream(upstream_view const& upstream);
-    void probe(upstream_view const& upstream);
     void render_entries();
     std::shared_ptr<service_pool> pool(service_name const& service);
 
@@ -111,12 +105,7 @@
     region_budget regions_;
     timer_service::subscription grant_timer_;
     timer_service::subscription expiry_;
-    QHash<upstream_id, incarnation> incarnations_;
     listener calls_;
-    timer_service::subscription crash_timer_;
-    std::deque<news_position> told_crashes_;
-    timer_service::subscription silence_timer_;
-    QSet<upstream_id> asked_;
     steering_view_ptr view_ = std::make_shared<steering_view const>();
     lookup_ranking ranking_;
     QHash<entry_id, rendered_entry> entry_json_;
@@ -124,6 +113,7 @@
     control_claim_service claims_;
     control_client control_;
     upstream_client upstreams_;
+    upstream_watch watch_;
     http_server http_;
 };
 
--- a/source/verbenacove/request/request_flow.cpp
+++ b/source/verbenacove/request/request_flow.cpp
@@ -279,6 +279,7 @@
 
 void request_flow::answer_attempts(attempts_end const& end)
 {
+    services_.attempted(service_.name, end.sent);
     answer_end(end);
 }
 
@@ -423,6 +424,7 @@
 
 void request_flow::take_claimed_end(attempts_end const& end)
 {
+    services_.attempted(service_.name, end.sent);
     if (end.verdict == run_verdict::not_run)
     {
         release();
--- a/source/verbenacove/request/request_flow.hpp
+++ b/source/verbenacove/request/request_flow.hpp
@@ -30,6 +30,8 @@
     std::function<void(service_name const&, run_verdict, int status,
                        std::chrono::microseconds)>
         answered;
+    /** Called with how many upstreams a request was sent to, for metrics. */
+    std::function<void(service_name const&, int sent)> attempted;
 };
 
 /** One caller's request, from its arrival to its answer.
--- a/tests/unit/region_budget_test.cpp
+++ b/tests/unit/region_budget_test.cpp
@@ -21,7 +21,6 @@
 milliseconds const step(10);
 milliseconds const grant_interval(1000);
 milliseconds const grant_duration(5000);
-milliseconds const saving(100);
 
 /** Limits, a state that has them, and the ledger that grants of them. */
 class limits_fixture
