Refuse at once what a region's limit does not permit

The wait for an upstream also held requests that a limit had refused for another region, and ran them after the time that the test counts. at_most_once_test: a starting entry's 503 not-ready is in docs/API.md, but was not in the test's list of documented answers, which now has it with its verdict, not-run. Change: a refusal by any region's limit is noted and ends the wait.

--- a/source/verbenacove/request/attempt_loop.cpp
+++ b/source/verbenacove/request/attempt_loop.cpp
@@ -114,16 +114,15 @@
 {
     // A suspect goes where nothing else runs, and nothing joins it there.
     auto excluded = tried_;
+    is_over_limit_ = false;
     while (true)
     {
-        auto choice =
-            pool_->chooser.choose(request_.kind, excluded,
-                                  [this](region_name const& region) {
-                                      return services_.regions.permits(region);
-                                  });
-        is_over_limit_ = choice && !choice->is_other_region() &&
-                         !services_.regions.permits(choice->upstream().region);
-        if (is_over_limit_)
+        auto choice = pool_->chooser.choose(request_.kind, excluded,
+                                            [this](region_name const& region)
+                                            { return is_permitted(region); });
+        bool const is_refused = choice && !choice->is_other_region() &&
+                                !is_permitted(choice->upstream().region);
+        if (is_refused)
         {
             return std::nullopt;
         }
@@ -136,6 +135,13 @@
     }
 }
 
+bool attempt_loop::is_permitted(region_name const& region)
+{
+    bool const is_within = services_.regions.permits(region);
+    is_over_limit_ = is_over_limit_ || !is_within;
+    return is_within;
+}
+
 bool attempt_loop::may_wait_for_upstream()
 {
     // Upstreams are lost faster than others take their place, or the only
--- a/source/verbenacove/request/attempt_loop.hpp
+++ b/source/verbenacove/request/attempt_loop.hpp
@@ -103,6 +103,7 @@
 
     void try_next();
     std::optional<upstream_chooser::choice> choose();
+    bool is_permitted(region_name const& region);
     bool may_wait_for_upstream();
     void try_later();
     void note_crash_evidence(attempt_end end);
--- a/tests/integration/documented_answer.hpp
+++ b/tests/integration/documented_answer.hpp
@@ -19,7 +19,7 @@
         char const* code;
         char const* verdict;
     };
-    static constexpr std::array<row, 11> rows{
+    static constexpr std::array<row, 12> rows{
         {{400, "key-required", "not-run"},
          {404, "unknown-service", "not-run"},
          {409, "key-reused", "not-run"},
@@ -30,6 +30,7 @@
          {503, "overloaded", "not-run"},
          {503, "stopping", "not-run"},
          {503, "no-quorum", "not-run"},
+         {503, "not-ready", "not-run"},
          {504, "deadline", "not-run"}}};
     auto const verdict = answer.headers.value("run-verdict");
     if (verdict == "ran")
