--- a/source/verbenacove/connection/http_server.cpp
+++ b/source/verbenacove/connection/http_server.cpp
@@ -55,6 +55,8 @@
         }
     }
 
+    void set_limits(http_limits const& limits) { limits_ = limits; }
+
     void prepare_stop() { is_stopping_ = true; }
 
     void stop_accepting()
@@ -228,7 +230,7 @@
             timers_.call_after(check_interval, [this] { resumeAccepting(); });
     }
 
-    http_limits const limits_;
+    http_limits limits_;
     handler const handle_;
     steady_clock_source clock_;
     timer_service timers_;
@@ -252,6 +254,11 @@
     return core_->listen(address.host, address.port);
 }
 
+void http_server::set_limits(http_limits const& limits)
+{
+    core_->set_limits(limits);
+}
+
 quint16 http_server::port() const
 {
     return core_->serverPort();
--- a/source/verbenacove/connection/http_server.hpp
+++ b/source/verbenacove/connection/http_server.hpp
@@ -39,6 +39,9 @@
     */
     bool listen(socket_address const& address);
 
+    /** Replaces the limits; connections keep to them from now on. */
+    void set_limits(http_limits const& limits);
+
     /** Returns the port listened at, or 0. */
     quint16 port() const;
 
--- a/source/verbenacove/core/log.cpp
+++ b/source/verbenacove/core/log.cpp
@@ -10,6 +10,12 @@
 
 #include <memory>
 
+#include <QDateTime>
+#include <QJsonDocument>
+#include <QJsonObject>
+
+#include <atomic>
+
 namespace verbenacove
 {
 
@@ -32,16 +38,46 @@
     return log4cplus::ERROR_LOG_LEVEL;
 }
 
+std::atomic<bool> is_structured{false};
+
+QString json_line(std::string const& prefix, log4cplus::LogLevel level,
+                  QString const& sentence)
+{
+    QJsonObject const line{
+        {QStringLiteral("time"), QDateTime::currentMSecsSinceEpoch()},
+        {QStringLiteral("part"), QString::fromStdString(prefix)},
+        {QStringLiteral("level"),
+         QString::fromStdString(
+             log4cplus::getLogLevelManager().toString(level))},
+        {QStringLiteral("message"), sentence}};
+    return QString::fromUtf8(
+        QJsonDocument(line).toJson(QJsonDocument::Compact));
+}
+
 void write(std::string const& prefix, log4cplus::LogLevel level,
            QString const& sentence)
 {
     auto logger = log4cplus::Logger::getInstance(prefix);
     if (logger.isEnabledFor(level))
     {
-        logger.forcedLog(level, sentence.toStdString());
+        auto const text =
+            is_structured ? json_line(prefix, level, sentence) : sentence;
+        logger.forcedLog(level, text.toStdString());
     }
 }
 
+void use_console(bool is_error_stream, char const* pattern, log_level level)
+{
+    static log4cplus::Initializer const initializer;
+    log4cplus::SharedAppenderPtr appender(
+        new log4cplus::ConsoleAppender(is_error_stream, true));
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
+    auto root = log4cplus::Logger::getRoot();
+    root.removeAllAppenders();
+    root.addAppender(appender);
+    root.setLogLevel(library_level(level));
+}
+
 void write_qt_message(QtMsgType type, QMessageLogContext const&,
                       QString const& message)
 {
@@ -80,16 +116,27 @@
 
 void start_logging(log_level level)
 {
-    static log4cplus::Initializer const initializer;
-    log4cplus::SharedAppenderPtr appender(
-        new log4cplus::ConsoleAppender(true, true));
-    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
-        "%D{%Y-%m-%dT%H:%M:%S.%q} %-5p [%c] %m%n"));
-    auto root = log4cplus::Logger::getRoot();
-    root.removeAllAppenders();
-    root.addAppender(appender);
-    root.setLogLevel(library_level(level));
+    use_console(true, "%D{%Y-%m-%dT%H:%M:%S.%q} %-5p [%c] %m%n", level);
     qInstallMessageHandler(write_qt_message);
 }
 
+void start_structured_logging(log_level level)
+{
+    use_console(false, "%m%n", level);
+    is_structured = true;
+    qInstallMessageHandler(write_qt_message);
+}
+
+bool is_logging_structured()
+{
+    return is_structured;
+}
+
+void write_structured_line(QByteArray const& line)
+{
+    static auto const logger =
+        log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("event"));
+    logger.forcedLog(log4cplus::INFO_LOG_LEVEL, line.toStdString());
+}
+
 } // namespace verbenacove
--- a/source/verbenacove/core/log.hpp
+++ b/source/verbenacove/core/log.hpp
@@ -1,6 +1,7 @@
 #ifndef VERBENACOVE_CORE_LOG_HPP
 #define VERBENACOVE_CORE_LOG_HPP
 
+#include <QByteArray>
 #include <QString>
 
 #include <string>
@@ -51,6 +52,16 @@
 */
 void start_logging(log_level level);
 
+/** Sends all parts' lines to standard output instead, each as one line of
+    JSON, and lets event_log write there. */
+void start_structured_logging(log_level level);
+
+/** Returns whether start_structured_logging was called. */
+bool is_logging_structured();
+
+/** Writes one line of JSON as it is. */
+void write_structured_line(QByteArray const& line);
+
 } // namespace verbenacove
 
 #endif
--- a/source/verbenacove/core/setting_reader.cpp
+++ b/source/verbenacove/core/setting_reader.cpp
@@ -112,6 +112,42 @@
     return *value;
 }
 
+double setting_reader::fraction(char const* section, char const* key,
+                                double fallback, double lowest, double highest)
+{
+    auto const* entry = find(section, key);
+    if (entry == nullptr)
+    {
+        return fallback;
+    }
+    bool is_number = false;
+    double const value = entry->value.toDouble(&is_number);
+    if (!is_number || !(value >= lowest && value <= highest))
+    {
+        fail(*entry, QStringLiteral("must be a number from %1 to %2")
+                         .arg(lowest)
+                         .arg(highest));
+        return fallback;
+    }
+    return value;
+}
+
+QHash<QString, QString> setting_reader::section(char const* section)
+{
+    QHash<QString, QString> result;
+    auto const wanted = QString::fromLatin1(section);
+    known_sections_.insert(wanted);
+    for (auto const& entry : document_.entries)
+    {
+        if (entry.section == wanted)
+        {
+            known_keys_.insert(place_of(wanted, entry.key));
+            result.insert(entry.key, entry.value);
+        }
+    }
+    return result;
+}
+
 socket_address setting_reader::address(char const* section, char const* key)
 {
     auto const* entry = require(section, key);
@@ -249,13 +285,14 @@
                        std::vector<std::pair<QString, qint64>> const& units)
 {
     static QRegularExpression const pattern(
-        QStringLiteral("^([0-9]{1,9}) ?([A-Za-z]+)$"));
+        QStringLiteral("^([0-9]{1,9}(?:\\.[0-9]{1,3})?) ?([A-Za-z]+)$"));
     auto const match = pattern.match(entry.value);
     for (auto const& [unit, factor] : units)
     {
         if (match.hasMatch() && match.captured(2) == unit)
         {
-            return match.captured(1).toLongLong() * factor;
+            return qRound64(match.captured(1).toDouble() *
+                            static_cast<double>(factor));
         }
     }
     return std::nullopt;
--- a/source/verbenacove/core/setting_reader.hpp
+++ b/source/verbenacove/core/setting_reader.hpp
@@ -6,6 +6,7 @@
 #include "verbenacove/core/log.hpp"
 #include "verbenacove/core/socket_address.hpp"
 
+#include <QHash>
 #include <QSet>
 
 #include <optional>
@@ -36,7 +37,15 @@
     qint64 number(char const* section, char const* key, qint64 fallback,
                   qint64 lowest, qint64 highest);
 
-    /** Returns a duration written as `250 ms`, `2 s` or `5 min`. */
+    /** Returns a number within the bounds, or the fallback. */
+    double fraction(char const* section, char const* key, double fallback,
+                    double lowest, double highest);
+
+    /** Returns all keys and values of a section whose keys are names of the
+        operator's own. */
+    QHash<QString, QString> section(char const* section);
+
+    /** Returns a duration written as `250 ms`, `2.5 s` or `5 min`. */
     milliseconds duration(char const* section, char const* key,
                           milliseconds fallback, milliseconds lowest,
                           milliseconds highest);
--- a/source/verbenacove/process/control_server.cpp
+++ b/source/verbenacove/process/control_server.cpp
@@ -54,6 +54,22 @@
     return true;
 }
 
+void control_server::add_handler(QString const& name, call_handler handle)
+{
+    handlers_.insert(name, std::move(handle));
+}
+
+void control_server::call(socket_address const& to, QCborMap request,
+                          milliseconds timeout, raft_transport::callback done)
+{
+    transport_.send(to, std::move(request), timeout, std::move(done));
+}
+
+void control_server::set_known_addresses(std::vector<socket_address> addresses)
+{
+    node_.set_known_addresses(std::move(addresses));
+}
+
 void control_server::stop(std::function<void()> stopped)
 {
     auto const deadline = clock_.now() + longest_hand_over;
@@ -76,7 +92,7 @@
 void control_server::submit_change(QCborMap const& change,
                                    raft_node::proposal_callback done)
 {
-    propose(control_state::change_command(change), std::move(done));
+    submit(control_state::change_command(change), std::move(done));
 }
 
 void control_server::confirm_current(raft_node::confirm_callback done)
@@ -109,6 +125,11 @@
         reply(node_.handle(request));
         return;
     }
+    if (auto const added = handlers_.constFind(name); added != handlers_.cend())
+    {
+        (*added)(request, reply);
+        return;
+    }
     auto const found = std::find_if(handlers.begin(), handlers.end(),
                                     [&name](named_handler const& candidate)
                                     { return candidate.name == name; });
@@ -242,8 +263,8 @@
         log_time(next_log_time()),
         abandon_command{entry_id(cbor_text(request, "entry")),
                         incarnation(cbor_number(request, "incarnation") - 1)}};
-    propose(control_state::claim_command(to_cbor(command)),
-            [](raft_node::proposal_end, QCborMap const&) {});
+    submit(control_state::claim_command(to_cbor(command)),
+           [](raft_node::proposal_end, QCborMap const&) {});
 }
 
 void control_server::handle_claim(QCborMap const& request,
@@ -256,21 +277,20 @@
         return;
     }
     parsed->at = log_time(next_log_time());
-    propose(control_state::claim_command(to_cbor(*parsed)),
-            [this, reply](raft_node::proposal_end end, QCborMap const& result)
-            {
-                if (end != raft_node::proposal_end::committed)
-                {
-                    reply(refusal());
-                    return;
-                }
-                reply({{QLatin1String("status"), QLatin1String("ok")},
-                       {QLatin1String("answer"), result}});
-            });
+    submit(control_state::claim_command(to_cbor(*parsed)),
+           [this, reply](raft_node::proposal_end end, QCborMap const& result)
+           {
+               if (end != raft_node::proposal_end::committed)
+               {
+                   reply(refusal());
+                   return;
+               }
+               reply({{QLatin1String("status"), QLatin1String("ok")},
+                      {QLatin1String("answer"), result}});
+           });
 }
 
-void control_server::propose(QCborMap command,
-                             raft_node::proposal_callback done)
+void control_server::submit(QCborMap command, raft_node::proposal_callback done)
 {
     node_.propose(std::move(command), std::move(done));
     schedule_flush();
--- a/source/verbenacove/process/control_server.hpp
+++ b/source/verbenacove/process/control_server.hpp
@@ -24,6 +24,12 @@
 class control_server
 {
 public:
+    using reply_function = rpc_server::reply_function;
+
+    /** Handles the calls of one name. */
+    using call_handler =
+        std::function<void(QCborMap const&, reply_function const&)>;
+
     /** The storage must outlive the server. */
     control_server(control_settings settings, raft_storage& storage);
     control_server(control_server const&) = delete;
@@ -39,6 +45,21 @@
         took too long. */
     void stop(std::function<void()> stopped);
 
+    /** Hands the calls of a name to another part, which must outlive the
+        server; set before `start`. */
+    void add_handler(QString const& name, call_handler handle);
+
+    /** Proposes a command of control_state.
+        @see raft_node::propose */
+    void submit(QCborMap command, raft_node::proposal_callback done);
+
+    /** Calls another replica. */
+    void call(socket_address const& to, QCborMap request, milliseconds timeout,
+              raft_transport::callback done);
+
+    /** Sets where a replica without a vote asks to be taken in. */
+    void set_known_addresses(std::vector<socket_address> addresses);
+
     /** Proposes an operator's change; the result is that of config_store.
         @see raft_node::propose */
     void submit_change(QCborMap const& change,
@@ -61,7 +82,6 @@
     QCborMap status() const;
 
 private:
-    using reply_function = rpc_server::reply_function;
     using handler = void (control_server::*)(QCborMap const&,
                                              reply_function const&);
 
@@ -73,7 +93,6 @@
     void send_report();
     void handle_grants(QCborMap const& request, reply_function const& reply);
     void abandon_former(QCborMap const& request);
-    void propose(QCborMap command, raft_node::proposal_callback done);
     void schedule_flush();
     QCborMap refusal() const;
     /** Returns the log time of a command that is proposed now: what the log
@@ -81,6 +100,7 @@
     qint64 next_log_time();
 
     control_settings settings_;
+    QHash<QString, call_handler> handlers_;
     steady_clock_source clock_;
     control_state state_;
     raft_rpc_transport transport_;
--- a/source/verbenacove/process/control_state.cpp
+++ b/source/verbenacove/process/control_state.cpp
@@ -17,6 +17,9 @@
 
 auto const change_key = QLatin1String("change");
 auto const claim_key_name = QLatin1String("claim");
+auto const route_key = QLatin1String("route");
+auto const evacuation_key = QLatin1String("evacuation");
+auto const routes_key = QLatin1String("routes");
 auto const config_key = QLatin1String("config");
 auto const claims_key = QLatin1String("claims");
 auto const holders_key = QLatin1String("holders");
@@ -34,6 +37,19 @@
     return {{claim_key_name, command}};
 }
 
+QCborMap control_state::route_command(route_change const& change)
+{
+    return {{route_key, to_cbor(change)}};
+}
+
+QCborMap control_state::evacuation_command(zone_name const& zone,
+                                           bool is_evacuated)
+{
+    return {{evacuation_key,
+             QCborMap{{QLatin1String("zone"), zone.value()},
+                      {QLatin1String("is_evacuated"), is_evacuated}}}};
+}
+
 QCborMap control_state::apply(QCborMap const& command, log_index index)
 {
     if (command.contains(change_key))
@@ -43,9 +59,32 @@
         refresh_limits();
         return result;
     }
+    if (command.contains(route_key))
+    {
+        return apply_route(command.value(route_key).toMap(), index);
+    }
+    if (command.contains(evacuation_key))
+    {
+        auto const order = command.value(evacuation_key).toMap();
+        return to_cbor(routes_.evacuate(zone_name(cbor_text(order, "zone")),
+                                        cbor_flag(order, "is_evacuated")));
+    }
     return apply_claim(command, index);
 }
 
+QCborMap control_state::apply_route(QCborMap const& change, log_index index)
+{
+    auto const parsed = parse_route_change(change);
+    if (!parsed)
+    {
+        // Checked before it was proposed, so every replica ends here alike.
+        state_log.error(QStringLiteral("Entry %1 of the log is no change.")
+                            .arg(index.value()));
+        return {};
+    }
+    return to_cbor(routes_.apply(*parsed));
+}
+
 QCborMap control_state::apply_claim(QCborMap const& command, log_index index)
 {
     auto const parsed =
@@ -112,6 +151,7 @@
     }
     QCborMap const state{{config_key, config_.snapshot()},
                          {claims_key, claims_.snapshot()},
+                         {routes_key, routes_.snapshot()},
                          {holders_key, holders},
                          {caps_key, caps}};
     return state.toCborValue().toCbor();
@@ -131,6 +171,14 @@
     {
         return false;
     }
+    // Snapshots from before there were routes hold none.
+    route_store routes;
+    if (map.contains(routes_key) &&
+        !routes.restore(map.value(routes_key).toMap()))
+    {
+        return false;
+    }
+    routes_ = std::move(routes);
     config_ = std::move(*config);
     claims_ = std::move(*claims);
     holders_.clear();
--- a/source/verbenacove/process/control_state.hpp
+++ b/source/verbenacove/process/control_state.hpp
@@ -6,6 +6,7 @@
 #include "verbenacove/version/claim_table.hpp"
 #include "verbenacove/version/config_store.hpp"
 #include "verbenacove/version/config_view.hpp"
+#include "verbenacove/version/route_store.hpp"
 
 #include <map>
 #include <vector>
@@ -13,7 +14,8 @@
 namespace verbenacove
 {
 
-/** All that the control replicas agree on: the configuration and the claims.
+/** All that the control replicas agree on: the configuration, the routes, the
+    evacuated zones and the claims.
 
     @see raft_node
 */
@@ -26,12 +28,21 @@
     /** Returns the log command of a claim or what follows on one. */
     static QCborMap claim_command(QCborMap const& command);
 
+    /** Returns the log command of a change of the routes; applying it gives
+        an order_result. */
+    static QCborMap route_command(route_change const& change);
+
+    /** Returns the log command that evacuates a zone, or ends that. */
+    static QCborMap evacuation_command(zone_name const& zone,
+                                       bool is_evacuated);
+
     QCborMap apply(QCborMap const& command, log_index index) override;
     QByteArray snapshot() const override;
     bool restore(QByteArray const& state) override;
 
     config_store const& config() const { return config_; }
     claim_table const& claims() const { return claims_; }
+    route_store const& routes() const { return routes_; }
 
     /** Returns the entries that have ever been here, oldest first; each may
         hold floors of limits. At most `maximum_holders`. */
@@ -49,11 +60,13 @@
 
 private:
     QCborMap apply_claim(QCborMap const& command, log_index index);
+    QCborMap apply_route(QCborMap const& change, log_index index);
     void note_holder(entry_id const& entry);
     void refresh_limits();
 
     config_store config_;
     claim_table claims_;
+    route_store routes_;
     std::vector<entry_id> holders_;
     /** Of all resources that ever had a limit. */
     std::map<resource_name, qint64> highest_caps_;
--- a/source/verbenacove/process/daemon_runner.hpp
+++ b/source/verbenacove/process/daemon_runner.hpp
@@ -3,7 +3,7 @@
 
 #include "verbenacove/core/log.hpp"
 #include "verbenacove/process/daemon_command_line.hpp"
-#include "verbenacove/process/shutdown_signal.hpp"
+#include "verbenacove/process/process_signal.hpp"
 
 #include <QCoreApplication>
 
@@ -27,7 +27,8 @@
     QCoreApplication application(argc, argv);
     start_logging(settings.log);
     Process process(settings);
-    shutdown_signal const signal(
+    process_signal const signal(
+        {SIGTERM, SIGINT},
         [&]
         {
             main_log.info(QStringLiteral("Asked to stop."));
--- /dev/null
+++ b/source/verbenacove/process/discovery/discovery_board.cpp
@@ -0,0 +1,328 @@
+#include "verbenacove/process/discovery/discovery_board.hpp"
+
+#include "verbenacove/core/cbor.hpp"
+
+#include <limits>
+#include <utility>
+
+namespace verbenacove
+{
+
+namespace
+{
+
+/** Upstreams send a heartbeat every 1.5 s and may need two tries for one. */
+constexpr presence_times upstream_times{milliseconds(5500),
+                                        milliseconds(180000)};
+/** Entries and replicas ask for news at least once a second. */
+constexpr presence_times process_times{milliseconds(3000), milliseconds(60000)};
+/** Only the board that judges notes silence. */
+constexpr presence_times judged_times{
+    milliseconds(std::chrono::hours(24 * 365)), milliseconds(180000)};
+/** What a newly read board has not named by then, it does not know. */
+constexpr milliseconds naming_time{8000};
+
+presence_times times_of(silence_judge judge, presence_times own)
+{
+    return judge == silence_judge::self ? own : judged_times;
+}
+
+template <class Content>
+QCborArray changes_to_cbor(presence_table<Content> const& table,
+                           qint64 revision, monotonic_time now)
+{
+    QCborArray result;
+    for (auto const& record : table.changes_since(revision))
+    {
+        result.append(to_cbor(record, now));
+    }
+    return result;
+}
+
+template <class Content>
+QCborArray beats_to_cbor(presence_table<Content> const& table, qint64 beat,
+                         monotonic_time now)
+{
+    QCborArray result;
+    for (auto const& record : table.beats_since(beat))
+    {
+        result.append(QCborArray{record.id, record.started.value(),
+                                 record.sequence,
+                                 qint64{elapsed(record.heard, now).count()}});
+    }
+    return result;
+}
+
+void add(QCborMap& news, char const* key, QCborArray const& items)
+{
+    if (!items.isEmpty())
+    {
+        news[QLatin1String(key)] = items;
+    }
+}
+
+template <class Content>
+void tell(std::vector<presence_record<Content>> const& records,
+          std::function<void(presence_record<Content> const&)> const& call)
+{
+    for (auto const& record : records)
+    {
+        call(record);
+    }
+}
+
+template <class Content>
+void merge_beats_of(
+    presence_table<Content>& table, QCborArray const& beats, monotonic_time now,
+    std::function<void(presence_record<Content> const&)> const& call)
+{
+    for (auto const& item : beats)
+    {
+        auto const beat = item.toArray();
+        auto const* known = table.find(beat.at(0).toString());
+        if (!known || known->started.value() != beat.at(1).toInteger())
+        {
+            continue;
+        }
+        auto news = *known;
+        news.sequence = beat.at(2).toInteger();
+        news.heard =
+            now - milliseconds(std::max(qint64{0}, beat.at(3).toInteger()));
+        auto const change =
+            table.merge(std::move(news), presence_origin::relayed, now);
+        if (change == presence_change::changed)
+        {
+            call(*table.find(beat.at(0).toString()));
+        }
+    }
+}
+
+template <class Content>
+void merge_all(presence_table<Content>& table, QCborArray const& items,
+               presence_origin origin, qint64 source, monotonic_time now,
+               std::function<void(presence_record<Content> const&)> const& call)
+{
+    for (auto const& item : items)
+    {
+        presence_record<Content> record;
+        if (!from_cbor(item.toMap(), now, record))
+        {
+            continue;
+        }
+        record.source = source;
+        auto const id = record.id;
+        auto const change = table.merge(std::move(record), origin, now);
+        if (change == presence_change::changed)
+        {
+            call(*table.find(id));
+        }
+    }
+}
+
+} // namespace
+
+QCborMap to_cbor(board_position const& position)
+{
+    return {{QLatin1String("stream"), position.stream},
+            {QLatin1String("u"), position.upstreams},
+            {QLatin1String("e"), position.entries},
+            {QLatin1String("r"), position.replicas},
+            {QLatin1String("ub"), position.upstream_beats},
+            {QLatin1String("eb"), position.entry_beats},
+            {QLatin1String("rb"), position.replica_beats}};
+}
+
+board_position parse_board_position(QCborMap const& map)
+{
+    return {cbor_number(map, "stream"), cbor_number(map, "u"),
+            cbor_number(map, "e"),      cbor_number(map, "r"),
+            cbor_number(map, "ub"),     cbor_number(map, "eb"),
+            cbor_number(map, "rb")};
+}
+
+discovery_board::discovery_board(qint64 stream, silence_judge judge,
+                                 clock_source const& clock, listener calls)
+    : stream_(stream)
+    , judge_(judge)
+    , clock_(clock)
+    , calls_(std::move(calls))
+    , upstreams_(times_of(judge, upstream_times))
+    , entries_(times_of(judge, process_times))
+    , replicas_(times_of(judge, process_times))
+{
+}
+
+presence_change discovery_board::take(upstream_presence news)
+{
+    return take_upstream(std::move(news), presence_origin::direct);
+}
+
+presence_change discovery_board::take_relayed(upstream_presence news)
+{
+    return take_upstream(std::move(news), presence_origin::relayed);
+}
+
+presence_change discovery_board::take_upstream(upstream_presence news,
+                                               presence_origin origin)
+{
+    if (!retire_address(news))
+    {
+        return presence_change::ignored;
+    }
+    auto const id = news.id;
+    auto const change = upstreams_.merge(std::move(news), origin, clock_.now());
+    if (change == presence_change::changed)
+    {
+        calls_.upstream(*upstreams_.find(id));
+    }
+    return change;
+}
+
+// One address is one process's: the later start has ended the earlier one.
+bool discovery_board::retire_address(upstream_presence const& news)
+{
+    std::vector<QString> ended;
+    for (auto const& known : upstreams_.records())
+    {
+        bool const is_other = known.id != news.id &&
+                              known.phase != presence_phase::gone &&
+                              known.content.address == news.content.address;
+        if (is_other && known.started > news.started)
+        {
+            return false;
+        }
+        if (is_other && news.phase != presence_phase::gone)
+        {
+            ended.push_back(known.id);
+        }
+    }
+    for (auto const& id : ended)
+    {
+        end_upstream(upstream_id(id));
+    }
+    return true;
+}
+
+presence_change discovery_board::end_upstream(upstream_id const& id)
+{
+    auto const change = upstreams_.end(id.value());
+    if (change == presence_change::changed)
+    {
+        calls_.upstream(*upstreams_.find(id.value()));
+    }
+    return change;
+}
+
+presence_change discovery_board::take(entry_presence news)
+{
+    auto const id = news.id;
+    auto const change =
+        entries_.merge(std::move(news), presence_origin::direct, clock_.now());
+    if (change == presence_change::changed)
+    {
+        calls_.entry(*entries_.find(id));
+    }
+    return change;
+}
+
+presence_change discovery_board::take(replica_presence news)
+{
+    auto const id = news.id;
+    auto const change =
+        replicas_.merge(std::move(news), presence_origin::direct, clock_.now());
+    if (change == presence_change::changed)
+    {
+        calls_.replica(*replicas_.find(id));
+    }
+    return change;
+}
+
+QCborMap discovery_board::news_since(board_position const& position,
+                                     bool with_beats) const
+{
+    auto const now = clock_.now();
+    auto const from = position.stream == stream_ ? position : board_position{};
+    QCborMap news{{QLatin1String("next"),
+                   to_cbor(board_position{
+                       stream_, upstreams_.revision(), entries_.revision(),
+                       replicas_.revision(), upstreams_.beats(),
+                       entries_.beats(), replicas_.beats()})}};
+    add(news, "upstreams", changes_to_cbor(upstreams_, from.upstreams, now));
+    add(news, "entries", changes_to_cbor(entries_, from.entries, now));
+    add(news, "replicas", changes_to_cbor(replicas_, from.replicas, now));
+    if (with_beats)
+    {
+        add(news, "upstream_beats",
+            beats_to_cbor(upstreams_, from.upstream_beats, now));
+        add(news, "entry_beats",
+            beats_to_cbor(entries_, from.entry_beats, now));
+        add(news, "replica_beats",
+            beats_to_cbor(replicas_, from.replica_beats, now));
+    }
+    return news;
+}
+
+bool discovery_board::has_news(board_position const& position) const
+{
+    return position.stream != stream_ ||
+           position.upstreams < upstreams_.revision() ||
+           position.entries < entries_.revision() ||
+           position.replicas < replicas_.revision();
+}
+
+board_position discovery_board::merge(QCborMap const& news)
+{
+    auto const now = clock_.now();
+    auto const origin = judge_ == silence_judge::self ? presence_origin::relayed
+                                                      : presence_origin::judged;
+    auto const next = parse_board_position(cbor_map(news, "next"));
+    if (next.stream != source_)
+    {
+        source_ = next.stream;
+        source_since_ = now;
+    }
+    for (auto const& item : cbor_array(news, "upstreams"))
+    {
+        upstream_presence record;
+        if (from_cbor(item.toMap(), now, record))
+        {
+            record.source = source_;
+            take_upstream(std::move(record), origin);
+        }
+    }
+    merge_all(entries_, cbor_array(news, "entries"), origin, source_, now,
+              calls_.entry);
+    merge_all(replicas_, cbor_array(news, "replicas"), origin, source_, now,
+              calls_.replica);
+    merge_beats(news);
+    return next;
+}
+
+void discovery_board::merge_beats(QCborMap const& news)
+{
+    auto const now = clock_.now();
+    merge_beats_of(upstreams_, cbor_array(news, "upstream_beats"), now,
+                   calls_.upstream);
+    merge_beats_of(entries_, cbor_array(news, "entry_beats"), now,
+                   calls_.entry);
+    merge_beats_of(replicas_, cbor_array(news, "replica_beats"), now,
+                   calls_.replica);
+}
+
+void discovery_board::expire()
+{
+    auto const now = clock_.now();
+    bool const is_named = judge_ == silence_judge::source && source_ != 0 &&
+                          elapsed(source_since_, now) > naming_time;
+    if (is_named)
+    {
+        tell(upstreams_.silence_all_but(source_), calls_.upstream);
+        tell(entries_.silence_all_but(source_), calls_.entry);
+        tell(replicas_.silence_all_but(source_), calls_.replica);
+    }
+    tell(upstreams_.expire(now), calls_.upstream);
+    tell(entries_.expire(now), calls_.entry);
+    tell(replicas_.expire(now), calls_.replica);
+}
+
+} // namespace verbenacove
--- /dev/null
+++ b/source/verbenacove/process/discovery/discovery_service.cpp
@@ -0,0 +1,431 @@
+#include "verbenacove/process/discovery/discovery_service.hpp"
+
+#include "verbenacove/core/cbor.hpp"
+#include "verbenacove/core/event_log.hpp"
+
+#include <QDateTime>
+#include <QRandomGenerator>
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace verbenacove
+{
+
+namespace
+{
+
+event_log const discovery_log{"discovery"};
+
+constexpr milliseconds tick_interval{100};
+/** How often a replica tells that it is alive. */
+constexpr milliseconds beat_interval{1000};
+/** How long a reader without news waits for some. */
+constexpr milliseconds longest_hold{1000};
+/** Changes that come together are told together. */
+constexpr milliseconds answer_delay{5};
+/** How long another replica may take beyond the hold. */
+constexpr milliseconds read_margin{600};
+constexpr milliseconds retry_interval{300};
+/** An upstream waits 1 s for its acknowledgement. */
+constexpr milliseconds push_timeout{800};
+/** A replica that has read no other one by then may be the only one. */
+constexpr milliseconds lonely_after{2500};
+/** How long a source that is not known as a replica any more is read. */
+constexpr milliseconds source_memory{60000};
+constexpr qsizetype maximum_sources = 64;
+
+qint64 new_stream()
+{
+    return static_cast<qint64>(QRandomGenerator::system()->generate64() >> 1);
+}
+
+} // namespace
+
+discovery_service::discovery_service(discovery_settings settings,
+                                     control_server& server)
+    : settings_(std::move(settings))
+    , server_(server)
+    , board_(new_stream(), silence_judge::self, clock_,
+             {[this](upstream_presence const& record)
+              { note_upstream(record); },
+              [this](entry_presence const& record) { note_entry(record); },
+              [this](replica_presence const& record)
+              {
+                  note_replica(record);
+              }})
+    , started_(QDateTime::currentMSecsSinceEpoch())
+    , created_(clock_.now())
+{
+    server_.add_handler(
+        QStringLiteral("news"),
+        [this](QCborMap const& request, reply_function const& reply)
+        { handle_news(request, reply); });
+    server_.add_handler(
+        QStringLiteral("push"),
+        [this](QCborMap const& request, reply_function const& reply)
+        { handle_push(request, reply); });
+}
+
+void discovery_service::start()
+{
+    beat();
+    add_sources();
+    tick_ = timers_.call_every(tick_interval, [this] { act(); });
+    act();
+}
+
+void discovery_service::take_heartbeat(upstream_presence news,
+                                       acknowledge_callback done)
+{
+    auto const id = news.id;
+    bool const leaves = news.phase != presence_phase::serving;
+    board_.take(std::move(news));
+    auto const* known = board_.upstreams().find(id);
+    if (leaves && known != nullptr)
+    {
+        push(*known, std::move(done));
+        return;
+    }
+    done(true);
+}
+
+void discovery_service::take_leave(upstream_id const& id,
+                                   acknowledge_callback done)
+{
+    board_.end_upstream(id);
+    auto const* known = board_.upstreams().find(id.value());
+    upstream_presence unknown;
+    unknown.id = id.value();
+    unknown.phase = presence_phase::gone;
+    push(known != nullptr ? *known : unknown, std::move(done));
+}
+
+bool discovery_service::is_current() const
+{
+    if (!server_.node().is_current())
+    {
+        return false;
+    }
+    auto const now = clock_.now();
+    for (auto const& from : sources_)
+    {
+        if (from->position.stream != 0)
+        {
+            return true;
+        }
+    }
+    return elapsed(created_, now) > lonely_after;
+}
+
+// Readers.
+
+void discovery_service::handle_news(QCborMap const& request,
+                                    reply_function const& reply)
+{
+    auto const now = clock_.now();
+    entry_presence entry;
+    replica_presence replica;
+    auto const self = cbor_map(request, "self");
+    bool const is_replica = cbor_flag(request, "replica");
+    if (is_replica && from_cbor(self, now, replica))
+    {
+        board_.take(std::move(replica));
+    }
+    else if (!is_replica && from_cbor(self, now, entry))
+    {
+        board_.take(std::move(entry));
+    }
+    auto const hold = std::clamp(milliseconds(cbor_number(request, "hold")),
+                                 milliseconds(0), longest_hold);
+    waiting_reader const reader{
+        request, parse_board_position(cbor_map(request, "position")),
+        now + hold, reply};
+    if (has_answer(reader) || waiting_.size() >= maximum_waiting)
+    {
+        answer(reader);
+        return;
+    }
+    waiting_.push_back(reader);
+}
+
+bool discovery_service::has_answer(waiting_reader const& reader) const
+{
+    bool const has_older_routes = cbor_number(reader.request, "routes", -1) <
+                                  server_.state().routes().revision();
+    // An entry that reads a replica which lost its leader goes elsewhere.
+    bool const is_standing_new =
+        !cbor_flag(reader.request, "replica") &&
+        cbor_flag(reader.request, "current") != is_current();
+    return board_.has_news(reader.position) ||
+           (has_older_routes && is_current()) || is_standing_new ||
+           clock_.now() >= reader.until;
+}
+
+void discovery_service::answer(waiting_reader const& reader)
+{
+    bool const is_replica = cbor_flag(reader.request, "replica");
+    auto news = board_.news_since(reader.position, is_replica);
+    news[QLatin1String("status")] = QLatin1String("ok");
+    news[QLatin1String("current")] = is_current();
+    auto const& routes = server_.state().routes();
+    bool const has_older_routes =
+        cbor_number(reader.request, "routes", -1) < routes.revision();
+    if (!is_replica && has_older_routes && is_current())
+    {
+        QCborArray evacuated;
+        for (auto const& zone : routes.evacuated())
+        {
+            evacuated.append(zone.value());
+        }
+        news[QLatin1String("routes")] =
+            to_cbor(*routes.current(), route_detail::effective);
+        news[QLatin1String("routes_revision")] = routes.revision();
+        news[QLatin1String("evacuated")] = evacuated;
+    }
+    reader.reply(news);
+}
+
+void discovery_service::answer_waiting()
+{
+    is_answer_due_ = false;
+    std::vector<waiting_reader> ready;
+    std::erase_if(waiting_,
+                  [&](waiting_reader& reader)
+                  {
+                      if (!has_answer(reader))
+                      {
+                          return false;
+                      }
+                      ready.push_back(std::move(reader));
+                      return true;
+                  });
+    for (auto const& reader : ready)
+    {
+        answer(reader);
+    }
+}
+
+void discovery_service::answer_soon()
+{
+    if (is_answer_due_)
+    {
+        return;
+    }
+    is_answer_due_ = true;
+    answer_timer_ =
+        timers_.call_after(answer_delay, [this] { answer_waiting(); });
+}
+
+// Other replicas.
+
+void discovery_service::act()
+{
+    auto const now = clock_.now();
+    if (elapsed(last_beat_, now) >= beat_interval)
+    {
+        beat();
+    }
+    board_.expire();
+    add_sources();
+    for (auto item = sources_.begin(); item != sources_.end(); ++item)
+    {
+        read(item.key(), **item);
+    }
+    answer_waiting();
+}
+
+void discovery_service::beat()
+{
+    last_beat_ = clock_.now();
+    replica_presence self;
+    self.id = settings_.self.address.text();
+    self.started = started_;
+    self.sequence = ++beats_;
+    self.phase = presence_phase::serving;
+    self.content = settings_.self;
+    self.heard = last_beat_;
+    board_.take(std::move(self));
+}
+
+void discovery_service::add_sources()
+{
+    std::vector<socket_address> addresses = settings_.seeds;
+    for (auto const& replica : board_.replicas().records())
+    {
+        if (replica.phase == presence_phase::serving)
+        {
+            addresses.push_back(replica.content.address);
+        }
+    }
+    for (auto const& address : addresses)
+    {
+        bool const is_new = address != settings_.self.address &&
+                            !sources_.contains(address) &&
+                            sources_.size() < maximum_sources;
+        if (is_new)
+        {
+            auto added = std::make_shared<source>();
+            added->client = std::make_unique<rpc_client>(address);
+            added->heard = clock_.now();
+            sources_.insert(address, added);
+        }
+    }
+    sources_.removeIf(
+        [this, &addresses](auto const& item)
+        {
+            bool const is_known = std::find(addresses.begin(), addresses.end(),
+                                            item.key()) != addresses.end();
+            return !is_known && !item.value()->is_reading &&
+                   elapsed(item.value()->heard, clock_.now()) > source_memory;
+        });
+    server_.set_known_addresses(std::move(addresses));
+}
+
+void discovery_service::read(socket_address const& address, source& from)
+{
+    auto const now = clock_.now();
+    if (from.is_reading || now < from.next_read)
+    {
+        return;
+    }
+    from.is_reading = true;
+    auto const* self = board_.replicas().find(settings_.self.address.text());
+    QCborMap request{
+        {QLatin1String("m"), QLatin1String("news")},
+        {QLatin1String("replica"), true},
+        {QLatin1String("routes"), std::numeric_limits<qint64>::max()},
+        {QLatin1String("hold"), qint64{longest_hold.count()}},
+        {QLatin1String("position"), to_cbor(from.position)},
+        {QLatin1String("self"), to_cbor(*self, now)}};
+    from.client->call(std::move(request), longest_hold + read_margin,
+                      [this, address](std::optional<QCborMap> const& reply)
+                      { take_news(address, reply); });
+}
+
+void discovery_service::take_news(socket_address const& address,
+                                  std::optional<QCborMap> const& reply)
+{
+    auto const found = sources_.constFind(address);
+    if (found == sources_.cend())
+    {
+        return;
+    }
+    auto const from = *found;
+    auto const now = clock_.now();
+    from->is_reading = false;
+    if (!reply || cbor_text(*reply, "status") != QLatin1String("ok"))
+    {
+        from->next_read = now + retry_interval;
+        return;
+    }
+    from->heard = now;
+    from->position = board_.merge(*reply);
+    read(address, *from);
+}
+
+// Acknowledgements.
+
+void discovery_service::handle_push(QCborMap const& request,
+                                    reply_function const& reply)
+{
+    auto const now = clock_.now();
+    upstream_presence record;
+    if (!from_cbor(cbor_map(request, "upstream"), now, record))
+    {
+        reply({{QLatin1String("status"), QLatin1String("malformed")}});
+        return;
+    }
+    upstream_id const id(record.id);
+    if (record.started.value() == 0 && record.phase == presence_phase::gone)
+    {
+        board_.end_upstream(id);
+    }
+    else
+    {
+        board_.take_relayed(std::move(record));
+    }
+    reply({{QLatin1String("status"), QLatin1String("ok")}});
+}
+
+void discovery_service::push(upstream_presence const& record,
+                             acknowledge_callback done)
+{
+    struct round
+    {
+        std::size_t needed = 0;
+        std::size_t open = 0;
+        acknowledge_callback done;
+    };
+    auto const members = server_.node().members();
+    auto const count = std::make_shared<round>();
+    count->done = std::move(done);
+    count->needed = members.size() / 2 + 1;
+    if (members.empty())
+    {
+        count->done(false);
+        return;
+    }
+    auto const settle = [this, count, id = record.id](bool is_ok)
+    {
+        --count->open;
+        count->needed -= is_ok && count->needed > 0 ? 1 : 0;
+        if (!count->done || (count->needed > 0 && count->open > 0))
+        {
+            return;
+        }
+        bool const is_known = count->needed == 0;
+        discovery_log.note("upstream.acknowledged",
+                           {{"upstream", id}, {"majority", is_known}});
+        std::exchange(count->done, nullptr)(is_known);
+    };
+    count->open = members.size();
+    QCborMap const request{
+        {QLatin1String("m"), QLatin1String("push")},
+        {QLatin1String("upstream"), to_cbor(record, clock_.now())}};
+    for (auto const& member : members)
+    {
+        if (member.address == settings_.self.address)
+        {
+            settle(true);
+            continue;
+        }
+        server_.call(member.address, request, push_timeout,
+                     [settle](std::optional<QCborMap> const& reply) {
+                         settle(reply && cbor_text(*reply, "status") ==
+                                             QLatin1String("ok"));
+                     });
+    }
+}
+
+// Logs.
+
+void discovery_service::note_upstream(upstream_presence const& record)
+{
+    discovery_log.note("upstream.changed",
+                       {{"upstream", record.id},
+                        {"service", record.content.service.value()},
+                        {"phase", phase_word(record.phase)},
+                        {"silent", record.is_silent},
+                        {"started", record.started.value()},
+                        {"sequence", record.sequence}});
+    answer_soon();
+}
+
+void discovery_service::note_entry(entry_presence const& record)
+{
+    discovery_log.note("entry.changed", {{"entry", record.id},
+                                         {"phase", phase_word(record.phase)},
+                                         {"silent", record.is_silent}});
+    answer_soon();
+}
+
+void discovery_service::note_replica(replica_presence const& record)
+{
+    discovery_log.note("replica.changed",
+                       {{"replica", record.id}, {"silent", record.is_silent}});
+    answer_soon();
+}
+
+} // namespace verbenacove
--- /dev/null
+++ b/source/verbenacove/process/discovery/presence_content.cpp
@@ -0,0 +1,156 @@
+#include "verbenacove/process/discovery/presence_content.hpp"
+
+#include "verbenacove/core/cbor.hpp"
+
+#include <array>
+
+namespace verbenacove
+{
+
+namespace
+{
+
+/** Readings of the same cold time differ by the delay of its messages. */
+constexpr milliseconds cold_tolerance{400};
+
+constexpr auto last_phase = static_cast<qint64>(presence_phase::gone);
+
+template <class Content>
+QCborMap header_to_cbor(presence_record<Content> const& record,
+                        monotonic_time now)
+{
+    return {{QLatin1String("id"), record.id},
+            {QLatin1String("started"), record.started.value()},
+            {QLatin1String("seq"), record.sequence},
+            {QLatin1String("phase"), static_cast<int>(record.phase)},
+            {QLatin1String("silent"), record.is_silent},
+            {QLatin1String("age"), qint64{elapsed(record.heard, now).count()}}};
+}
+
+template <class Content>
+bool header_from_cbor(QCborMap const& map, monotonic_time now,
+                      presence_record<Content>& record)
+{
+    auto const phase = cbor_number(map, "phase", -1);
+    record.id = cbor_text(map, "id");
+    if (record.id.isEmpty() || phase < 0 || phase > last_phase)
+    {
+        return false;
+    }
+    record.started = incarnation(cbor_number(map, "started"));
+    record.sequence = cbor_number(map, "seq");
+    record.phase = static_cast<presence_phase>(phase);
+    record.is_silent = cbor_flag(map, "silent");
+    auto const age = std::max(qint64{0}, cbor_number(map, "age"));
+    record.heard = now - milliseconds(age);
+    return true;
+}
+
+bool read_address(QCborMap const& map, socket_address& address)
+{
+    auto const parsed = parse_socket_address(cbor_text(map, "address"));
+    address = parsed.value_or(socket_address{});
+    return parsed.has_value();
+}
+
+// Entries and replicas say the same of their place.
+template <class Content>
+QCborMap placed_to_cbor(presence_record<Content> const& record,
+                        monotonic_time now)
+{
+    auto result = header_to_cbor(record, now);
+    result[QLatin1String("address")] = record.content.address.text();
+    result[QLatin1String("zone")] = record.content.zone.value();
+    result[QLatin1String("region")] = record.content.region.value();
+    return result;
+}
+
+template <class Content>
+bool placed_from_cbor(QCborMap const& map, monotonic_time now,
+                      presence_record<Content>& record)
+{
+    record.content.zone = zone_name(cbor_text(map, "zone"));
+    record.content.region = region_name(cbor_text(map, "region"));
+    return header_from_cbor(map, now, record) &&
+           read_address(map, record.content.address);
+}
+
+} // namespace
+
+bool upstream_content::is_same(upstream_content const& other) const
+{
+    auto const difference = cold_until > other.cold_until
+                                ? elapsed(other.cold_until, cold_until)
+                                : elapsed(cold_until, other.cold_until);
+    return service == other.service && address == other.address &&
+           zone == other.zone && slots == other.slots &&
+           difference < cold_tolerance;
+}
+
+bool entry_content::is_same(entry_content const& other) const
+{
+    return address == other.address && zone == other.zone &&
+           region == other.region;
+}
+
+bool replica_content::is_same(replica_content const& other) const
+{
+    return address == other.address && zone == other.zone &&
+           region == other.region;
+}
+
+QCborMap to_cbor(upstream_presence const& record, monotonic_time now)
+{
+    auto result = header_to_cbor(record, now);
+    auto const& content = record.content;
+    auto const cold =
+        std::max(milliseconds(0), elapsed(now, content.cold_until));
+    result[QLatin1String("service")] = content.service.value();
+    result[QLatin1String("address")] = content.address.text();
+    result[QLatin1String("zone")] = content.zone.value();
+    result[QLatin1String("slots")] = content.slots.value();
+    result[QLatin1String("cold")] = qint64{cold.count()};
+    return result;
+}
+
+QCborMap to_cbor(entry_presence const& record, monotonic_time now)
+{
+    return placed_to_cbor(record, now);
+}
+
+QCborMap to_cbor(replica_presence const& record, monotonic_time now)
+{
+    return placed_to_cbor(record, now);
+}
+
+bool from_cbor(QCborMap const& map, monotonic_time now,
+               upstream_presence& record)
+{
+    auto& content = record.content;
+    content.service = service_name(cbor_text(map, "service"));
+    content.zone = zone_name(cbor_text(map, "zone"));
+    content.slots = slot_count(static_cast<int>(cbor_number(map, "slots")));
+    content.cold_until = now + milliseconds(cbor_number(map, "cold"));
+    return header_from_cbor(map, now, record) &&
+           read_address(map, content.address);
+}
+
+bool from_cbor(QCborMap const& map, monotonic_time now, entry_presence& record)
+{
+    return placed_from_cbor(map, now, record);
+}
+
+bool from_cbor(QCborMap const& map, monotonic_time now,
+               replica_presence& record)
+{
+    return placed_from_cbor(map, now, record);
+}
+
+QString phase_word(presence_phase phase)
+{
+    static std::array<char const*, 4> const words{"starting", "serving",
+                                                  "draining", "gone"};
+    return QString::fromLatin1(words.at(static_cast<std::size_t>(phase)));
+}
+
+} // namespace verbenacove
--- /dev/null
+++ b/source/verbenacove/process/discovery/presence_table.hpp
@@ -0,0 +1,304 @@
+#ifndef VERBENACOVE_PROCESS_DISCOVERY_PRESENCE_TABLE_HPP
+#define VERBENACOVE_PROCESS_DISCOVERY_PRESENCE_TABLE_HPP
+
+#include "verbenacove/core/clock.hpp"
+#include "verbenacove/core/ids.hpp"
+
+#include <QHash>
+#include <QString>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace verbenacove
+{
+
+/** How far a process has come in its life; within one incarnation it only
+    moves forward. */
+enum class presence_phase
+{
+    starting,
+    serving,
+    draining,
+    gone
+};
+
+/** What is known of one process that reports itself by heartbeats.
+
+    @tparam Content  what the process says of itself; has `is_same`
+*/
+template <class Content>
+struct presence_record
+{
+    QString id;
+    /** Which start of the process; a later one replaces an earlier one. */
+    incarnation started;
+    /** Counts the heartbeats of one incarnation. */
+    qint64 sequence = 0;
+    presence_phase phase = presence_phase::starting;
+    Content content;
+    /** When the newest heartbeat came, on the own clock. */
+    monotonic_time heard;
+    /** Whether heartbeats have stopped. */
+    bool is_silent = false;
+    /** The table's revision at the last change that others must hear of. */
+    qint64 revision = 0;
+    /** The table's count of heartbeats taken directly, at the last of them; 0
+        when all came through others. */
+    qint64 beat = 0;
+    /** The stream of the board that named it last; 0 when none did. */
+    qint64 source = 0;
+};
+
+/** What a piece of news did to a presence_table. */
+enum class presence_change
+{
+    /** It was old, or of a process that has ended. */
+    ignored,
+    /** The process is as it was, and alive. */
+    refreshed,
+    /** Others must hear of it. */
+    changed
+};
+
+/** Where a piece of news came from. */
+enum class presence_origin
+{
+    /** The process itself. */
+    direct,
+    /** Somebody who heard the process itself. */
+    relayed,
+    /** Somebody who also judges whether the process is silent. */
+    judged
+};
+
+/** The times of a presence_table. */
+struct presence_times
+{
+    /** A process is silent after so long without a heartbeat. */
+    milliseconds silent_after{5000};
+    /** How long a process that is gone or silent is remembered, so that a late
+        heartbeat of it is recognised. */
+    milliseconds forgotten_after{120000};
+};
+
+/** The processes of one kind, by their heartbeats.
+
+    News may come late, doubled and in any order: an earlier incarnation or
+    sequence never replaces a later one. Each change gets the next revision,
+    so that readers can ask for what came after the one they know. The size is
+    bounded; news of further processes are ignored.
+*/
+template <class Content>
+class presence_table
+{
+public:
+    using record = presence_record<Content>;
+
+    /** The most processes that are remembered. */
+    static constexpr qsizetype maximum_records = 20000;
+
+    explicit presence_table(presence_times times)
+        : times_(times)
+    {
+    }
+
+    /** Takes in news of a process; `revision` and `beat` of it are ignored. */
+    presence_change merge(record news, presence_origin origin,
+                          monotonic_time now)
+    {
+        auto const found = records_.find(news.id);
+        if (found == records_.end())
+        {
+            return add(std::move(news), origin);
+        }
+        auto& known = *found;
+        known.source = news.source;
+        if (news.started < known.started)
+        {
+            return presence_change::ignored;
+        }
+        if (known.started < news.started)
+        {
+            news.beat = 0;
+            known = std::move(news);
+            return touch(known, origin);
+        }
+        return merge_same_start(known, std::move(news), origin, now);
+    }
+
+    /** Marks a process as gone; does nothing when it is not known. */
+    presence_change end(QString const& id)
+    {
+        auto const found = records_.find(id);
+        if (found == records_.end() || found->phase == presence_phase::gone)
+        {
+            return presence_change::ignored;
+        }
+        found->phase = presence_phase::gone;
+        found->revision = ++revision_;
+        return presence_change::changed;
+    }
+
+    /** Judges who is silent by now, and forgets what is old.
+
+        @return the records that fell silent
+    */
+    std::vector<record> expire(monotonic_time now)
+    {
+        std::vector<record> result;
+        for (auto& each : records_)
+        {
+            bool const falls_silent =
+                elapsed(each.heard, now) > times_.silent_after;
+            if (falls_silent && silence(each))
+            {
+                result.push_back(each);
+            }
+        }
+        records_.removeIf([this, now](auto const& item)
+                          { return is_old(item.value(), now); });
+        return result;
+    }
+
+    /** Takes those for silent that no news of this source have named.
+
+        @return the records that fell silent
+    */
+    std::vector<record> silence_all_but(qint64 source)
+    {
+        std::vector<record> result;
+        for (auto& each : records_)
+        {
+            if (each.source != source && silence(each))
+            {
+                result.push_back(each);
+            }
+        }
+        return result;
+    }
+
+    /** Returns a record, or nothing. */
+    record const* find(QString const& id) const
+    {
+        auto const found = records_.find(id);
+        return found == records_.end() ? nullptr : &*found;
+    }
+
+    /** Returns the records that changed after a revision, oldest change
+        first. */
+    std::vector<record> changes_since(qint64 revision) const
+    {
+        std::vector<record> result;
+        for (auto const& each : records_)
+        {
+            if (each.revision > revision)
+            {
+                result.push_back(each);
+            }
+        }
+        std::sort(result.begin(), result.end(),
+                  [](record const& a, record const& b)
+                  { return a.revision < b.revision; });
+        return result;
+    }
+
+    /** Returns the records whose own heartbeats came here after a count. */
+    std::vector<record> beats_since(qint64 beat) const
+    {
+        std::vector<record> result;
+        for (auto const& each : records_)
+        {
+            if (each.beat > beat && each.phase != presence_phase::gone)
+            {
+                result.push_back(each);
+            }
+        }
+        return result;
+    }
+
+    QHash<QString, record> const& records() const { return records_; }
+    qint64 revision() const { return revision_; }
+    qint64 beats() const { return beats_; }
+
+private:
+    presence_change add(record news, presence_origin origin)
+    {
+        if (records_.size() >= maximum_records)
+        {
+            return presence_change::ignored;
+        }
+        news.beat = 0;
+        auto& added = *records_.insert(news.id, std::move(news));
+        return touch(added, origin);
+    }
+
+    presence_change merge_same_start(record& known, record news,
+                                     presence_origin origin, monotonic_time now)
+    {
+        bool const judges = origin == presence_origin::judged;
+        bool const is_later = news.sequence > known.sequence;
+        bool const moves_on = news.phase > known.phase;
+        bool const is_judged_anew = judges && news.is_silent != known.is_silent;
+        if (known.phase == presence_phase::gone ||
+            (!is_later && !moves_on && !is_judged_anew))
+        {
+            return presence_change::ignored;
+        }
+        bool const is_changed =
+            moves_on || is_judged_anew ||
+            (is_later && !known.content.is_same(news.content)) ||
+            (is_later && !judges && known.is_silent);
+        if (is_later)
+        {
+            known.content = std::move(news.content);
+            known.sequence = news.sequence;
+            known.heard = std::max(known.heard, std::min(news.heard, now));
+            known.is_silent = false;
+            known.beat = origin == presence_origin::direct ? ++beats_ : 0;
+        }
+        known.phase = std::max(known.phase, news.phase);
+        known.is_silent = judges ? news.is_silent : known.is_silent;
+        known.revision = is_changed ? ++revision_ : known.revision;
+        return is_changed ? presence_change::changed
+                          : presence_change::refreshed;
+    }
+
+    presence_change touch(record& of, presence_origin origin)
+    {
+        if (origin != presence_origin::judged)
+        {
+            of.is_silent = false;
+        }
+        of.beat = origin == presence_origin::direct ? ++beats_ : 0;
+        of.revision = ++revision_;
+        return presence_change::changed;
+    }
+
+    bool silence(record& of)
+    {
+        if (of.is_silent || of.phase == presence_phase::gone)
+        {
+            return false;
+        }
+        of.is_silent = true;
+        of.revision = ++revision_;
+        return true;
+    }
+
+    bool is_old(record const& of, monotonic_time now) const
+    {
+        bool const has_ended = of.is_silent || of.phase == presence_phase::gone;
+        return has_ended && elapsed(of.heard, now) > times_.forgotten_after;
+    }
+
+    presence_times times_;
+    QHash<QString, record> records_;
+    qint64 revision_ = 0;
+    qint64 beats_ = 0;
+};
+
+} // namespace verbenacove
+
+#endif
--- a/source/verbenacove/process/shutdown_signal.cpp
+++ b/source/verbenacove/process/process_signal.cpp
@@ -1,4 +1,4 @@
-#include "verbenacove/process/shutdown_signal.hpp"
+#include "verbenacove/process/process_signal.hpp"
 
 #include <sys/signalfd.h>
 #include <unistd.h>
@@ -12,20 +12,24 @@
 namespace
 {
 
-sigset_t stop_signals()
+sigset_t set_of(std::vector<int> const& numbers)
 {
     sigset_t signals;
     sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
+    for (auto const number : numbers)
+    {
+        sigaddset(&signals, number);
+    }
     return signals;
 }
 
 } // namespace
 
-shutdown_signal::shutdown_signal(std::function<void()> call)
+process_signal::process_signal(std::vector<int> numbers,
+                               std::function<void()> call)
+    : numbers_(std::move(numbers))
 {
-    auto const signals = stop_signals();
+    auto const signals = set_of(numbers_);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     descriptor_ = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
     notifier_ =
@@ -41,11 +45,11 @@
                      });
 }
 
-shutdown_signal::~shutdown_signal()
+process_signal::~process_signal()
 {
     notifier_.reset();
     ::close(descriptor_);
-    auto const signals = stop_signals();
+    auto const signals = set_of(numbers_);
     pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
 }
 
--- a/source/verbenacove/process/raft_node.cpp
+++ b/source/verbenacove/process/raft_node.cpp
@@ -951,6 +951,12 @@
 
 // Membership.
 
+bool raft_node::may_take_part(QString const& name) const
+{
+    return settings_.known_names.isEmpty() ||
+           settings_.known_names.contains(name);
+}
+
 QCborMap raft_node::handle_join(QCborMap const& message)
 {
     if (!is_leader())
@@ -961,8 +967,8 @@
     raft_member const joining{cbor_text(message, "name"),
                               replica_id(cbor_text(message, "from")),
                               address.value_or(socket_address{})};
-    if (!address || !settings_.known_names.contains(joining.name) ||
-        joining.name == own_name_ || has_identity(members_, joining.identity))
+    if (!address || !may_take_part(joining.name) || joining.name == own_name_ ||
+        has_identity(members_, joining.identity))
     {
         return reply(false);
     }
@@ -1020,15 +1026,14 @@
         // Under constant load a learner is always a message behind.
         bool const is_ready = !peer.is_voter && peer.match.value() > 0 &&
                               peer.match >= committed_before_;
-        if (is_ready)
+        if (is_ready && promote(peer))
         {
-            promote(peer);
             return;
         }
     }
 }
 
-void raft_node::promote(peer_progress const& learner)
+bool raft_node::promote(peer_progress const& learner)
 {
     // The former identity goes first, so that no majority of the old set
     // misses one of the new set.
@@ -1036,11 +1041,38 @@
     auto const removed = std::erase_if(
         members, [name = learner.member.name](raft_member const& member)
         { return member.name == name; });
+    if (removed == 0 && members.size() >= settings_.maximum_voters)
+    {
+        return remove_lost_voter();
+    }
     if (removed == 0)
     {
         members.push_back(learner.member);
     }
     propose_members(std::move(members));
+    return true;
+}
+
+// Makes room for a learner; it is promoted by a change of its own.
+bool raft_node::remove_lost_voter()
+{
+    auto const lost =
+        std::find_if(members_.begin(), members_.end(),
+                     [this](raft_member const& member)
+                     {
+                         auto const peer = peers_.find(member.identity);
+                         return peer != peers_.end() &&
+                                elapsed(peer->second.acknowledged,
+                                        clock_.now()) > settings_.replace_after;
+                     });
+    if (lost == members_.end())
+    {
+        return false;
+    }
+    auto members = members_;
+    std::erase(members, *lost);
+    propose_members(std::move(members));
+    return true;
 }
 
 void raft_node::propose_members(raft_members members)
--- a/source/verbenacove/process/raft_node.hpp
+++ b/source/verbenacove/process/raft_node.hpp
@@ -42,8 +42,14 @@
     qint64 maximum_batch_bytes = 1024 * 1024;
     qint64 snapshot_chunk_bytes = 512 * 1024;
     int maximum_pending_proposals = 8192;
-    /** Names that may take part. */
+    /** Names that may take part; empty lets any take part. */
     QSet<QString> known_names;
+    /** The most voting replicas; further ones learn, and replace a voter that
+        was lost. */
+    std::size_t maximum_voters = 7;
+    /** A voter that was not heard for so long gives its place to a learner
+        that is ready; longer than a restart or a partition usually takes. */
+    milliseconds replace_after{10000};
     /** Where a replica without a vote asks to be taken in. */
     std::vector<socket_address> known_addresses;
     quint64 seed = 0;
@@ -138,6 +144,12 @@
     */
     void hand_over_leadership();
 
+    /** Sets where a replica without a vote asks to be taken in. */
+    void set_known_addresses(std::vector<socket_address> addresses)
+    {
+        settings_.known_addresses = std::move(addresses);
+    }
+
     // Driving the node.
 
     /** Acts on the time that has passed. */
@@ -258,7 +270,9 @@
     QCborMap handle_join(QCborMap const& message);
     void ask_to_join();
     void promote_learners();
-    void promote(peer_progress const& learner);
+    bool may_take_part(QString const& name) const;
+    bool promote(peer_progress const& learner);
+    bool remove_lost_voter();
     void propose_members(raft_members members);
     void refresh_members();
 
--- /dev/null
+++ b/source/verbenacove/process/route_service.cpp
@@ -0,0 +1,193 @@
+#include "verbenacove/process/route_service.hpp"
+
+#include "verbenacove/core/cbor.hpp"
+#include "verbenacove/core/event_log.hpp"
+
+#include <QTimer>
+
+#include <utility>
+
+namespace verbenacove
+{
+
+namespace
+{
+
+event_log const route_log{"routes"};
+
+/** Operators go to another replica after 1 s without an answer. */
+constexpr milliseconds longest_call{900};
+constexpr milliseconds retry_interval{30};
+/** How soon a change that came by the log is seen. */
+constexpr milliseconds watch_interval{20};
+
+} // namespace
+
+route_service::route_service(control_server& server,
+                             std::function<void()> changed)
+    : server_(server)
+    , changed_(std::move(changed))
+{
+    server_.add_handler(
+        QStringLiteral("order"),
+        [this](QCborMap const& request, reply_function const& reply)
+        { handle_order(request, reply); });
+    server_.add_handler(
+        QStringLiteral("routes"),
+        [this](QCborMap const& request, reply_function const& reply)
+        { handle_read(request, reply); });
+}
+
+void route_service::start()
+{
+    watch_ = timers_.call_every(
+        watch_interval,
+        [this]
+        {
+            auto const revision = server_.state().routes().revision();
+            if (std::exchange(seen_revision_, revision) != revision)
+            {
+                auto const& routes = server_.state().routes();
+                route_log.note("routes.in_force",
+                               {{"revision", revision},
+                                {"version", routes.current()->version.value()},
+                                {"evacuated", routes.evacuated().size()}});
+                changed_();
+            }
+        });
+}
+
+void route_service::change(route_change const& change, order_callback done)
+{
+    order(control_state::route_command(change), std::move(done));
+}
+
+void route_service::evacuate(zone_name const& zone, bool is_evacuated,
+                             order_callback done)
+{
+    order(control_state::evacuation_command(zone, is_evacuated),
+          std::move(done));
+}
+
+void route_service::order(QCborMap command, order_callback done)
+{
+    auto call = std::make_shared<pending_call>();
+    call->request = {{QLatin1String("m"), QLatin1String("order")},
+                     {QLatin1String("command"), std::move(command)}};
+    call->until = clock_.now() + longest_call;
+    call->done = [done = std::move(done)](std::optional<QCborMap> const& reply)
+    {
+        if (!reply)
+        {
+            done(std::nullopt);
+            return;
+        }
+        done(parse_order_result(cbor_map(*reply, "result")));
+    };
+    call_leader(call);
+}
+
+void route_service::read(read_callback done)
+{
+    auto call = std::make_shared<pending_call>();
+    call->request = {{QLatin1String("m"), QLatin1String("routes")}};
+    call->until = clock_.now() + longest_call;
+    call->done = [done = std::move(done)](std::optional<QCborMap> const& reply)
+    {
+        done(reply
+                 ? parse_route_configuration(cbor_map(*reply, "configuration"))
+                 : std::nullopt);
+    };
+    call_leader(call);
+}
+
+void route_service::call_leader(std::shared_ptr<pending_call> const& call)
+{
+    auto const left = elapsed(clock_.now(), call->until);
+    if (left.count() <= 0)
+    {
+        call->done(std::nullopt);
+        return;
+    }
+    auto const reply = [this, call](std::optional<QCborMap> const& answer)
+    {
+        take_reply(call, answer);
+    };
+    if (server_.node().is_leader())
+    {
+        bool const is_order =
+            cbor_text(call->request, "m") == QLatin1String("order");
+        auto const own = [reply](QCborMap answer)
+        {
+            reply(std::move(answer));
+        };
+        is_order ? handle_order(call->request, own)
+                 : handle_read(call->request, own);
+        return;
+    }
+    auto const leader = server_.node().leader();
+    if (!leader)
+    {
+        try_again(call);
+        return;
+    }
+    server_.call(leader->address, call->request, left, reply);
+}
+
+void route_service::take_reply(std::shared_ptr<pending_call> const& call,
+                               std::optional<QCborMap> const& reply)
+{
+    if (reply && cbor_text(*reply, "status") == QLatin1String("ok"))
+    {
+        call->done(*reply);
+        return;
+    }
+    try_again(call);
+}
+
+void route_service::try_again(std::shared_ptr<pending_call> const& call)
+{
+    QTimer::singleShot(retry_interval, &context_,
+                       [this, call] { call_leader(call); });
+}
+
+void route_service::handle_order(QCborMap const& request,
+                                 reply_function const& reply)
+{
+    auto const answer =
+        [reply](raft_node::proposal_end end, QCborMap const& result)
+    {
+        if (end != raft_node::proposal_end::committed)
+        {
+            reply({{QLatin1String("status"), QLatin1String("not-leader")}});
+            return;
+        }
+        auto const parsed = parse_order_result(result);
+        route_log.note("order.decided",
+                       {{"outcome", static_cast<int>(parsed.outcome)},
+                        {"version", parsed.version.value()},
+                        {"reason", parsed.reason}});
+        reply({{QLatin1String("status"), QLatin1String("ok")},
+               {QLatin1String("result"), result}});
+    };
+    server_.submit(cbor_map(request, "command"), answer);
+}
+
+void route_service::handle_read(QCborMap const&, reply_function const& reply)
+{
+    server_.confirm_current(
+        [this, reply](bool is_current)
+        {
+            if (!is_current)
+            {
+                reply({{QLatin1String("status"), QLatin1String("not-leader")}});
+                return;
+            }
+            reply({{QLatin1String("status"), QLatin1String("ok")},
+                   {QLatin1String("configuration"),
+                    to_cbor(*server_.state().routes().current(),
+                            route_detail::with_source)}});
+        });
+}
+
+} // namespace verbenacove
--- /dev/null
+++ b/source/verbenacove/process/route_service.hpp
@@ -0,0 +1,81 @@
+#ifndef VERBENACOVE_PROCESS_ROUTE_SERVICE_HPP
+#define VERBENACOVE_PROCESS_ROUTE_SERVICE_HPP
+
+#include "verbenacove/process/control_server.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace verbenacove
+{
+
+/** Takes operators' orders about routes and zones at any replica.
+
+    A follower hands an order to the leader, so operators need not know who
+    leads. An order whose end is not known may have been carried out; sending
+    it again is safe.
+*/
+class route_service
+{
+public:
+    /** Gets the result, or nothing when it is not known. */
+    using order_callback = std::function<void(std::optional<order_result>)>;
+
+    /** Gets the newest configuration, or nothing when this replica cannot be
+        sure which that is. */
+    using read_callback =
+        std::function<void(std::optional<route_configuration>)>;
+
+    /** The server must outlive the service, and not have been started.
+
+        @param changed  called when an order changed what is in force here
+    */
+    route_service(control_server& server, std::function<void()> changed);
+    route_service(route_service const&) = delete;
+    route_service& operator=(route_service const&) = delete;
+
+    /** Begins to watch for changes. */
+    void start();
+
+    /** Changes the configuration. */
+    void change(route_change const& change, order_callback done);
+
+    /** Evacuates a zone, or ends that. */
+    void evacuate(zone_name const& zone, bool is_evacuated,
+                  order_callback done);
+
+    /** Reads the configuration that was newest when this was called. */
+    void read(read_callback done);
+
+private:
+    using reply_function = control_server::reply_function;
+
+    /** One call that the leader is to answer. */
+    struct pending_call
+    {
+        QCborMap request;
+        monotonic_time until;
+        std::function<void(std::optional<QCborMap>)> done;
+    };
+
+    void handle_order(QCborMap const& request, reply_function const& reply);
+    void handle_read(QCborMap const& request, reply_function const& reply);
+    void order(QCborMap command, order_callback done);
+    void call_leader(std::shared_ptr<pending_call> const& call);
+    void take_reply(std::shared_ptr<pending_call> const& call,
+                    std::optional<QCborMap> const& reply);
+    void try_again(std::shared_ptr<pending_call> const& call);
+
+    control_server& server_;
+    std::function<void()> changed_;
+    steady_clock_source clock_;
+    timer_service timers_;
+    timer_service::subscription watch_;
+    qint64 seen_revision_ = 0;
+    QObject context_;
+};
+
+} // namespace verbenacove
+
+#endif
--- /dev/null
+++ b/source/verbenacove/process/routing/replica_process.cpp
@@ -0,0 +1,288 @@
+#include "verbenacove/process/routing/replica_process.hpp"
+
+#include "verbenacove/core/event_log.hpp"
+#include "verbenacove/core/setting_reader.hpp"
+#include "verbenacove/process/routing/route_entry_settings.hpp"
+
+#include <QUuid>
+
+#include <boost/leaf/handle_errors.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace verbenacove
+{
+
+namespace
+{
+
+event_log const replica_log{"replica"};
+
+constexpr milliseconds stop_poll_interval{20};
+/** What is left of the grace when the process ends by itself. */
+constexpr milliseconds grace_margin{500};
+constexpr milliseconds longest_setting{60000};
+constexpr qint64 one_mebibyte = 1024 * 1024;
+/** The longest configuration that is taken. */
+constexpr qint64 maximum_order_bytes = 8 * one_mebibyte;
+
+replica_id first_identity(socket_address const& address)
+{
+    return replica_id(address.text() + QStringLiteral("-initial"));
+}
+
+/** The voters that keep a change through so many lost disks while the others
+    lose power: what is left must meet every majority. */
+std::size_t voters_for(int tolerated_losses)
+{
+    return static_cast<std::size_t>(2 * tolerated_losses + 3);
+}
+
+control_settings control_settings_of(replica_settings const& settings)
+{
+    control_settings result;
+    result.name = settings.listen.text();
+    result.region = settings.region;
+    result.zone = settings.zone;
+    result.data_folder = settings.data_folder;
+    result.listen = settings.listen;
+    result.raft = settings.raft;
+    result.raft.known_addresses = settings.seeds;
+    result.raft.maximum_voters = voters_for(settings.tolerated_losses);
+    return result;
+}
+
+http_limits door_limits()
+{
+    http_limits limits;
+    limits.maximum_body_bytes = maximum_order_bytes;
+    return limits;
+}
+
+boost::leaf::result<void> create_replica(replica_settings const& settings)
+{
+    bool const is_first =
+        settings.is_first_start &&
+        std::find(settings.seeds.begin(), settings.seeds.end(),
+                  settings.listen) != settings.seeds.end();
+    if (!is_first)
+    {
+        replica_log.note("replica.new", {});
+        return raft_storage::create(
+            settings.data_folder,
+            replica_id(QUuid::createUuid().toString(QUuid::WithoutBraces)), {});
+    }
+    raft_members members;
+    for (auto const& seed : settings.seeds)
+    {
+        members.push_back({seed.text(), first_identity(seed), seed});
+    }
+    replica_log.note("replica.first", {{"voters", qint64(members.size())}});
+    return raft_storage::create(settings.data_folder,
+                                first_identity(settings.listen), members);
+}
+
+} // namespace
+
+boost::leaf::result<replica_settings>
+parse_replica_settings(ini_document const& document)
+{
+    setting_reader reader(document);
+    replica_settings settings;
+    settings.region = region_name(reader.name("replica", "region"));
+    settings.zone = zone_name(reader.name("replica", "zone"));
+    settings.data_folder = reader.text("replica", "data_folder", {});
+    if (settings.data_folder.isEmpty())
+    {
+        reader.report("replica", "data_folder",
+                      QStringLiteral("must be a folder on the VM's disk"));
+    }
+    settings.listen = reader.address("replica", "listen");
+    settings.control = reader.address("replica", "control");
+    settings.directory = parse_optional_address(reader, "replica", "directory");
+    settings.metrics = parse_optional_address(reader, "replica", "metrics");
+    settings.is_first_start =
+        reader.text("replica", "first_start", {}) == QLatin1String("true");
+    settings.tolerated_losses =
+        static_cast<int>(reader.number("replica", "tolerated_losses", 1, 0, 3));
+    settings.lookup_ttl =
+        reader.duration("replica", "lookup_ttl", settings.lookup_ttl,
+                        milliseconds(100), longest_setting);
+    settings.stop_grace =
+        reader.duration("replica", "stop_grace", settings.stop_grace,
+                        milliseconds(100), longest_setting);
+    settings.raft.heartbeat =
+        reader.duration("replica", "heartbeat", settings.raft.heartbeat,
+                        milliseconds(10), longest_setting);
+    settings.raft.election_timeout = reader.duration(
+        "replica", "election_timeout", settings.raft.election_timeout,
+        settings.raft.heartbeat * 3, longest_setting);
+    settings.raft.snapshot_after_bytes =
+        reader.size("replica", "snapshot_after", 4 * one_mebibyte, 4096,
+                    1024 * one_mebibyte);
+    settings.log = reader.level("log", "level");
+    settings.seeds = parse_replica_addresses(reader);
+    BOOST_LEAF_CHECK(reader.finish());
+    return settings;
+}
+
+replica_process::replica_process(replica_settings settings)
+    : settings_(std::move(settings))
+{
+}
+
+replica_process::~replica_process() = default;
+
+QString replica_process::start(std::function<handlers()> make_handlers)
+{
+    auto const error = open_files();
+    if (!error.isEmpty())
+    {
+        return error;
+    }
+    server_ = std::make_unique<control_server>(control_settings_of(settings_),
+                                               *storage_);
+    discovery_ = std::make_unique<discovery_service>(
+        discovery_settings{{settings_.listen, settings_.zone, settings_.region},
+                           settings_.seeds},
+        *server_);
+    routes_ = std::make_unique<route_service>(
+        *server_, [this] { discovery_->routes_changed(); });
+    if (!server_->start())
+    {
+        return settings_.listen.text() + QStringLiteral(": ") +
+               server_->error_text();
+    }
+    routes_->start();
+    discovery_->start();
+    return open_doors(make_handlers());
+}
+
+QString replica_process::open_files()
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<QString>
+        {
+            if (!raft_storage::has_replica(settings_.data_folder))
+            {
+                BOOST_LEAF_CHECK(create_replica(settings_));
+            }
+            BOOST_LEAF_ASSIGN(storage_,
+                              raft_storage::open(settings_.data_folder));
+            return QString();
+        },
+        [](raft_storage_error const& error)
+        { return error.file + QStringLiteral(": ") + error.reason; },
+        [] { return QStringLiteral("unknown error"); });
+}
+
+QString replica_process::open_doors(handlers handle)
+{
+    struct door
+    {
+        std::unique_ptr<http_server>& server;
+        socket_address address;
+        http_server::handler handle;
+    };
+    std::vector<door> doors{
+        {control_, settings_.control, std::move(handle.control)}};
+    if (settings_.directory)
+    {
+        doors.push_back(
+            {directory_, *settings_.directory, std::move(handle.directory)});
+    }
+    if (settings_.metrics)
+    {
+        doors.push_back({metrics_door_, *settings_.metrics,
+                         [this](std::shared_ptr<http_exchange> const& exchange)
+                         {
+                             exchange->respond({200,
+                                                {{"Content-Type",
+                                                  "text/plain; version=0.0.4"}},
+                                                metrics_body()});
+                         }});
+    }
+    for (auto& each : doors)
+    {
+        each.server = std::make_unique<http_server>(door_limits(), each.handle);
+        if (!each.server->listen(each.address))
+        {
+            return each.address.text() + QStringLiteral(": ") +
+                   each.server->error_text();
+        }
+    }
+    return {};
+}
+
+void replica_process::reload(replica_settings settings)
+{
+    discovery_->set_seeds(std::move(settings.seeds));
+}
+
+void replica_process::stop(std::function<void()> stopped)
+{
+    replica_log.note("replica.stopping", {});
+    control_->prepare_stop();
+    if (directory_)
+    {
+        directory_->prepare_stop();
+    }
+    server_->stop([this, stopped = std::move(stopped)]
+                  { finish_stop(stopped); });
+}
+
+// What was asked while the leadership moved gets its answer.
+void replica_process::finish_stop(std::function<void()> stopped)
+{
+    auto const deadline =
+        clock_.now() + settings_.stop_grace / 2 - grace_margin;
+    stop_timer_ = timers_.call_every(
+        stop_poll_interval,
+        [this, deadline, stopped = std::move(stopped)]
+        {
+            int const open = control_->busy_connections() +
+                             (directory_ ? directory_->busy_connections() : 0);
+            if (open == 0 || clock_.now() >= deadline)
+            {
+                replica_log.note("replica.stopped", {{"cut_off", open}});
+                stop_timer_.cancel();
+                stopped();
+            }
+        });
+}
+
+std::vector<entry_view> replica_process::serving_entries() const
+{
+    std::vector<entry_view> result;
+    for (auto const& entry : discovery_->board().entries().records())
+    {
+        if (entry.phase != presence_phase::serving || entry.is_silent)
+        {
+            continue;
+        }
+        entry_view view;
+        view.id = entry_id(entry.id);
+        view.address = entry.content.address;
+        view.region = entry.content.region;
+        view.zone = entry.content.zone;
+        result.push_back(view);
+    }
+    return result;
+}
+
+QByteArray replica_process::metrics_body()
+{
+    auto const& node = server_->node();
+    control_metrics::state now;
+    now.is_leader = node.is_leader();
+    now.is_voter = node.is_voter();
+    now.term = node.term().value();
+    now.commit_index = node.commit_index().value();
+    now.applied_index = node.applied_index().value();
+    now.config_version = server_->state().routes().current()->version.value();
+    now.log_bytes = storage_->log_bytes();
+    return metrics_.text(now);
+}
+
+} // namespace verbenacove
--- /dev/null
+++ b/source/verbenacove/process/routing/route_entry_process.cpp
@@ -0,0 +1,242 @@
+#include "verbenacove/process/routing/route_entry_process.hpp"
+
+#include "verbenacove/core/event_log.hpp"
+
+#include <QMetaObject>
+
+#include <algorithm>
+#include <utility>
+
+namespace verbenacove
+{
+
+namespace
+{
+
+event_log const entry_log{"entry"};
+
+constexpr milliseconds refresh_interval{1000};
+constexpr milliseconds stop_poll_interval{50};
+/** Callers use a look-up's answer up to three times its time to live. */
+constexpr int longest_lookup_use = 3;
+/** How long the replicas may need to hear that this entry leaves. */
+constexpr milliseconds leave_margin{300};
+/** What is left of the grace when the process ends by itself. */
+constexpr milliseconds grace_margin{250};
+/** Of the rate that a cold upstream bears: the rest is for an entry that does
+    not know yet that another one warms it. */
+constexpr double used_warmup_share = 0.8;
+
+} // namespace
+
+route_entry_process::route_entry_process(route_entry_settings settings,
+                                         route_dialect const& dialect)
+    : settings_(std::move(settings))
+    , dialect_(dialect)
+    , link_({settings_.name,
+             {settings_.callers, settings_.zone, settings_.region},
+             settings_.replicas},
+            [this] { take_news(); })
+{
+}
+
+route_entry_process::~route_entry_process()
+{
+    if (!traffic_thread_.isRunning())
+    {
+        return;
+    }
+    // What lives on the traffic thread is destroyed there.
+    QMetaObject::invokeMethod(
+        traffic_context_.get(), [this] { traffic_.reset(); },
+        Qt::BlockingQueuedConnection);
+    traffic_thread_.quit();
+    traffic_thread_.wait();
+}
+
+QString route_entry_process::start()
+{
+    traffic_context_ = std::make_unique<QObject>();
+    traffic_context_->moveToThread(&traffic_thread_);
+    traffic_thread_.start();
+    QString error;
+    QMetaObject::invokeMethod(
+        traffic_context_.get(),
+        [&]
+        {
+            traffic_ = std::make_unique<route_traffic>(settings_, dialect_);
+            error = traffic_->start();
+        },
+        Qt::BlockingQueuedConnection);
+    if (!error.isEmpty())
+    {
+        return error;
+    }
+    refresh_timer_ =
+        timers_.call_every(refresh_interval, [this] { publish(); });
+    link_.start();
+    return {};
+}
+
+void route_entry_process::reload(route_entry_settings settings)
+{
+    link_.set_seeds(settings.replicas);
+}
+
+void route_entry_process::take_news()
+{
+    bool const is_known = link_.has_read() && link_.routes();
+    if (is_known && !is_ready_ && !is_stopping_)
+    {
+        is_ready_ = true;
+        entry_log.note("entry.ready",
+                       {{"version", link_.routes()->version.value()}});
+        link_.set_phase(presence_phase::serving);
+    }
+    publish();
+}
+
+void route_entry_process::publish()
+{
+    auto view = std::make_shared<routing_view>();
+    view->routes = link_.routes();
+    view->is_ready = is_ready_ && !is_stopping_;
+    view->live_entries = static_cast<int>(std::count_if(
+        link_.board().entries().records().cbegin(),
+        link_.board().entries().records().cend(),
+        [](entry_presence const& entry) {
+            return !entry.is_silent && entry.phase == presence_phase::serving;
+        }));
+    if (view->routes)
+    {
+        for (auto const& service : view->routes->services)
+        {
+            view->members.insert(service.name, members_of(service.name));
+        }
+    }
+    call_on_traffic([this, view = routing_view_ptr(std::move(view))]
+                    { traffic_->update(view); });
+}
+
+std::vector<pool_member>
+route_entry_process::members_of(service_name const& service) const
+{
+    std::vector<pool_member> result;
+    auto const& known = link_.routes()->services[service.value()];
+    for (auto const& upstream : link_.board().upstreams().records())
+    {
+        bool const is_usable =
+            upstream.content.service == service &&
+            upstream.phase == presence_phase::serving &&
+            !link_.evacuated().contains(upstream.content.zone);
+        if (is_usable)
+        {
+            result.push_back(member_of(upstream, known));
+        }
+    }
+    return result;
+}
+
+pool_member route_entry_process::member_of(upstream_presence const& upstream,
+                                           routed_service const& service) const
+{
+    pool_member member;
+    member.id = upstream_id(upstream.id);
+    member.started = upstream.started;
+    member.address = upstream.content.address;
+    member.zone = upstream.content.zone;
+    member.region = region_of(upstream.content.zone);
+    member.slots = upstream.content.slots;
+    member.is_silent = upstream.is_silent;
+    member.cold_until = upstream.content.cold_until;
+    member.cold_rate = is_own_to_warm(upstream)
+                           ? service.warmup_per_second * used_warmup_share
+                           : 0;
+    member.health_path = service.health_path;
+    return member;
+}
+
+// One entry warms an upstream, since the rate is that of all together: the
+// one that ranks first by a hash among the nearest.
+bool route_entry_process::is_own_to_warm(
+    upstream_presence const& upstream) const
+{
+    auto const& zone = upstream.content.zone;
+    auto const region = region_of(zone);
+    QString best;
+    std::pair<int, size_t> best_rank{-1, 0};
+    for (auto const& entry : link_.board().entries().records())
+    {
+        if (entry.is_silent || entry.phase != presence_phase::serving)
+        {
+            continue;
+        }
+        int const nearness = entry.content.zone == zone       ? 2
+                             : entry.content.region == region ? 1
+                                                              : 0;
+        std::pair<int, size_t> const rank{
+            nearness, qHash(entry.id, qHash(upstream.id, size_t{17}))};
+        if (rank > best_rank)
+        {
+            best_rank = rank;
+            best = entry.id;
+        }
+    }
+    return best == settings_.name.value();
+}
+
+region_name route_entry_process::region_of(zone_name const& zone) const
+{
+    return settings_.zones.value(zone);
+}
+
+// The stop.
+
+void route_entry_process::stop(std::function<void()> stopped)
+{
+    if (is_stopping_)
+    {
+        return;
+    }
+    is_stopping_ = true;
+    stopped_ = std::move(stopped);
+    auto const now = clock_.now();
+    stop_deadline_ = now + settings_.stop_grace - grace_margin;
+    entry_log.note("entry.stopping", {});
+    link_.set_phase(presence_phase::draining);
+    publish();
+    call_on_traffic([this] { traffic_->prepare_stop(); });
+    auto const cached =
+        settings_.lookup_ttl * longest_lookup_use + leave_margin;
+    stop_timer_ = timers_.call_after(std::min(cached, settings_.stop_grace / 2),
+                                     [this] { finish_stop(); });
+}
+
+void route_entry_process::finish_stop()
+{
+    stop_timer_ = timers_.call_every(
+        stop_poll_interval,
+        [this]
+        {
+            int open = 0;
+            QMetaObject::invokeMethod(
+                traffic_context_.get(),
+                [this, &open] { open = traffic_->busy_connections(); },
+                Qt::BlockingQueuedConnection);
+            bool const is_late = clock_.now() >= stop_deadline_;
+            if (open == 0 || is_late)
+            {
+                entry_log.note("entry.stopped", {{"cut_off", open}});
+                stop_timer_.cancel();
+                stopped_();
+            }
+        });
+}
+
+void route_entry_process::call_on_traffic(std::function<void()> call)
+{
+    QMetaObject::invokeMethod(traffic_context_.get(), std::move(call),
+                              Qt::QueuedConnection);
+}
+
+} // namespace verbenacove
--- /dev/null
+++ b/source/verbenacove/process/routing/route_entry_settings.cpp
@@ -0,0 +1,105 @@
+#include "verbenacove/process/routing/route_entry_settings.hpp"
+
+namespace verbenacove
+{
+
+namespace
+{
+
+constexpr milliseconds longest_setting{60000};
+constexpr qint64 one_mebibyte = 1024 * 1024;
+
+void parse_steering(setting_reader& reader, steering_settings& steering)
+{
+    steering.zone_crossing_cost = reader.fraction(
+        "steering", "zone_crossing_cost", steering.zone_crossing_cost, 0, 1);
+    steering.region_crossing_cost =
+        reader.fraction("steering", "region_crossing_cost",
+                        steering.region_crossing_cost, 0, 1);
+    steering.zone_round_trip =
+        reader.duration("steering", "zone_round_trip", steering.zone_round_trip,
+                        milliseconds(0), longest_setting);
+    steering.region_round_trip = reader.duration(
+        "steering", "region_round_trip", steering.region_round_trip,
+        milliseconds(0), longest_setting);
+    steering.maximum_region_shift =
+        reader.fraction("steering", "maximum_region_shift",
+                        steering.maximum_region_shift, 0.01, 1);
+    steering.retry_ratio =
+        reader.fraction("steering", "retry_ratio", steering.retry_ratio, 0, 10);
+    steering.retry_slack = static_cast<int>(reader.number(
+        "steering", "retry_slack", steering.retry_slack, 0, 1000000));
+    steering.retry_window =
+        reader.duration("steering", "retry_window", steering.retry_window,
+                        milliseconds(100), longest_setting);
+}
+
+} // namespace
+
+std::vector<socket_address> parse_replica_addresses(setting_reader& reader)
+{
+    auto addresses = reader.addresses("discovery", "replicas");
+    auto const port =
+        static_cast<quint16>(reader.number("discovery", "port", 0, 0, 65535));
+    for (auto& address : addresses)
+    {
+        address.port = port == 0 ? address.port : port;
+    }
+    return addresses;
+}
+
+QHash<zone_name, region_name> parse_zones(setting_reader& reader)
+{
+    QHash<zone_name, region_name> result;
+    auto const lines = reader.section("zones");
+    for (auto line = lines.cbegin(); line != lines.cend(); ++line)
+    {
+        result.insert(zone_name(line.key()), region_name(line.value()));
+    }
+    return result;
+}
+
+std::optional<socket_address> parse_optional_address(setting_reader& reader,
+                                                     char const* section,
+                                                     char const* key)
+{
+    if (reader.text(section, key, {}).isEmpty())
+    {
+        return std::nullopt;
+    }
+    return reader.address(section, key);
+}
+
+boost::leaf::result<route_entry_settings>
+parse_route_entry_settings(ini_document const& document)
+{
+    setting_reader reader(document);
+    route_entry_settings settings;
+    settings.name = entry_id(reader.name("entry", "name"));
+    settings.region = region_name(reader.name("entry", "region"));
+    settings.zone = zone_name(reader.name("entry", "zone"));
+    settings.callers = reader.address("entry", "callers");
+    settings.readiness = reader.address("entry", "readiness");
+    settings.metrics = parse_optional_address(reader, "entry", "metrics");
+    settings.stop_grace =
+        reader.duration("entry", "stop_grace", settings.stop_grace,
+                        milliseconds(100), longest_setting);
+    settings.lookup_ttl =
+        reader.duration("entry", "lookup_ttl", settings.lookup_ttl,
+                        milliseconds(100), longest_setting);
+    settings.trace_one_in = static_cast<int>(reader.number(
+        "trace", "sample_one_in", settings.trace_one_in, 0, 1000000));
+    settings.log = reader.level("log", "level");
+    settings.replicas = parse_replica_addresses(reader);
+    settings.zones = parse_zones(reader);
+    settings.limits.maximum_held_bytes =
+        reader.size("limits", "held_bytes", settings.limits.maximum_held_bytes,
+                    one_mebibyte, 1024 * one_mebibyte);
+    parse_steering(reader, settings.steering);
+    settings.steering.zone = settings.zone;
+    settings.steering.region = settings.region;
+    BOOST_LEAF_CHECK(reader.finish());
+    return settings;
+}
+
+} // namespace verbenacove
--- /dev/null
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -0,0 +1,259 @@
+#include "verbenacove/process/routing/route_traffic.hpp"
+
+#include "verbenacove/core/event_log.hpp"
+
+#include <QRandomGenerator>
+
+#include <algorithm>
+#include <utility>
+
+namespace verbenacove
+{
+
+namespace
+{
+
+event_log const entry_log{"entry"};
+
+constexpr milliseconds probe_interval{200};
+constexpr milliseconds probe_timeout{1000};
+constexpr milliseconds refusal_delay{250};
+/** Of what all entries may retry together, so that their views of one another
+    may differ. */
+constexpr double used_retry_share = 0.6;
+
+http_limits door_limits(route_entry_settings const& settings)
+{
+    auto limits = settings.limits;
+    limits.idle_timeout = std::max(limits.idle_timeout, milliseconds(60000));
+    return limits;
+}
+
+} // namespace
+
+route_traffic::route_traffic(route_entry_settings settings,
+                             route_dialect const& dialect)
+    : settings_(std::move(settings))
+    , dialect_(dialect)
+    , crashes_(clock_)
+    , shift_(settings_.steering.maximum_region_shift)
+    , callers_(settings_.limits,
+               [this](exchange_ptr const& exchange) { handle(exchange); })
+    , readiness_(door_limits(settings_), [this](exchange_ptr const& exchange)
+                 { handle_readiness(exchange); })
+    , metrics_door_(door_limits(settings_), [this](exchange_ptr const& exchange)
+                    { handle_metrics(exchange); })
+{
+}
+
+QString route_traffic::start()
+{
+    struct door
+    {
+        http_server& server;
+        socket_address address;
+    };
+    std::vector<door> doors{{callers_, settings_.callers},
+                            {readiness_, settings_.readiness}};
+    if (settings_.metrics)
+    {
+        doors.push_back({metrics_door_, *settings_.metrics});
+    }
+    for (auto const& each : doors)
+    {
+        if (!each.server.listen(each.address))
+        {
+            return each.address.text() + QStringLiteral(": ") +
+                   each.server.error_text();
+        }
+    }
+    probe_timer_ = timers_.call_every(probe_interval, [this] { probe(); });
+    return {};
+}
+
+void route_traffic::update(routing_view_ptr view)
+{
+    bool const has_new_routes = view->routes != view_->routes;
+    view_ = std::move(view);
+    if (has_new_routes && view_->routes)
+    {
+        take_limits();
+        splits_.keep_only(*view_->routes);
+    }
+    for (auto item = view_->members.cbegin(); item != view_->members.cend();
+         ++item)
+    {
+        pool(item.key())->upstreams.update(item.value());
+    }
+    for (auto item = pools_.cbegin(); item != pools_.cend(); ++item)
+    {
+        if (!view_->members.contains(item.key()))
+        {
+            item.value()->upstreams.update({});
+        }
+    }
+}
+
+void route_traffic::take_limits()
+{
+    auto const& said = view_->routes->limits;
+    auto limits = settings_.limits;
+    limits.maximum_header_bytes = said.header_bytes;
+    limits.maximum_body_bytes = said.body_bytes;
+    limits.header_timeout = said.header_timeout;
+    limits.idle_timeout = said.idle_timeout;
+    callers_.set_limits(limits);
+}
+
+std::shared_ptr<routed_pool> route_traffic::pool(service_name const& service)
+{
+    auto& known = pools_[service];
+    if (!known)
+    {
+        auto const& steering = settings_.steering;
+        double const entries = std::max(1, view_->live_entries);
+        retry_budget_settings const budget{
+            steering.retry_ratio * used_retry_share,
+            static_cast<int>(steering.retry_slack * used_retry_share / entries),
+            steering.retry_window};
+        known = std::shared_ptr<routed_pool>(new routed_pool{
+            service,
+            upstream_pool(steering, clock_, shift_,
+                          QRandomGenerator::system()->generate64()),
+            retry_budget(budget, clock_)});
+    }
+    return known;
+}
+
+routed_services route_traffic::services()
+{
+    return {upstreams_,
+            clock_,
+            timers_,
+            dialect_,
+            crashes_,
+            [this](routed_end const& end) { note_end(end); },
+            settings_.trace_one_in};
+}
+
+// Callers.
+
+void route_traffic::handle(exchange_ptr const& exchange)
+{
+    auto const& request = exchange->request();
+    auto marks = dialect_.read_request(request);
+    if (!view_->routes)
+    {
+        refuse(exchange, marks, 503, "no-routes");
+        return;
+    }
+    if (marks.id.isEmpty())
+    {
+        refuse(exchange, marks, 400, "no-request-id");
+        return;
+    }
+    auto const* route =
+        find_route(*view_->routes, request.header("Host"), request.path);
+    if (route == nullptr)
+    {
+        refuse(exchange, marks, 404, "no-route");
+        return;
+    }
+    auto const service = splits_.choose(*route);
+    routed_request::start(services(), exchange, std::move(marks), *route,
+                          pool(service));
+}
+
+void route_traffic::refuse(exchange_ptr const& exchange,
+                           request_marks const& marks, int status,
+                           char const* code)
+{
+    auto response = not_run_response(status, code, "It was not run.");
+    if (status == 503)
+    {
+        dialect_.mark_retry_after(response.headers, refusal_delay);
+    }
+    entry_log.note("request.refused",
+                   {{"request", QString::fromLatin1(marks.id)},
+                    {"status", status},
+                    {"reason", QLatin1String(code)},
+                    {"version", view_->routes ? view_->routes->version.value()
+                                              : qint64{0}}});
+    exchange->respond(response);
+}
+
+void route_traffic::note_end(routed_end const& end)
+{
+    metrics_.count_request(
+        end.service.value(), verdict_word(end.verdict), end.status,
+        std::chrono::duration_cast<std::chrono::microseconds>(end.duration));
+    metrics_.count_attempts(end.service.value(), end.attempts);
+}
+
+// Others.
+
+void route_traffic::handle_readiness(exchange_ptr const& exchange)
+{
+    if (view_->is_ready)
+    {
+        exchange->respond({200, {{"Content-Type", "text/plain"}}, "ready\n"});
+        return;
+    }
+    exchange->respond(not_run_response(503, "not-ready", "It is not ready."));
+}
+
+void route_traffic::handle_metrics(exchange_ptr const& exchange)
+{
+    std::size_t upstreams = 0;
+    for (auto const& members : view_->members)
+    {
+        upstreams += members.size();
+    }
+    metrics_.set_state(view_->routes ? view_->routes->version.value() : 0,
+                       static_cast<std::size_t>(view_->live_entries), upstreams,
+                       callers_.open_exchanges());
+    exchange->respond({200,
+                       {{"Content-Type", "text/plain; version=0.0.4"}},
+                       metrics_.text()});
+}
+
+void route_traffic::probe()
+{
+    for (auto const& each : pools_)
+    {
+        for (auto const& member : each->upstreams.take_probes())
+        {
+            probe_upstream(each, member);
+        }
+    }
+}
+
+void route_traffic::probe_upstream(std::shared_ptr<routed_pool> const& of,
+                                   pool_member const& member)
+{
+    if (member.health_path.isEmpty())
+    {
+        return;
+    }
+    attempt_request probe;
+    probe.address = member.address;
+    probe.method = "GET";
+    probe.target = member.health_path.toUtf8();
+    probe.headers = {{"Host", member.address.text().toLatin1()}};
+    probe.time_left = probe_timeout;
+    probe.connect_timeout = probe_timeout;
+    upstreams_.start(
+        std::move(probe),
+        [this, of, id = member.id](attempt_result const& result)
+        {
+            auto const marks = dialect_.read_answer(result.response);
+            bool const is_healthy = result.end == attempt_end::answered &&
+                                    result.response.status == 200 &&
+                                    marks.responder == id;
+            entry_log.note("upstream.probed",
+                           {{"upstream", id.value()}, {"healthy", is_healthy}});
+            of->upstreams.take_probe_answer(id, is_healthy);
+        });
+}
+
+} // namespace verbenacove
--- /dev/null
+++ b/source/verbenacove/request/region_shift_limit.hpp
@@ -0,0 +1,63 @@
+#ifndef VERBENACOVE_REQUEST_REGION_SHIFT_LIMIT_HPP
+#define VERBENACOVE_REQUEST_REGION_SHIFT_LIMIT_HPP
+
+#include "verbenacove/core/clock.hpp"
+
+#include <deque>
+
+namespace verbenacove
+{
+
+/** Lets the share of requests that leave the region change slowly only.
+
+    It compares the newest window with the one before it. All calls come from
+    one thread.
+*/
+class region_shift_limit
+{
+public:
+    /** The window that shares are compared over. */
+    static constexpr milliseconds window{2000};
+
+    /** @param largest_change  the most that the share may change from one
+                               window to the next, 0 to 1 */
+    explicit region_shift_limit(double largest_change);
+
+    /** Returns whether one more request may leave the region now. */
+    bool may_leave(monotonic_time now);
+
+    /** Returns whether one more request should leave the region now although
+        there is room in it, since many did so far. */
+    bool should_leave(monotonic_time now);
+
+    /** Counts a request that was sent. */
+    void count(monotonic_time now, bool has_left);
+
+private:
+    struct slice
+    {
+        monotonic_time start;
+        int sent = 0;
+        int left = 0;
+    };
+
+    struct share
+    {
+        int sent = 0;
+        int left = 0;
+        double value() const
+        {
+            return sent == 0 ? 0 : static_cast<double>(left) / sent;
+        }
+    };
+
+    void forget_old(monotonic_time now);
+    share of(monotonic_time from, monotonic_time to) const;
+
+    double largest_change_;
+    std::deque<slice> slices_;
+};
+
+} // namespace verbenacove
+
+#endif
--- /dev/null
+++ b/source/verbenacove/request/routed_request.cpp
@@ -0,0 +1,382 @@
+#include "verbenacove/request/routed_request.hpp"
+
+#include "verbenacove/core/event_log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace verbenacove
+{
+
+namespace
+{
+
+event_log const request_log{"request"};
+
+constexpr milliseconds connect_timeout{300};
+/** The least time in which an upstream could answer. */
+constexpr milliseconds shortest_attempt{5};
+constexpr milliseconds pause_without_upstream{40};
+/** The share of the objective for which a request waits for an upstream to
+    come back into use; a later refusal costs the caller time. */
+constexpr int waiting_part = 10;
+/** Bounds the upstreams that one request is tried at, also in vain. */
+constexpr int maximum_tries = 6;
+constexpr qint64 maximum_answer_bytes = qint64{16} * 1024 * 1024;
+constexpr milliseconds retry_delay{150};
+/** A quarantined request is not to come back soon. */
+constexpr milliseconds quarantine_delay{1000};
+
+constexpr int bad_gateway = 502;
+constexpr int unavailable = 503;
+constexpr int gateway_timeout = 504;
+constexpr int lowest_server_error = 500;
+constexpr int misdirected_status = 421;
+
+bool is_success(int status)
+{
+    return status >= 200 && status < 300;
+}
+
+QByteArray target_of(http_request const& request)
+{
+    return request.query.isEmpty() ? request.path
+                                   : request.path + '?' + request.query;
+}
+
+} // namespace
+
+void routed_request::start(routed_services const& services,
+                           std::shared_ptr<http_exchange> exchange,
+                           request_marks marks, route_record route,
+                           std::shared_ptr<routed_pool> pool)
+{
+    std::shared_ptr<routed_request> const request(
+        new routed_request(services, std::move(exchange), std::move(marks),
+                           std::move(route), std::move(pool)));
+    request->begin();
+}
+
+routed_request::routed_request(routed_services const& services,
+                               std::shared_ptr<http_exchange> exchange,
+                               request_marks marks, route_record route,
+                               std::shared_ptr<routed_pool> pool)
+    : services_(services)
+    , exchange_(std::move(exchange))
+    , marks_(std::move(marks))
+    , route_(std::move(route))
+    , pool_(std::move(pool))
+    , arrived_(services_.clock.now())
+{
+    auto const& request = exchange_->request();
+    fingerprint_ =
+        fingerprint_of(request.method, target_of(request), request.body);
+    auto const left =
+        std::min(route_.timeout, marks_.time_left.value_or(route_.timeout));
+    deadline_ = arrived_ + left;
+}
+
+void routed_request::begin()
+{
+    pool_->retries.count_request();
+    span_ = trace_span::begin(
+        QStringLiteral("routed request"),
+        parse_traceparent(exchange_->request().header("traceparent")),
+        services_.trace_one_in);
+    span_.note("route", route_.name);
+    exchange_->on_cancelled([self = shared_from_this()] { self->cancel(); });
+    try_next();
+}
+
+milliseconds routed_request::time_left() const
+{
+    return elapsed(services_.clock.now(), deadline_);
+}
+
+void routed_request::try_next()
+{
+    auto const left = time_left();
+    if (left < shortest_attempt)
+    {
+        may_have_run_ ? answer_unknown(gateway_timeout, "deadline")
+                      : answer_shortage("deadline");
+        return;
+    }
+    if (services_.crashes.permission(fingerprint_) == send_permission::refused)
+    {
+        answer_shortage("quarantined");
+        return;
+    }
+    pool_query query;
+    query.affinity_key =
+        route_.has_affinity ? marks_.affinity_key : QByteArray();
+    query.excluded = tried_;
+    query.homes = route_.homes;
+    query.objective = route_.objective;
+    query.objective_left =
+        route_.objective - elapsed(arrived_, services_.clock.now());
+    query.time_left = left;
+    auto shortage = pool_shortage::none_known;
+    auto choice = pool_->upstreams.choose(query, shortage);
+    if (!choice)
+    {
+        wait_for_upstream(shortage);
+        return;
+    }
+    send_to(std::move(*choice));
+}
+
+void routed_request::wait_for_upstream(pool_shortage shortage)
+{
+    auto const waited = elapsed(arrived_, services_.clock.now());
+    bool const may_wait = shortage != pool_shortage::no_time &&
+                          waited < route_.objective / waiting_part;
+    if (may_wait && tried_.empty())
+    {
+        pause_ = services_.timers.call_after(pause_without_upstream,
+                                             [self = shared_from_this()]
+                                             { self->try_next(); });
+        return;
+    }
+    if (may_have_run_)
+    {
+        answer_unknown(bad_gateway, "no other upstream");
+        return;
+    }
+    answer_shortage(shortage == pool_shortage::no_time ? "overloaded"
+                                                       : "no upstream");
+}
+
+void routed_request::send_to(pool_choice choice)
+{
+    ++tries_;
+    number_ = services_.crashes.start(fingerprint_, choice.member.id,
+                                      choice.member.started);
+    tried_.push_back(choice.member.id);
+    attempt_span_ = trace_span::begin_child(QStringLiteral("attempt"),
+                                            span_kind::client, span_.context());
+    attempt_span_.note("upstream", choice.member.id.value());
+    choice_ = std::move(choice);
+    running_ = services_.upstreams.start(
+        attempt_to(*choice_), [self = shared_from_this()](attempt_result result)
+        { self->take_result(std::move(result)); });
+}
+
+attempt_request routed_request::attempt_to(pool_choice const& choice)
+{
+    auto const& request = exchange_->request();
+    attempt_request attempt;
+    attempt.address = choice.member.address;
+    attempt.method = request.method;
+    attempt.target = target_of(request);
+    attempt.headers = request.headers;
+    services_.dialect.mark_outgoing(attempt.headers, time_left(),
+                                    choice.member.id);
+    attempt.body = request.body;
+    attempt.connect_timeout = std::min(connect_timeout, time_left());
+    attempt.time_left = time_left();
+    attempt.stall_timeout = attempt.time_left;
+    attempt.maximum_response_bytes = maximum_answer_bytes;
+    attempt.may_reuse_connection = route_.is_idempotent;
+    return attempt;
+}
+
+void routed_request::take_result(attempt_result result)
+{
+    running_.reset();
+    attempts_ += may_have_been_sent(result.end) ? 1 : 0;
+    if (is_done_)
+    {
+        return;
+    }
+    if (result.end != attempt_end::answered)
+    {
+        take_loss(result);
+        return;
+    }
+    auto const marks = services_.dialect.read_answer(result.response);
+    bool const is_refusal =
+        marks.is_not_executed || result.response.status == misdirected_status;
+    bool const is_spoilt =
+        marks.request_id != marks_.id ||
+        (is_success(result.response.status) && marks.signature.isEmpty());
+    if (is_refusal)
+    {
+        take_not_executed(result, marks);
+    }
+    else if (is_spoilt)
+    {
+        result.end = attempt_end::failed_after_send;
+        result.reason = QStringLiteral("The answer is not the request's.");
+        take_loss(result);
+    }
+    else
+    {
+        take_answer(result, marks);
+    }
+}
+
+void routed_request::take_answer(attempt_result const& result,
+                                 answer_marks const& marks)
+{
+    bool const has_failed = result.response.status >= lowest_server_error;
+    end_attempt(has_failed ? upstream_evidence::failure
+                           : upstream_evidence::success,
+                marks.load);
+    may_have_run_ = true;
+    if (has_failed && may_try_again(arrival::may_have_run))
+    {
+        try_next();
+        return;
+    }
+    respond(result.response, run_verdict::ran, "answered");
+}
+
+void routed_request::take_not_executed(attempt_result const& result,
+                                       answer_marks const& marks)
+{
+    bool const is_misdirected = result.response.status == misdirected_status;
+    end_attempt(is_misdirected ? upstream_evidence::misdirected
+                               : upstream_evidence::full,
+                marks.load);
+    if (may_try_again(arrival::not_run))
+    {
+        try_next();
+        return;
+    }
+    if (may_have_run_)
+    {
+        answer_unknown(bad_gateway, "not executed after a loss");
+        return;
+    }
+    answer_shortage(is_misdirected ? "misdirected" : "full");
+}
+
+void routed_request::take_loss(attempt_result const& result)
+{
+    bool const was_sent = may_have_been_sent(result.end);
+    bool const is_late = result.end == attempt_end::timed_out_after_send;
+    end_attempt(is_late ? upstream_evidence::failure
+                        : upstream_evidence::connection_lost,
+                std::nullopt);
+    may_have_run_ = may_have_run_ || was_sent;
+    if (may_try_again(was_sent ? arrival::may_have_run : arrival::never))
+    {
+        try_next();
+        return;
+    }
+    if (may_have_run_)
+    {
+        answer_unknown(is_late ? gateway_timeout : bad_gateway, "lost");
+        return;
+    }
+    answer_shortage("unreachable");
+}
+
+void routed_request::end_attempt(upstream_evidence evidence,
+                                 std::optional<upstream_load> const& load)
+{
+    auto const choice = std::exchange(choice_, std::nullopt);
+    if (auto const number = std::exchange(number_, std::nullopt))
+    {
+        evidence == upstream_evidence::connection_lost
+            ? services_.crashes.lost(*number)
+        : evidence == upstream_evidence::success
+            ? services_.crashes.answered(*number)
+            : services_.crashes.ended(*number);
+    }
+    attempt_span_.end();
+    pool_->upstreams.finish(
+        *choice, route_.has_affinity ? marks_.affinity_key : QByteArray(),
+        evidence, load);
+    request_log.note(
+        "request.attempt",
+        {{"request", QString::fromLatin1(marks_.id)},
+         {"upstream", choice->member.id.value()},
+         {"zone", choice->member.zone.value()},
+         {"evidence", static_cast<int>(evidence)},
+         {"work", static_cast<int>(choice->work)},
+         {"expected_ms", qint64{choice->expected.count()}},
+         {"load", load ? load->running + load->waiting : -1},
+         {"took_ms",
+          qint64{elapsed(choice->started, services_.clock.now()).count()}}});
+}
+
+bool routed_request::may_try_again(arrival last)
+{
+    bool const is_safe = route_.is_idempotent ||
+                         (last != arrival::may_have_run && !may_have_run_);
+    bool const has_tries =
+        attempts_ < route_.maximum_attempts && tries_ < maximum_tries;
+    if (!is_safe || !has_tries || time_left() <= shortest_attempt)
+    {
+        return false;
+    }
+    // What never arrived is no further load on the service.
+    return attempts_ == 0 || pool_->retries.take_retry();
+}
+
+void routed_request::cancel()
+{
+    if (is_done_)
+    {
+        return;
+    }
+    is_done_ = true;
+    pause_.cancel();
+    if (running_)
+    {
+        services_.upstreams.cancel(*running_);
+    }
+    if (choice_)
+    {
+        end_attempt(upstream_evidence::nothing, std::nullopt);
+    }
+    request_log.note(
+        "request.left",
+        {{"request", QString::fromLatin1(marks_.id)}, {"route", route_.name}});
+    span_.end();
+}
+
+void routed_request::answer_shortage(char const* reason)
+{
+    auto response =
+        not_run_response(unavailable, "not-run", "No upstream ran it.");
+    bool const is_quarantined = qstrcmp(reason, "quarantined") == 0;
+    services_.dialect.mark_retry_after(
+        response.headers, is_quarantined ? quarantine_delay : retry_delay);
+    respond(std::move(response), run_verdict::not_run, reason);
+}
+
+void routed_request::answer_unknown(int status, char const* reason)
+{
+    http_response response;
+    response.status = status;
+    response.headers = {
+        {"Run-Verdict", verdict_word(run_verdict::may_have_run)}};
+    respond(std::move(response), run_verdict::may_have_run, reason);
+}
+
+void routed_request::respond(http_response response, run_verdict verdict,
+                             char const* reason)
+{
+    is_done_ = true;
+    pause_.cancel();
+    auto const duration = elapsed(arrived_, services_.clock.now());
+    request_log.note("request.ended",
+                     {{"request", QString::fromLatin1(marks_.id)},
+                      {"route", route_.name},
+                      {"service", pool_->service.value()},
+                      {"status", response.status},
+                      {"reason", QLatin1String(reason)},
+                      {"verdict", QString::fromLatin1(verdict_word(verdict))},
+                      {"attempts", attempts_},
+                      {"took_ms", qint64{duration.count()}},
+                      {"left_ms", qint64{time_left().count()}}});
+    span_.end();
+    services_.ended({route_.name, pool_->service, verdict, response.status,
+                     attempts_, duration});
+    exchange_->respond(response);
+}
+
+} // namespace verbenacove
--- /dev/null
+++ b/source/verbenacove/request/upstream_pool.cpp
@@ -0,0 +1,301 @@
+#include "verbenacove/request/upstream_pool.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace verbenacove
+{
+
+namespace
+{
+
+/** What was learned of an upstream that is not listed is kept for so long. */
+constexpr milliseconds missing_memory{30000};
+/** How sharply lateness sets in, as a share of the objective. */
+constexpr double lateness_spread = 0.2;
+/** An answer that would take more of the time left is not waited for. */
+constexpr double longest_share = 0.95;
+/** Slots that are nearly all in use make an upstream slower. */
+constexpr double crowding_ms = 15;
+/** What an upstream with silent heartbeats loses of its worth. */
+constexpr double silence_penalty = 0.5;
+/** What a failing upstream loses of its worth, at most. */
+constexpr double failure_penalty = 0.8;
+/** The worth of meeting an object's other requests, so that ties are broken
+    alike by all entries. */
+constexpr double rendezvous_worth = 0.03;
+constexpr double jitter_worth = 0.004;
+
+double rendezvous_order(QByteArray const& key, upstream_id const& id)
+{
+    constexpr double range = 4294967296.0;
+    auto const hash = qHash(key, qHash(id.value(), size_t{0x5bd1e995}));
+    return static_cast<double>(hash & 0xffffffffU) / range;
+}
+
+} // namespace
+
+upstream_pool::upstream_pool(steering_settings const& settings,
+                             clock_source const& clock,
+                             region_shift_limit& shift, quint64 seed)
+    : settings_(settings)
+    , clock_(clock)
+    , shift_(shift)
+    , random_(seed)
+{
+}
+
+void upstream_pool::update(std::vector<pool_member> members)
+{
+    auto const now = clock_.now();
+    members_ = std::move(members);
+    for (auto const& member : members_)
+    {
+        auto& known = states_[member.id];
+        if (!known.standing || known.started != member.started)
+        {
+            known = state{};
+            known.started = member.started;
+            known.standing = std::make_shared<upstream_standing>();
+        }
+        known.last_listed = now;
+    }
+    states_.removeIf(
+        [now](auto const& item)
+        { return elapsed(item.value().last_listed, now) > missing_memory; });
+}
+
+bool upstream_pool::is_allowed(pool_member const& member,
+                               pool_query const& query) const
+{
+    bool const was_tried =
+        std::find(query.excluded.begin(), query.excluded.end(), member.id) !=
+        query.excluded.end();
+    bool const is_at_home =
+        query.homes.empty() || std::find(query.homes.begin(), query.homes.end(),
+                                         member.region) != query.homes.end();
+    return !was_tried && is_at_home;
+}
+
+bool upstream_pool::is_usable(pool_member const& member, state const& known,
+                              monotonic_time now) const
+{
+    if (known.standing->is_ejected(now))
+    {
+        return false;
+    }
+    // One request at a time shows whether it works again.
+    if (known.standing->is_on_trial() && known.standing->in_flight() > 0)
+    {
+        return false;
+    }
+    bool const is_cold = member.cold_until > now;
+    return !is_cold || (member.cold_rate > 0 && now >= known.next_cold);
+}
+
+double upstream_pool::in_time_chance(double expected_ms, milliseconds left,
+                                     milliseconds scale) const
+{
+    auto const spread =
+        std::max(1.0, static_cast<double>(scale.count()) * lateness_spread);
+    auto const excess =
+        (expected_ms - static_cast<double>(left.count())) / spread;
+    return 1 / (1 + std::exp(excess));
+}
+
+upstream_pool::candidate upstream_pool::assess(pool_member const& member,
+                                               pool_query const& query,
+                                               monotonic_time now)
+{
+    auto& known = states_[member.id];
+    auto const& standing = *known.standing;
+    candidate result;
+    result.member = &member;
+    result.known = &known;
+    result.work = known.keys.classify(query.affinity_key);
+    result.leaves_region = member.region != settings_.region;
+
+    double const slots = std::max(1, member.slots.value());
+    double const load = standing.load(now);
+    double const work = work_.average_ms(result.work) * standing.slowness(now);
+    double const queue = std::max(0.0, load + 1 - slots) / slots * work;
+    double const crowding = crowding_ms * std::min(1.0, load / slots);
+    bool const leaves_zone = member.zone != settings_.zone;
+    double const round_trip = static_cast<double>(
+        result.leaves_region ? settings_.region_round_trip.count()
+        : leaves_zone        ? settings_.zone_round_trip.count()
+                             : 0);
+    result.expected_ms = work + queue + crowding + round_trip;
+
+    double const in_time = in_time_chance(
+        result.expected_ms, query.objective_left, query.objective);
+    double const at_all =
+        in_time_chance(result.expected_ms, query.time_left, query.objective);
+    double const crossing = result.leaves_region
+                                ? settings_.region_crossing_cost
+                            : leaves_zone ? settings_.zone_crossing_cost
+                                          : 0;
+    result.worth = in_time + settings_.late_worth * (at_all - in_time) -
+                   crossing - queue / 1e5;
+    result.worth -= failure_penalty * standing.failure_share(now);
+    result.worth -= member.is_silent ? silence_penalty : 0;
+    if (!query.affinity_key.isEmpty())
+    {
+        result.worth +=
+            rendezvous_worth * rendezvous_order(query.affinity_key, member.id);
+    }
+    result.worth +=
+        std::uniform_real_distribution<double>(0, jitter_worth)(random_);
+    // The first request shows what a new upstream can do.
+    bool const is_new = !standing.last_used() && member.cold_until > now;
+    if (is_new && !leaves_zone)
+    {
+        result.worth += 1;
+    }
+    return result;
+}
+
+std::optional<pool_choice> upstream_pool::choose(pool_query const& query,
+                                                 pool_shortage& shortage)
+{
+    auto const now = clock_.now();
+    std::vector<candidate> candidates;
+    shortage = pool_shortage::none_known;
+    for (auto const& member : members_)
+    {
+        if (!is_allowed(member, query))
+        {
+            continue;
+        }
+        if (!is_usable(member, states_[member.id], now))
+        {
+            shortage = pool_shortage::none_usable;
+            continue;
+        }
+        candidates.push_back(assess(member, query, now));
+    }
+    auto const* const chosen = pick(candidates, now);
+    if (chosen == nullptr)
+    {
+        return std::nullopt;
+    }
+    bool const has_time =
+        chosen->expected_ms <
+        longest_share * static_cast<double>(query.time_left.count());
+    if (!has_time)
+    {
+        shortage = pool_shortage::no_time;
+        return std::nullopt;
+    }
+    return take(*chosen, now);
+}
+
+upstream_pool::candidate const*
+upstream_pool::pick(std::vector<candidate> const& from, monotonic_time now)
+{
+    candidate const* near = nullptr;
+    candidate const* far = nullptr;
+    for (auto const& each : from)
+    {
+        auto*& best = each.leaves_region ? far : near;
+        if (best == nullptr || each.worth > best->worth)
+        {
+            best = &each;
+        }
+    }
+    if (near == nullptr || far == nullptr)
+    {
+        return near == nullptr ? far : near;
+    }
+    bool const wants_far = far->worth > near->worth;
+    if (wants_far)
+    {
+        return shift_.may_leave(now) ? far : near;
+    }
+    return shift_.should_leave(now) ? far : near;
+}
+
+pool_choice upstream_pool::take(candidate const& chosen, monotonic_time now)
+{
+    auto& known = *chosen.known;
+    if (chosen.member->cold_until > now)
+    {
+        auto const pause = std::chrono::duration<double>(
+            1 / std::max(0.01, chosen.member->cold_rate));
+        known.next_cold =
+            now + std::chrono::duration_cast<monotonic_time::duration>(pause);
+    }
+    known.standing->start(now);
+    shift_.count(now, chosen.leaves_region);
+    pool_choice result;
+    result.member = *chosen.member;
+    result.standing = known.standing;
+    result.work = chosen.work;
+    result.expected = milliseconds(static_cast<qint64>(chosen.expected_ms));
+    result.leaves_region = chosen.leaves_region;
+    result.started = now;
+    return result;
+}
+
+void upstream_pool::finish(pool_choice const& choice,
+                           QByteArray const& affinity_key,
+                           upstream_evidence evidence,
+                           std::optional<upstream_load> const& load)
+{
+    auto const now = clock_.now();
+    auto const taken =
+        std::chrono::duration<double, std::milli>(now - choice.started).count();
+    double const expected =
+        std::max(1.0, static_cast<double>(choice.expected.count()));
+    double const slowness = choice.standing->slowness(now);
+    choice.standing->finish(now, evidence, taken / expected * slowness);
+    if (load)
+    {
+        choice.standing->note_load(now, *load);
+    }
+    if (evidence != upstream_evidence::success)
+    {
+        return;
+    }
+    double const round_trip = static_cast<double>(
+        choice.leaves_region ? settings_.region_round_trip.count() : 0);
+    work_.add(choice.work, (taken - round_trip) / std::max(0.2, slowness));
+    auto const known = states_.find(choice.member.id);
+    if (known != states_.end() && known->started == choice.member.started)
+    {
+        known->keys.note(affinity_key);
+    }
+}
+
+std::vector<pool_member> upstream_pool::take_probes()
+{
+    auto const now = clock_.now();
+    std::vector<pool_member> result;
+    for (auto const& member : members_)
+    {
+        if (states_[member.id].standing->take_probe(now))
+        {
+            result.push_back(member);
+        }
+    }
+    return result;
+}
+
+void upstream_pool::take_probe_answer(upstream_id const& id, bool is_healthy)
+{
+    auto const known = states_.find(id);
+    if (known == states_.end())
+    {
+        return;
+    }
+    if (is_healthy)
+    {
+        known->standing->note_healthy(clock_.now());
+        return;
+    }
+    known->standing->start(clock_.now());
+    known->standing->finish(clock_.now(), upstream_evidence::connection_lost,
+                            1);
+}
+
+} // namespace verbenacove
--- /dev/null
+++ b/source/verbenacove/request/upstream_pool.hpp
@@ -0,0 +1,165 @@
+#ifndef VERBENACOVE_REQUEST_UPSTREAM_POOL_HPP
+#define VERBENACOVE_REQUEST_UPSTREAM_POOL_HPP
+
+#include "verbenacove/core/clock.hpp"
+#include "verbenacove/core/ids.hpp"
+#include "verbenacove/core/socket_address.hpp"
+#include "verbenacove/request/region_shift_limit.hpp"
+#include "verbenacove/request/steering_settings.hpp"
+#include "verbenacove/request/upstream_standing.hpp"
+#include "verbenacove/request/work_memory.hpp"
+
+#include <QHash>
+
+#include <memory>
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace verbenacove
+{
+
+/** One upstream that may get requests, as the control thread knows it. */
+struct pool_member
+{
+    upstream_id id;
+    incarnation started;
+    socket_address address;
+    zone_name zone;
+    region_name region;
+    slot_count slots;
+    /** Its heartbeats have stopped. */
+    bool is_silent = false;
+    /** Until when it bears few requests only. */
+    monotonic_time cold_until;
+    /** The requests per second that this entry may send it while it is cold;
+        0 when that is for another entry to do. */
+    double cold_rate = 0;
+    QString health_path;
+};
+
+/** What a request asks of its upstream. */
+struct pool_query
+{
+    QByteArray affinity_key;
+    /** Upstreams that were tried. */
+    std::vector<upstream_id> excluded;
+    /** The only regions allowed; empty for all. */
+    std::vector<region_name> homes;
+    /** The time that is left for an answer of full worth; may be negative. */
+    milliseconds objective_left{0};
+    /** The time that is left for any answer. */
+    milliseconds time_left{0};
+    /** The whole objective, which sets the scale of lateness. */
+    milliseconds objective{1000};
+};
+
+/** An upstream that was chosen for an attempt. */
+struct pool_choice
+{
+    pool_member member;
+    std::shared_ptr<upstream_standing> standing;
+    work_class work = work_class::unseen;
+    /** How long the answer should take, the upstream's queue included. */
+    milliseconds expected{0};
+    bool leaves_region = false;
+    monotonic_time started;
+};
+
+/** Why no upstream was chosen. */
+enum class pool_shortage
+{
+    /** None is known, or all were tried. */
+    none_known,
+    /** Those that are known are out of use for a moment. */
+    none_usable,
+    /** No answer can come in time. */
+    no_time
+};
+
+/** Chooses the upstream for each attempt of one service's requests.
+
+    The choice is the upstream whose answer is worth most: the chance that it
+    is in time, by the upstream's queue, its speed and whether it has handled
+    the request's object of late, less what crossing zones and regions costs.
+    All calls come from one thread.
+*/
+class upstream_pool
+{
+public:
+    /** The clock and the limit must outlive the pool.
+
+        @param seed  of the random draws; differs from entry to entry
+    */
+    upstream_pool(steering_settings const& settings, clock_source const& clock,
+                  region_shift_limit& shift, quint64 seed);
+
+    /** Replaces the upstreams; what was learned stays with each incarnation.
+     */
+    void update(std::vector<pool_member> members);
+
+    /** Chooses an upstream and counts the attempt as started; `finish` it.
+
+        @param shortage  why there is none
+    */
+    std::optional<pool_choice> choose(pool_query const& query,
+                                      pool_shortage& shortage);
+
+    /** Takes in how an attempt ended. */
+    void finish(pool_choice const& choice, QByteArray const& affinity_key,
+                upstream_evidence evidence,
+                std::optional<upstream_load> const& load);
+
+    /** Returns the upstreams that failed and should be asked for their health
+        now, before a request tries them. */
+    std::vector<pool_member> take_probes();
+
+    /** Takes in the answer to a probe. */
+    void take_probe_answer(upstream_id const& id, bool is_healthy);
+
+    std::vector<pool_member> const& members() const { return members_; }
+
+private:
+    struct state
+    {
+        incarnation started;
+        std::shared_ptr<upstream_standing> standing;
+        upstream_work_memory keys;
+        /** When the next request may go to it while it is cold. */
+        monotonic_time next_cold{};
+        monotonic_time last_listed{};
+    };
+
+    struct candidate
+    {
+        pool_member const* member = nullptr;
+        state* known = nullptr;
+        work_class work = work_class::unseen;
+        double expected_ms = 0;
+        double worth = 0;
+        bool leaves_region = false;
+    };
+
+    bool is_allowed(pool_member const& member, pool_query const& query) const;
+    bool is_usable(pool_member const& member, state const& known,
+                   monotonic_time now) const;
+    candidate assess(pool_member const& member, pool_query const& query,
+                     monotonic_time now);
+    double in_time_chance(double expected_ms, milliseconds left,
+                          milliseconds scale) const;
+    candidate const* pick(std::vector<candidate> const& from,
+                          monotonic_time now);
+    pool_choice take(candidate const& chosen, monotonic_time now);
+
+    steering_settings settings_;
+    clock_source const& clock_;
+    region_shift_limit& shift_;
+    std::mt19937_64 random_;
+    std::vector<pool_member> members_;
+    QHash<upstream_id, state> states_;
+    service_work work_;
+};
+
+} // namespace verbenacove
+
+#endif
--- /dev/null
+++ b/source/verbenacove/request/upstream_standing.cpp
@@ -0,0 +1,142 @@
+#include "verbenacove/request/upstream_standing.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace verbenacove
+{
+
+namespace
+{
+
+/** The weight of the newest answer in the averages. */
+constexpr double answer_weight = 0.2;
+constexpr double failure_weight = 0.15;
+constexpr double largest_ratio = 20;
+/** Failures are forgotten by half in this time. */
+constexpr double failure_half_life_ms = 4000;
+/** Slowness is forgotten by half in this time. */
+constexpr double slowness_half_life_ms = 5000;
+/** An upstream that fails more than this is left out. */
+constexpr double failure_limit = 0.35;
+constexpr milliseconds shortest_ejection{500};
+constexpr milliseconds failure_ejection{2500};
+constexpr milliseconds full_pause{150};
+constexpr milliseconds misdirected_pause{1500};
+constexpr int largest_doubling = 4;
+constexpr milliseconds probe_interval{500};
+/** The load that others cause is believed to change in this time. */
+constexpr double load_memory_ms = 600;
+
+double decay(monotonic_time from, monotonic_time to, double half_life_ms)
+{
+    auto const age = std::chrono::duration<double, std::milli>(to - from);
+    return std::exp2(-age.count() / half_life_ms);
+}
+
+} // namespace
+
+void upstream_standing::start(monotonic_time now)
+{
+    ++in_flight_;
+    last_used_ = now;
+}
+
+void upstream_standing::finish(monotonic_time now, upstream_evidence evidence,
+                               double ratio)
+{
+    in_flight_ = std::max(0, in_flight_ - 1);
+    bool const is_failure = evidence == upstream_evidence::failure ||
+                            evidence == upstream_evidence::connection_lost;
+    if (is_failure || evidence == upstream_evidence::success)
+    {
+        failure_share_ = failure_share(now) * (1 - failure_weight) +
+                         (is_failure ? failure_weight : 0);
+        failure_at_ = now;
+    }
+    switch (evidence)
+    {
+    case upstream_evidence::success:
+        slowness_ = slowness(now);
+        slowness_ += answer_weight *
+                     (std::clamp(ratio, 0.05, largest_ratio) - slowness_);
+        slowness_at_ = now;
+        losses_in_row_ = 0;
+        if (failure_share_ < failure_limit)
+        {
+            ejections_ = 0;
+        }
+        break;
+    case upstream_evidence::failure:
+        if (failure_share_ > failure_limit)
+        {
+            eject(now, failure_ejection);
+        }
+        break;
+    case upstream_evidence::connection_lost:
+        ++losses_in_row_;
+        eject(now, shortest_ejection);
+        break;
+    case upstream_evidence::full:
+        ejected_until_ = std::max(ejected_until_, now + full_pause);
+        break;
+    case upstream_evidence::misdirected:
+        ejected_until_ = std::max(ejected_until_, now + misdirected_pause);
+        break;
+    case upstream_evidence::nothing:
+        break;
+    }
+}
+
+void upstream_standing::eject(monotonic_time now, milliseconds shortest)
+{
+    // What ends together is one event.
+    if (is_ejected(now) && ejections_ > 0)
+    {
+        return;
+    }
+    auto const doubling = 1 << std::min(ejections_, largest_doubling);
+    ejected_until_ = now + shortest * doubling;
+    ++ejections_;
+}
+
+void upstream_standing::note_load(monotonic_time now, upstream_load const& load)
+{
+    load_of_others_ = std::max(0, load.running + load.waiting - in_flight_);
+    load_at_ = now;
+}
+
+double upstream_standing::load(monotonic_time now) const
+{
+    return in_flight_ + load_of_others_ * decay(load_at_, now, load_memory_ms);
+}
+
+double upstream_standing::slowness(monotonic_time now) const
+{
+    return 1 +
+           (slowness_ - 1) * decay(slowness_at_, now, slowness_half_life_ms);
+}
+
+double upstream_standing::failure_share(monotonic_time now) const
+{
+    return failure_share_ * decay(failure_at_, now, failure_half_life_ms);
+}
+
+void upstream_standing::note_healthy(monotonic_time now)
+{
+    ejected_until_ = now;
+    losses_in_row_ = 0;
+}
+
+bool upstream_standing::take_probe(monotonic_time now)
+{
+    bool const is_due = is_on_trial() && !is_ejected(now) &&
+                        elapsed(probed_, now) > probe_interval;
+    if (is_due)
+    {
+        probed_ = now;
+    }
+    return is_due;
+}
+
+} // namespace verbenacove
--- /dev/null
+++ b/source/verbenacove/version/route_store.cpp
@@ -0,0 +1,146 @@
+#include "verbenacove/version/route_store.hpp"
+
+#include "verbenacove/core/cbor.hpp"
+
+namespace verbenacove
+{
+
+namespace
+{
+
+constexpr int maximum_evacuated_zones = 1024;
+
+} // namespace
+
+route_store::route_store()
+    : current_(std::make_shared<route_configuration const>())
+{
+}
+
+order_result route_store::apply(route_change const& change)
+{
+    auto const version = current_->version;
+    if (accepted_.contains(change.signature))
+    {
+        return {order_outcome::accepted, version, {}};
+    }
+    if (change.base != version)
+    {
+        return {order_outcome::conflict, version,
+                QStringLiteral("version %1 is current").arg(version.value())};
+    }
+    if (change.version <= version)
+    {
+        return {order_outcome::invalid, version,
+                QStringLiteral("the version is not above the current one, %1")
+                    .arg(version.value())};
+    }
+    auto next = changed(*current_, change);
+    auto const reason = invalid_reason(next);
+    if (!reason.isEmpty())
+    {
+        return {order_outcome::invalid, version, reason};
+    }
+    current_ = std::make_shared<route_configuration const>(std::move(next));
+    ++revision_;
+    remember(change.signature);
+    return {order_outcome::accepted, current_->version, {}};
+}
+
+order_result route_store::evacuate(zone_name const& zone, bool is_evacuated)
+{
+    bool const is_over = is_evacuated && !evacuated_.contains(zone) &&
+                         evacuated_.size() >= maximum_evacuated_zones;
+    if (is_over)
+    {
+        return {order_outcome::invalid, current_->version,
+                QStringLiteral("too many zones are evacuated")};
+    }
+    if (is_evacuated != evacuated_.contains(zone))
+    {
+        ++revision_;
+    }
+    if (is_evacuated)
+    {
+        evacuated_.insert(zone);
+    }
+    else
+    {
+        evacuated_.remove(zone);
+    }
+    return {order_outcome::accepted, current_->version, {}};
+}
+
+void route_store::remember(QByteArray const& signature)
+{
+    accepted_.insert(signature, current_->version);
+    accepted_order_.push_back(signature);
+    if (accepted_order_.size() > maximum_signatures)
+    {
+        accepted_.remove(accepted_order_.front());
+        accepted_order_.pop_front();
+    }
+}
+
+QCborMap route_store::snapshot() const
+{
+    QCborArray zones;
+    for (auto const& zone : evacuated_)
+    {
+        zones.append(zone.value());
+    }
+    QCborArray signatures;
+    for (auto const& signature : accepted_order_)
+    {
+        signatures.append(signature);
+    }
+    return {{QLatin1String("configuration"),
+             to_cbor(*current_, route_detail::with_source)},
+            {QLatin1String("evacuated"), zones},
+            {QLatin1String("revision"), revision_},
+            {QLatin1String("signatures"), signatures}};
+}
+
+bool route_store::restore(QCborMap const& state)
+{
+    auto configuration =
+        parse_route_configuration(cbor_map(state, "configuration"));
+    if (!configuration)
+    {
+        return false;
+    }
+    current_ =
+        std::make_shared<route_configuration const>(std::move(*configuration));
+    revision_ = cbor_number(state, "revision");
+    evacuated_.clear();
+    for (auto const& zone : cbor_array(state, "evacuated"))
+    {
+        evacuated_.insert(zone_name(zone.toString()));
+    }
+    accepted_.clear();
+    accepted_order_.clear();
+    for (auto const& signature : cbor_array(state, "signatures"))
+    {
+        remember(signature.toByteArray());
+    }
+    return true;
+}
+
+QCborMap to_cbor(order_result const& result)
+{
+    return {{QLatin1String("outcome"), static_cast<int>(result.outcome)},
+            {QLatin1String("version"), result.version.value()},
+            {QLatin1String("reason"), result.reason}};
+}
+
+order_result parse_order_result(QCborMap const& map)
+{
+    auto const outcome = cbor_number(map, "outcome", 2);
+    return {outcome == 0   ? order_outcome::accepted
+            : outcome == 1 ? order_outcome::conflict
+                           : order_outcome::invalid,
+            route_version(cbor_number(map, "version")),
+            cbor_text(map, "reason")};
+}
+
+} // namespace verbenacove
