Choose upstreams by what their answer is worth, objects spread by hash

Cause: an answer is in time only from an upstream that has handled the request's object lately (measured from the attempt log: 200 ms against 690 ms for Karoo's look-ups, warm among its last 20 or so objects), and entries spread the same object over several upstreams. Gumbel noise drawn from the object and the upstream makes all entries of a zone agree; leaving the zone needs more worth.

--- a/source/verbenacove/process/daemon_runner.hpp
+++ b/source/verbenacove/process/daemon_runner.hpp
@@ -7,6 +7,7 @@
 
 #include <QCoreApplication>
 
+#include <csignal>
 #include <iostream>
 
 namespace verbenacove
--- a/source/verbenacove/process/routing/route_entry_process.cpp
+++ b/source/verbenacove/process/routing/route_entry_process.cpp
@@ -1,6 +1,7 @@
 #include "verbenacove/process/routing/route_entry_process.hpp"
 
 #include "verbenacove/core/event_log.hpp"
+#include "verbenacove/core/stable_hash.hpp"
 
 #include <QMetaObject>
 
@@ -164,7 +165,7 @@
     auto const& zone = upstream.content.zone;
     auto const region = region_of(zone);
     QString best;
-    std::pair<int, size_t> best_rank{-1, 0};
+    std::pair<int, quint64> best_rank{-1, 0};
     for (auto const& entry : link_.board().entries().records())
     {
         if (entry.is_silent || entry.phase != presence_phase::serving)
@@ -174,8 +175,8 @@
         int const nearness = entry.content.zone == zone       ? 2
                              : entry.content.region == region ? 1
                                                               : 0;
-        std::pair<int, size_t> const rank{
-            nearness, qHash(entry.id, qHash(upstream.id, size_t{17}))};
+        std::pair<int, quint64> const rank{
+            nearness, stable_hash(upstream.id.toUtf8(), entry.id.toUtf8())};
         if (rank > best_rank)
         {
             best_rank = rank;
--- a/source/verbenacove/request/region_shift_limit.cpp
+++ b/source/verbenacove/request/region_shift_limit.cpp
@@ -25,6 +25,10 @@
     forget_old(now);
     auto const before = of(now - 2 * window, now - window);
     auto const current = of(now - window, now);
+    if (before.sent < fewest_requests)
+    {
+        return true;
+    }
     double const most = before.value() + largest_change_ * used_share;
     double const next = (current.left + 1.0) / (current.sent + 1.0);
     return next <= most || (current.left == 0 && most > 0);
--- a/source/verbenacove/request/routed_request.cpp
+++ b/source/verbenacove/request/routed_request.cpp
@@ -222,7 +222,7 @@
     bool const has_failed = result.response.status >= lowest_server_error;
     end_attempt(has_failed ? upstream_evidence::failure
                            : upstream_evidence::success,
-                marks.load);
+                marks.load, result.response.body.size());
     may_have_run_ = true;
     if (has_failed && may_try_again(arrival::may_have_run))
     {
@@ -274,7 +274,8 @@
 }
 
 void routed_request::end_attempt(upstream_evidence evidence,
-                                 std::optional<upstream_load> const& load)
+                                 std::optional<upstream_load> const& load,
+                                 qint64 answer_bytes)
 {
     auto const choice = std::exchange(choice_, std::nullopt);
     if (auto const number = std::exchange(number_, std::nullopt))
@@ -288,14 +289,15 @@
     attempt_span_.end();
     pool_->upstreams.finish(
         *choice, route_.has_affinity ? marks_.affinity_key : QByteArray(),
-        evidence, load);
+        evidence, load, exchange_->request().body.size() + answer_bytes);
     request_log.note(
         "request.attempt",
         {{"request", QString::fromLatin1(marks_.id)},
          {"upstream", choice->member.id.value()},
+         {"key", QString::fromUtf8(marks_.affinity_key)},
          {"zone", choice->member.zone.value()},
          {"evidence", static_cast<int>(evidence)},
-         {"work", static_cast<int>(choice->work)},
+         {"work", static_cast<qint64>(choice->work.value())},
          {"expected_ms", qint64{choice->expected.count()}},
          {"load", load ? load->running + load->waiting : -1},
          {"took_ms",
--- a/source/verbenacove/request/routed_request.hpp
+++ b/source/verbenacove/request/routed_request.hpp
@@ -95,7 +95,8 @@
                            answer_marks const& marks);
     void take_loss(attempt_result const& result);
     void end_attempt(upstream_evidence evidence,
-                     std::optional<upstream_load> const& load);
+                     std::optional<upstream_load> const& load,
+                     qint64 answer_bytes = 0);
     bool may_try_again(arrival last);
     void cancel();
     void answer_shortage(char const* reason);
--- a/source/verbenacove/request/steering_settings.hpp
+++ b/source/verbenacove/request/steering_settings.hpp
@@ -13,10 +13,22 @@
 {
     zone_name zone;
     region_name region;
-    /** Of a request that leaves the zone; links between zones are billed. */
-    double zone_crossing_cost = 0.25;
-    /** Of a request that leaves the region, in place of the former. */
-    double region_crossing_cost = 0.4;
+    /** Of each KiB that leaves the zone; links between zones are billed. */
+    double zone_crossing_cost = 0.08;
+    /** Of each KiB that leaves the region, besides. */
+    double region_crossing_cost = 0.04;
+    /** The most that crossing costs, whatever the size. */
+    double highest_crossing_cost = 0.35;
+    /** How much of the extra time of an object that an upstream has not
+        handled counts in the choice: handling it makes later requests faster,
+        so that only a part is its own. */
+    double unseen_share = 0.3;
+    /** How far apart two upstreams must be in worth for nearly all objects to
+        go to the better one; below, objects are spread over both. */
+    double object_spread = 0.2;
+    /** How much more worth an upstream farther away must promise, on the
+        average over all objects. */
+    double leave_margin = 0.1;
     /** What an answer after its objective is worth. */
     double late_worth = 0.2;
     /** The round trip that leaving the region adds. */
--- a/source/verbenacove/request/upstream_pool.cpp
+++ b/source/verbenacove/request/upstream_pool.cpp
@@ -1,6 +1,9 @@
 #include "verbenacove/request/upstream_pool.hpp"
 
+#include "verbenacove/core/stable_hash.hpp"
+
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace verbenacove
@@ -21,16 +24,13 @@
 constexpr double silence_penalty = 0.5;
 /** What a failing upstream loses of its worth, at most. */
 constexpr double failure_penalty = 0.8;
-/** The worth of meeting an object's other requests, so that ties are broken
-    alike by all entries. */
-constexpr double rendezvous_worth = 0.03;
-constexpr double jitter_worth = 0.004;
+/** How much chance decides for requests without an object. */
+constexpr double jitter_share = 0.1;
 
-double rendezvous_order(QByteArray const& key, upstream_id const& id)
+double stable_fraction(QByteArray const& key)
 {
-    constexpr double range = 4294967296.0;
-    auto const hash = qHash(key, qHash(id.value(), size_t{0x5bd1e995}));
-    return static_cast<double>(hash & 0xffffffffU) / range;
+    constexpr double range = 18446744073709551616.0;
+    return static_cast<double>(stable_hash(key, "leave")) / range;
 }
 
 } // namespace
@@ -103,6 +103,44 @@
     return 1 / (1 + std::exp(excess));
 }
 
+std::size_t upstream_pool::distance_of(pool_member const& member) const
+{
+    if (member.zone == settings_.zone)
+    {
+        return 0;
+    }
+    return member.region == settings_.region ? 1 : 2;
+}
+
+double upstream_pool::crossing_cost(pool_member const& member) const
+{
+    if (member.zone == settings_.zone)
+    {
+        return 0;
+    }
+    double const per_kib =
+        settings_.zone_crossing_cost +
+        (member.region == settings_.region ? 0
+                                           : settings_.region_crossing_cost);
+    return std::min(settings_.highest_crossing_cost,
+                    per_kib * work_.average_kib());
+}
+
+// Gumbel noise that all entries draw alike for an object and an upstream: the
+// best sum of worth and noise spreads objects over upstreams of like worth,
+// and few objects move when the worth of one changes.
+double upstream_pool::object_preference(QByteArray const& key,
+                                        upstream_id const& id)
+{
+    constexpr double range = 18446744073709551616.0;
+    bool const has_object = !key.isEmpty();
+    quint64 const hash = has_object ? stable_hash(key, id.value().toUtf8())
+                                    : quint64{random_()};
+    double const uniform = (static_cast<double>(hash) + 1) / (range + 2);
+    return settings_.object_spread * (has_object ? 1 : jitter_share) *
+           -std::log(-std::log(uniform));
+}
+
 upstream_pool::candidate upstream_pool::assess(pool_member const& member,
                                                pool_query const& query,
                                                monotonic_time now)
@@ -114,10 +152,13 @@
     result.known = &known;
     result.work = known.keys.classify(query.affinity_key);
     result.leaves_region = member.region != settings_.region;
+    result.distance = distance_of(member);
 
     double const slots = std::max(1, member.slots.value());
     double const load = standing.load(now);
-    double const work = work_.average_ms(result.work) * standing.slowness(now);
+    auto const objective = static_cast<double>(query.objective.count());
+    double const work =
+        work_.average_ms(result.work, objective) * standing.slowness(now);
     double const queue = std::max(0.0, load + 1 - slots) / slots * work;
     double const crowding = crowding_ms * std::min(1.0, load / slots);
     bool const leaves_zone = member.zone != settings_.zone;
@@ -127,25 +168,23 @@
                              : 0);
     result.expected_ms = work + queue + crowding + round_trip;
 
-    double const in_time = in_time_chance(
-        result.expected_ms, query.objective_left, query.objective);
+    double const warm = work_.average_ms(work_class(0), objective);
+    double const extra =
+        query.affinity_key.isEmpty()
+            ? 0
+            : std::max(0.0, work_.average_ms(result.work, objective) - warm) *
+                  standing.slowness(now) * (1 - settings_.unseen_share);
+    double const counted_ms = result.expected_ms - extra;
+    double const in_time =
+        in_time_chance(counted_ms, query.objective_left, query.objective);
     double const at_all =
-        in_time_chance(result.expected_ms, query.time_left, query.objective);
-    double const crossing = result.leaves_region
-                                ? settings_.region_crossing_cost
-                            : leaves_zone ? settings_.zone_crossing_cost
-                                          : 0;
+        in_time_chance(counted_ms, query.time_left, query.objective);
     result.worth = in_time + settings_.late_worth * (at_all - in_time) -
-                   crossing - queue / 1e5;
+                   crossing_cost(member) - queue / 1e5;
     result.worth -= failure_penalty * standing.failure_share(now);
     result.worth -= member.is_silent ? silence_penalty : 0;
-    if (!query.affinity_key.isEmpty())
-    {
-        result.worth +=
-            rendezvous_worth * rendezvous_order(query.affinity_key, member.id);
-    }
-    result.worth +=
-        std::uniform_real_distribution<double>(0, jitter_worth)(random_);
+    result.preference =
+        result.worth + object_preference(query.affinity_key, member.id);
     // The first request shows what a new upstream can do.
     bool const is_new = !standing.last_used() && member.cold_until > now;
     if (is_new && !leaves_zone)
@@ -174,7 +213,7 @@
         }
         candidates.push_back(assess(member, query, now));
     }
-    auto const* const chosen = pick(candidates, now);
+    auto const* const chosen = pick(candidates, query.affinity_key, now);
     if (chosen == nullptr)
     {
         return std::nullopt;
@@ -191,24 +230,33 @@
 }
 
 upstream_pool::candidate const*
-upstream_pool::pick(std::vector<candidate> const& from, monotonic_time now)
+upstream_pool::pick(std::vector<candidate> const& from,
+                    QByteArray const& affinity_key, monotonic_time now)
 {
-    candidate const* near = nullptr;
-    candidate const* far = nullptr;
+    std::array<candidate const*, distance_count> best{};
     for (auto const& each : from)
     {
-        auto*& best = each.leaves_region ? far : near;
-        if (best == nullptr || each.worth > best->worth)
+        auto*& of_distance = best[each.distance];
+        if (of_distance == nullptr || each.preference > of_distance->preference)
         {
-            best = &each;
+            of_distance = &each;
         }
     }
+    // The same objects leave first at all entries, so that they meet again.
+    double const margin =
+        settings_.leave_margin * 2 * stable_fraction(affinity_key);
+    auto const* near = best[0];
+    if (near == nullptr ||
+        (best[1] != nullptr && best[1]->worth > near->worth + margin))
+    {
+        near = best[1];
+    }
+    auto const* const far = best[2];
     if (near == nullptr || far == nullptr)
     {
         return near == nullptr ? far : near;
     }
-    bool const wants_far = far->worth > near->worth;
-    if (wants_far)
+    if (far->worth > near->worth + margin)
     {
         return shift_.may_leave(now) ? far : near;
     }
@@ -240,7 +288,8 @@
 void upstream_pool::finish(pool_choice const& choice,
                            QByteArray const& affinity_key,
                            upstream_evidence evidence,
-                           std::optional<upstream_load> const& load)
+                           std::optional<upstream_load> const& load,
+                           qint64 bytes)
 {
     auto const now = clock_.now();
     auto const taken =
@@ -257,6 +306,7 @@
     {
         return;
     }
+    work_.add_size(bytes);
     double const round_trip = static_cast<double>(
         choice.leaves_region ? settings_.region_round_trip.count() : 0);
     work_.add(choice.work, (taken - round_trip) / std::max(0.2, slowness));
--- a/source/verbenacove/request/upstream_pool.hpp
+++ b/source/verbenacove/request/upstream_pool.hpp
@@ -59,7 +59,7 @@
 {
     pool_member member;
     std::shared_ptr<upstream_standing> standing;
-    work_class work = work_class::unseen;
+    work_class work = unseen_work;
     /** How long the answer should take, the upstream's queue included. */
     milliseconds expected{0};
     bool leaves_region = false;
@@ -105,10 +105,13 @@
     std::optional<pool_choice> choose(pool_query const& query,
                                       pool_shortage& shortage);
 
-    /** Takes in how an attempt ended. */
+    /** Takes in how an attempt ended.
+
+        @param bytes  the size of the request and its answer
+    */
     void finish(pool_choice const& choice, QByteArray const& affinity_key,
                 upstream_evidence evidence,
-                std::optional<upstream_load> const& load);
+                std::optional<upstream_load> const& load, qint64 bytes);
 
     /** Returns the upstreams that failed and should be asked for their health
         now, before a request tries them. */
@@ -130,13 +133,20 @@
         monotonic_time last_listed{};
     };
 
+    /** In the zone, in the region, and beyond. */
+    static constexpr std::size_t distance_count = 3;
+
     struct candidate
     {
         pool_member const* member = nullptr;
         state* known = nullptr;
-        work_class work = work_class::unseen;
+        work_class work = unseen_work;
         double expected_ms = 0;
+        /** What its answer is worth, less what crossing costs. */
         double worth = 0;
+        /** The worth, and how well the object suits the upstream. */
+        double preference = 0;
+        std::size_t distance = 0;
         bool leaves_region = false;
     };
 
@@ -145,10 +155,13 @@
                    monotonic_time now) const;
     candidate assess(pool_member const& member, pool_query const& query,
                      monotonic_time now);
+    double crossing_cost(pool_member const& member) const;
+    double object_preference(QByteArray const& key, upstream_id const& id);
     double in_time_chance(double expected_ms, milliseconds left,
                           milliseconds scale) const;
+    std::size_t distance_of(pool_member const& member) const;
     candidate const* pick(std::vector<candidate> const& from,
-                          monotonic_time now);
+                          QByteArray const& affinity_key, monotonic_time now);
     pool_choice take(candidate const& chosen, monotonic_time now);
 
     steering_settings settings_;
--- a/source/verbenacove/request/work_memory.cpp
+++ b/source/verbenacove/request/work_memory.cpp
@@ -8,15 +8,10 @@
 namespace
 {
 
-/** An object is recent among so many requests of the upstream. */
-constexpr qint64 recent_requests = 48;
+/** The requests that the first class reaches back; each further one reaches
+    back twice as far. */
+constexpr qint64 shortest_distance = 8;
 constexpr double newest_weight = 0.05;
-constexpr double default_ms = 300;
-
-std::size_t index_of(work_class kind)
-{
-    return static_cast<std::size_t>(kind);
-}
 
 } // namespace
 
@@ -40,28 +35,50 @@
     auto const found = latest_.constFind(key);
     if (found == latest_.cend())
     {
-        return work_class::unseen;
+        return unseen_work;
+    }
+    std::size_t result = 0;
+    auto reach = shortest_distance;
+    while (requests_ - *found >= reach && result + 2 < work_class_count)
+    {
+        reach *= 2;
+        ++result;
     }
-    return requests_ - *found <= recent_requests ? work_class::recent
-                                                 : work_class::earlier;
+    return work_class(result);
 }
 
-double service_work::average_ms(work_class kind) const
+double service_work::average_ms(work_class kind, double fallback_ms) const
 {
-    auto const known = average_[index_of(kind)];
+    auto const known = average_[kind.value()];
     if (known > 0)
     {
         return known;
     }
-    auto const any = *std::max_element(average_.begin(), average_.end());
-    return any > 0 ? any : default_ms;
+    // What is not known yet is taken for the nearest class that is.
+    for (auto index = kind.value(); index-- > 0;)
+    {
+        if (average_[index] > 0)
+        {
+            return average_[index];
+        }
+    }
+    auto const any = std::find_if(average_.begin(), average_.end(),
+                                  [](double each) { return each > 0; });
+    return any == average_.end() ? fallback_ms : *any;
 }
 
 void service_work::add(work_class kind, double duration_ms)
 {
-    auto& average = average_[index_of(kind)];
+    auto& average = average_[kind.value()];
     auto const taken = std::max(1.0, duration_ms);
     average = average > 0 ? average + newest_weight * (taken - average) : taken;
 }
 
+void service_work::add_size(qint64 bytes)
+{
+    constexpr double kib = 1024;
+    average_kib_ +=
+        newest_weight * (static_cast<double>(bytes) / kib - average_kib_);
+}
+
 } // namespace verbenacove
--- a/source/verbenacove/request/work_memory.hpp
+++ b/source/verbenacove/request/work_memory.hpp
@@ -1,6 +1,8 @@
 #ifndef VERBENACOVE_REQUEST_WORK_MEMORY_HPP
 #define VERBENACOVE_REQUEST_WORK_MEMORY_HPP
 
+#include "verbenacove/core/strong_type.hpp"
+
 #include <QByteArray>
 #include <QHash>
 
@@ -10,18 +12,17 @@
 namespace verbenacove
 {
 
-/** How likely an upstream has what a request needs at hand. */
-enum class work_class
-{
-    /** It handled the same object among its last requests. */
-    recent,
-    /** It handled the object longer ago. */
-    earlier,
-    /** It has not handled the object, as far as is known. */
-    unseen
-};
+/** How long ago an upstream handled the same object, by the number of this
+    entry's requests to it since; the last class is for objects that it has not
+    handled, as far as is known. */
+using work_class = strong_type<struct work_class_tag, std::size_t>;
+
+/** The number of work classes: up to 7, 15, 31, 63 and 127 requests ago,
+    longer ago, and never. */
+constexpr std::size_t work_class_count = 7;
 
-constexpr std::size_t work_class_count = 3;
+/** The class of objects that were never handled. */
+inline work_class const unseen_work{work_class_count - 1};
 
 /** Which objects an upstream has handled, by this entry's requests. */
 class upstream_work_memory
@@ -33,7 +34,7 @@
     /** Notes that the upstream has handled an object. */
     void note(QByteArray const& key);
 
-    /** Returns the class of a request; `unseen` for an empty key. */
+    /** Returns the class of a request; `unseen_work` for an empty key. */
     work_class classify(QByteArray const& key) const;
 
 private:
@@ -47,14 +48,24 @@
 class service_work
 {
 public:
-    /** Returns the average in milliseconds; never 0. */
-    double average_ms(work_class kind) const;
+    /** Returns the average in milliseconds; never 0.
+
+        @param fallback_ms  taken before the first answer; above 0
+    */
+    double average_ms(work_class kind, double fallback_ms) const;
 
     /** Takes in the time that an answer took, its queueing left out. */
     void add(work_class kind, double duration_ms);
 
+    /** Returns the average size of a request and its answer, in KiB. */
+    double average_kib() const { return average_kib_; }
+
+    /** Takes in the size of a request and its answer, in bytes. */
+    void add_size(qint64 bytes);
+
 private:
     std::array<double, work_class_count> average_{};
+    double average_kib_ = 1;
 };
 
 } // namespace verbenacove
