--- /dev/null
+++ b/tests/platform/platform_documents_test.cpp
@@ -0,0 +1,249 @@
+#include "platform_dialect.hpp"
+#include "platform_documents.hpp"
+
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include <doctest/doctest.h>
+
+#include <QJsonDocument>
+#include <QJsonObject>
+
+#include <boost/leaf/handle_errors.hpp>
+
+using namespace verbenacove;
+using namespace verbenacove::platform;
+
+namespace
+{
+
+QByteArray const whole_body = R"({"Version":"r7","Routes":{"r-1":{
+    "Hostname":"jepu9.example","PathPrefix":"/lepu270/","Kind":"safe",
+    "Timeout":"1500ms","TargetLatency":"0.4s","Priority":2,
+    "TrafficSplit":[{"Service":"a","Weight":90},{"Service":"b","Weight":10}],
+    "MaxAttempts":2,"SessionAffinity":true,"HomeRegions":["casa"],
+    "Later":{"x":[1,2]}},
+    "r-2":{"Hostname":"hulo84.example","PathPrefix":"/","Kind":"unsafe",
+    "Timeout":"2000ms","TargetLatency":"500ms","Priority":1,"Service":"a",
+    "MaxAttempts":1,"SessionAffinity":false,"HomeRegions":[]}},
+    "Services":{"a":{"HealthPath":"/health","MaxConnections":390,
+    "Protocol":"h1","Tls":false,"ColdStart":"3s","WarmupPerS":5.4},
+    "b":{"HealthPath":"/health","MaxConnections":390}},
+    "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":67108864,
+    "HeaderTimeout":"3000ms","IdleTimeout":"15000ms"}})";
+
+/** Reads a change; the key that is wrong goes to `wrong_key`. */
+std::optional<route_change> change_of(QByteArray const& body, change_form form,
+                                      QString& wrong_key,
+                                      QByteArray const& base = "r5")
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<std::optional<route_change>>
+        {
+            BOOST_LEAF_AUTO(change, read_change(body, base, form));
+            return std::optional<route_change>(std::move(change));
+        },
+        [&](document_error const& error) -> std::optional<route_change>
+        {
+            wrong_key = error.key;
+            return std::nullopt;
+        },
+        [] { return std::optional<route_change>(); });
+}
+
+std::optional<upstream_presence> heartbeat_of(QByteArray const& body)
+{
+    return boost::leaf::try_handle_all(
+        [&]() -> boost::leaf::result<std::optional<upstream_presence>>
+        {
+            BOOST_LEAF_AUTO(record, read_heartbeat(body, QStringLiteral("i-1"),
+                                                   monotonic_time{}));
+            return std::optional<upstream_presence>(std::move(record));
+        },
+        [] { return std::optional<upstream_presence>(); });
+}
+
+QByteArray heartbeat_with(char const* key, QJsonValue const& value)
+{
+    QJsonObject object{
+        {QStringLiteral("Service"), QStringLiteral("a")},
+        {QStringLiteral("Address"), QStringLiteral("10.0.0.9:8080")},
+        {QStringLiteral("Zone"), QStringLiteral("casa-port")},
+        {QStringLiteral("Version"), QStringLiteral("v1")},
+        {QStringLiteral("Slots"), 4},
+        {QStringLiteral("State"), QStringLiteral("ready")},
+        {QStringLiteral("ColdRemaining"), QStringLiteral("250ms")},
+        {QStringLiteral("Sequence"), 4},
+        {QStringLiteral("born"), 1767425050000.0}};
+    if (value.isUndefined())
+    {
+        object.remove(QLatin1String(key));
+    }
+    else
+    {
+        object[QLatin1String(key)] = value;
+    }
+    return QJsonDocument(object).toJson();
+}
+
+} // namespace
+
+TEST_CASE("platform documents: a whole configuration: decoded and kept")
+{
+    QString wrong;
+    auto const change = change_of(whole_body, change_form::whole, wrong);
+    REQUIRE(change);
+    CHECK(change->version == route_version(7));
+    CHECK(change->base == route_version(5));
+    CHECK(change->is_whole);
+    REQUIRE(change->routes.size() == 2);
+    auto const& route = change->routes[0];
+    CHECK(route.objective == milliseconds(400));
+    CHECK(route.is_idempotent);
+    CHECK(route.homes.size() == 1);
+    CHECK(route.split.size() == 2);
+    CHECK_FALSE(change->routes[1].is_idempotent);
+    CHECK(change->routes[1].split.size() == 1);
+
+    auto const written = write_configuration(changed({}, *change));
+    CHECK(QJsonDocument::fromJson(written) ==
+          QJsonDocument::fromJson(whole_body));
+}
+
+TEST_CASE("platform documents: white space differs: the same signature")
+{
+    QString wrong;
+    auto const a = change_of(whole_body, change_form::whole, wrong);
+    auto const compact =
+        QJsonDocument::fromJson(whole_body).toJson(QJsonDocument::Compact);
+    auto const b = change_of(compact, change_form::whole, wrong);
+    auto const other = change_of(compact, change_form::whole, wrong, "r6");
+    REQUIRE((a && b && other));
+    CHECK(a->signature == b->signature);
+    CHECK(a->signature != other->signature);
+}
+
+TEST_CASE("platform documents: a document cut short: refused")
+{
+    QString wrong;
+    for (auto length = 0; length < whole_body.size(); length += 7)
+    {
+        CHECK_FALSE(
+            change_of(whole_body.left(length), change_form::whole, wrong));
+    }
+}
+
+TEST_CASE("platform documents: values of other types: the key is named")
+{
+    struct wrong_value
+    {
+        char const* before;
+        char const* after;
+        char const* key;
+    };
+    std::vector<wrong_value> const values{
+        {R"("Version":"r7")", R"("Version":7)", "Version"},
+        {R"("Version":"r7")", R"("Version":"x7")", "Version"},
+        {R"("Hostname":"jepu9.example",)", "", "r-1.Hostname"},
+        {R"("Timeout":"1500ms")", R"("Timeout":1500)", "r-1.Timeout"},
+        {R"("Priority":2)", R"("Priority":-2)", "r-1.Priority"},
+        {R"("SessionAffinity":true)", R"("SessionAffinity":1)",
+         "r-1.SessionAffinity"},
+        {R"("HomeRegions":["casa"])", R"("HomeRegions":[7])",
+         "r-1.HomeRegions"},
+        {R"("WarmupPerS":5.4)", R"("WarmupPerS":"5")", "a.WarmupPerS"},
+        {R"("MaxHeaderBytes":16384)", R"("MaxHeaderBytes":0)",
+         "Limits.MaxHeaderBytes"}};
+    for (auto const& value : values)
+    {
+        auto body = whole_body;
+        body.replace(value.before, value.after);
+        QString wrong;
+        CHECK_FALSE(change_of(body, change_form::whole, wrong));
+        CHECK(wrong == QLatin1String(value.key));
+    }
+}
+
+TEST_CASE("platform documents: named items: read from tables and lists")
+{
+    QString wrong;
+    QByteArray const route =
+        R"("Hostname":"h","PathPrefix":"/","Kind":"safe","Service":"a")";
+    auto const table =
+        change_of(R"({"Version":"r9","Upsert":{"Routes":{"r-3":{)" + route +
+                      R"(}}},"Remove":{"Routes":["r-1"],"Services":["b"]}})",
+                  change_form::items, wrong);
+    REQUIRE(table);
+    CHECK_FALSE(table->is_whole);
+    CHECK(table->routes[0].name == QStringLiteral("r-3"));
+    CHECK(table->removed_routes.size() == 1);
+    CHECK(table->removed_services.size() == 1);
+    CHECK_FALSE(table->limits);
+    auto const list =
+        change_of(R"({"Version":"r9","Upsert":{"Routes":[{"Name":"r-3",)" +
+                      route + R"(}]}})",
+                  change_form::items, wrong);
+    REQUIRE(list);
+    CHECK(list->routes[0].name == QStringLiteral("r-3"));
+}
+
+TEST_CASE("platform documents: a heartbeat: decoded")
+{
+    auto const record = heartbeat_of(heartbeat_with("Slots", 6));
+    REQUIRE(record);
+    CHECK(record->content.slots == slot_count(6));
+    CHECK(record->started == incarnation(1767425050000));
+    CHECK(record->content.cold_until == monotonic_time{} + milliseconds(250));
+    CHECK(record->phase == presence_phase::serving);
+    CHECK(heartbeat_of(heartbeat_with("State", QStringLiteral("draining")))
+              ->phase == presence_phase::draining);
+}
+
+TEST_CASE("platform documents: heartbeats of another writer: refused")
+{
+    CHECK_FALSE(heartbeat_of("no JSON"));
+    CHECK_FALSE(heartbeat_of("[1]"));
+    CHECK_FALSE(heartbeat_of(heartbeat_with("State", QStringLiteral("odd"))));
+    CHECK_FALSE(heartbeat_of(heartbeat_with("Address", QStringLiteral("x"))));
+    CHECK_FALSE(heartbeat_of(heartbeat_with("born", 1.5)));
+    for (auto const* key : {"Service", "Address", "Zone", "State", "Sequence"})
+    {
+        CHECK_FALSE(heartbeat_of(heartbeat_with(key, QJsonValue::Undefined)));
+        CHECK_FALSE(heartbeat_of(heartbeat_with(key, QJsonObject())));
+    }
+    for (auto const* key : {"Slots", "Sequence", "born", "ColdRemaining"})
+    {
+        CHECK_FALSE(heartbeat_of(heartbeat_with(key, true)));
+        CHECK_FALSE(heartbeat_of(heartbeat_with(key, -3)));
+    }
+}
+
+TEST_CASE("platform dialect: outgoing headers: replaced, not added twice")
+{
+    platform_dialect const dialect;
+    std::vector<http_header> headers{{"verbenacove-deadline-ms", "9000"},
+                                     {"X-Other", "1"}};
+    dialect.mark_outgoing(headers, milliseconds(120),
+                          upstream_id(QStringLiteral("i-7")));
+    CHECK(headers.size() == 3);
+    CHECK(find_http_header(headers, "Verbenacove-Deadline-Ms") == "120");
+    CHECK(find_http_header(headers, "Verbenacove-Target-Instance") == "i-7");
+}
+
+TEST_CASE("platform dialect: an answer's marks: decoded or left out")
+{
+    platform_dialect const dialect;
+    http_response answer;
+    answer.headers = {{"Verbenacove-Backend-Load", "3,1,8"},
+                      {"Verbenacove-Not-Executed", "1"},
+                      {"Verbenacove-Instance-Id", "i-7"},
+                      {"Verbenacove-Cold-Ms", "900"}};
+    auto const marks = dialect.read_answer(answer);
+    REQUIRE(marks.load);
+    CHECK(marks.load->running == 3);
+    CHECK(marks.load->waiting == 1);
+    CHECK(marks.load->slots == 8);
+    CHECK(marks.is_not_executed);
+    CHECK(marks.cold_for == milliseconds(900));
+    answer.headers = {{"Verbenacove-Backend-Load", "3,x"}};
+    CHECK_FALSE(dialect.read_answer(answer).load);
+    CHECK_FALSE(dialect.read_answer(answer).is_not_executed);
+}
--- /dev/null
+++ b/tests/unit/discovery_board_test.cpp
@@ -0,0 +1,154 @@
+#include "verbenacove/process/discovery/discovery_board.hpp"
+
+#include <QCborArray>
+
+#include <doctest/doctest.h>
+
+using namespace verbenacove;
+
+namespace
+{
+
+upstream_presence upstream(char const* id, qint64 started, qint64 sequence)
+{
+    upstream_presence record;
+    record.id = QString::fromLatin1(id);
+    record.started = incarnation(started);
+    record.sequence = sequence;
+    record.phase = presence_phase::serving;
+    record.content = {service_name(QStringLiteral("gradebook")),
+                      *parse_socket_address(QStringLiteral("10.0.0.1:80")),
+                      zone_name(QStringLiteral("wcape-a")), slot_count(4),
+                      monotonic_time{}};
+    return record;
+}
+
+struct board_fixture
+{
+    discovery_board make(qint64 stream, silence_judge judge)
+    {
+        return discovery_board(stream, judge, clock,
+                               {[](upstream_presence const&) {},
+                                [](entry_presence const&) {},
+                                [](replica_presence const&) {
+                                }});
+    }
+
+    presence_change take(upstream_presence record)
+    {
+        record.heard = clock.now();
+        return board.take(std::move(record));
+    }
+
+    presence_phase phase(char const* id)
+    {
+        return board.upstreams().find(QString::fromLatin1(id))->phase;
+    }
+
+    manual_clock_source clock;
+    discovery_board board = make(7, silence_judge::self);
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(board_fixture,
+                  "discovery: a late heartbeat of an earlier start: ignored")
+{
+    CHECK(take(upstream("a", 2000, 1)) == presence_change::changed);
+    CHECK(take(upstream("a", 1000, 50)) == presence_change::ignored);
+    CHECK(board.upstreams().find(QStringLiteral("a"))->started ==
+          incarnation(2000));
+}
+
+TEST_CASE_FIXTURE(board_fixture,
+                  "discovery: the same id starts anew: its count begins anew")
+{
+    take(upstream("a", 1000, 50));
+    board.end_upstream(upstream_id(QStringLiteral("a")));
+    CHECK(take(upstream("a", 1000, 51)) == presence_change::ignored);
+    CHECK(take(upstream("a", 2000, 1)) == presence_change::changed);
+    CHECK(phase("a") == presence_phase::serving);
+}
+
+TEST_CASE_FIXTURE(board_fixture,
+                  "discovery: a draining upstream: does not serve again")
+{
+    take(upstream("a", 1000, 1));
+    auto draining = upstream("a", 1000, 3);
+    draining.phase = presence_phase::draining;
+    CHECK(take(draining) == presence_change::changed);
+    take(upstream("a", 1000, 2));
+    take(upstream("a", 1000, 4));
+    CHECK(phase("a") == presence_phase::draining);
+}
+
+TEST_CASE_FIXTURE(board_fixture,
+                  "discovery: an address with a later start: the earlier ends")
+{
+    take(upstream("a", 1000, 1));
+    CHECK(take(upstream("b", 2000, 1)) == presence_change::changed);
+    CHECK(phase("a") == presence_phase::gone);
+    // A heartbeat that a partition held back.
+    CHECK(take(upstream("c", 500, 9)) == presence_change::ignored);
+    CHECK(phase("b") == presence_phase::serving);
+}
+
+TEST_CASE_FIXTURE(board_fixture,
+                  "discovery: no heartbeat for long: silent, then heard again")
+{
+    take(upstream("a", 1000, 1));
+    clock.advance(std::chrono::seconds(6));
+    board.expire();
+    CHECK(board.upstreams().find(QStringLiteral("a"))->is_silent);
+    CHECK(take(upstream("a", 1000, 2)) == presence_change::changed);
+    CHECK_FALSE(board.upstreams().find(QStringLiteral("a"))->is_silent);
+}
+
+TEST_CASE_FIXTURE(board_fixture,
+                  "discovery: news read by another board: once, and only new")
+{
+    auto reader = make(8, silence_judge::self);
+    take(upstream("a", 1000, 1));
+    auto position = reader.merge(board.news_since({}, true));
+    CHECK(reader.upstreams().records().size() == 1);
+    CHECK_FALSE(board.has_news(position));
+    take(upstream("a", 1000, 2));
+    CHECK_FALSE(board.has_news(position));
+    auto const beats = board.news_since(position, true);
+    reader.merge(beats);
+    CHECK(reader.upstreams().find(QStringLiteral("a"))->sequence == 2);
+    CHECK(beats.value(QLatin1String("upstreams")).isUndefined());
+}
+
+TEST_CASE_FIXTURE(board_fixture,
+                  "discovery: another board is read: what it lacks is silent")
+{
+    auto entry = make(0, silence_judge::source);
+    auto other = make(9, silence_judge::self);
+    take(upstream("a", 1000, 1));
+    entry.merge(board.news_since({}, false));
+    auto elsewhere = upstream("b", 1000, 1);
+    elsewhere.content.address.port = 81;
+    elsewhere.heard = clock.now();
+    other.take(elsewhere);
+    entry.merge(other.news_since({}, false));
+    entry.expire();
+    CHECK_FALSE(entry.upstreams().find(QStringLiteral("a"))->is_silent);
+    clock.advance(std::chrono::seconds(9));
+    entry.expire();
+    CHECK(entry.upstreams().find(QStringLiteral("a"))->is_silent);
+    CHECK_FALSE(entry.upstreams().find(QStringLiteral("b"))->is_silent);
+}
+
+TEST_CASE_FIXTURE(board_fixture,
+                  "discovery: unreadable news: nothing is taken in")
+{
+    QCborArray records;
+    records.append(QCborMap{{QLatin1String("id"), 7}});
+    records.append(QCborMap{{QLatin1String("id"), QLatin1String("x")},
+                            {QLatin1String("phase"), 99}});
+    records.append(QLatin1String("text"));
+    QCborMap const news{{QLatin1String("upstreams"), records}};
+    board.merge(news);
+    CHECK(board.upstreams().records().isEmpty());
+}
--- /dev/null
+++ b/tests/unit/steering_pool_test.cpp
@@ -0,0 +1,272 @@
+#include "verbenacove/process/routing/split_chooser.hpp"
+#include "verbenacove/request/entry_lookup.hpp"
+#include "verbenacove/request/region_shift_limit.hpp"
+#include "verbenacove/request/upstream_pool.hpp"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <set>
+
+using namespace verbenacove;
+
+namespace
+{
+
+steering_settings at_zone(char const* region, char const* zone)
+{
+    steering_settings settings;
+    settings.region = region_name(QString::fromLatin1(region));
+    settings.zone = zone_name(QString::fromLatin1(zone));
+    return settings;
+}
+
+struct pool_fixture
+{
+    pool_member member(char const* id, char const* region, char const* zone)
+    {
+        pool_member result;
+        result.id = upstream_id(QString::fromLatin1(id));
+        result.started = incarnation(1);
+        result.region = region_name(QString::fromLatin1(region));
+        result.zone = zone_name(QString::fromLatin1(zone));
+        result.slots = slot_count(4);
+        return result;
+    }
+
+    pool_query query(QByteArray const& key) const
+    {
+        pool_query result;
+        result.affinity_key = key;
+        result.objective = milliseconds(500);
+        result.objective_left = milliseconds(500);
+        result.time_left = milliseconds(3000);
+        return result;
+    }
+
+    QString choose(pool_query const& asked)
+    {
+        auto shortage = pool_shortage::none_known;
+        auto const chosen = pool.choose(asked, shortage);
+        if (!chosen)
+        {
+            return QStringLiteral("none");
+        }
+        last = *chosen;
+        return chosen->member.id.value();
+    }
+
+    void finish(upstream_evidence evidence, milliseconds took)
+    {
+        clock.advance(took);
+        pool.finish(last, "key", evidence, std::nullopt, 1000);
+    }
+
+    manual_clock_source clock;
+    region_shift_limit shift{1};
+    upstream_pool pool{at_zone("wcape", "wcape-a"), clock, shift, 1};
+    pool_choice last;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(pool_fixture,
+                  "upstream pool: the same object at two entries: they agree")
+{
+    std::vector<pool_member> const members{member("a", "wcape", "wcape-a"),
+                                           member("b", "wcape", "wcape-a"),
+                                           member("c", "wcape", "wcape-a")};
+    upstream_pool other(at_zone("wcape", "wcape-a"), clock, shift, 99);
+    pool.update(members);
+    other.update(members);
+    std::map<QString, int> shares;
+    for (int key = 0; key < 60; ++key)
+    {
+        auto const asked = query(QByteArray::number(key));
+        auto const here = choose(asked);
+        finish(upstream_evidence::nothing, milliseconds(0));
+        auto shortage = pool_shortage::none_known;
+        auto const there = other.choose(asked, shortage);
+        REQUIRE(there);
+        other.finish(*there, {}, upstream_evidence::nothing, std::nullopt, 0);
+        CHECK(there->member.id.value() == here);
+        ++shares[here];
+    }
+    CHECK(shares.size() == 3);
+}
+
+TEST_CASE_FIXTURE(pool_fixture,
+                  "upstream pool: room in the zone: the zone is not left")
+{
+    pool.update({member("near", "wcape", "wcape-a"),
+                 member("far", "ecape", "ecape-a")});
+    for (int key = 0; key < 50; ++key)
+    {
+        CHECK(choose(query(QByteArray::number(key))) == QStringLiteral("near"));
+        finish(upstream_evidence::success, milliseconds(100));
+    }
+}
+
+TEST_CASE_FIXTURE(pool_fixture,
+                  "upstream pool: the zone is full: other regions help")
+{
+    pool.update({member("near", "wcape", "wcape-a"),
+                 member("far", "ecape", "ecape-a")});
+    std::set<QString> used;
+    for (int request = 0; request < 24; ++request)
+    {
+        used.insert(choose(query(QByteArray::number(request))));
+    }
+    CHECK(used ==
+          std::set<QString>{QStringLiteral("far"), QStringLiteral("near")});
+}
+
+TEST_CASE_FIXTURE(pool_fixture,
+                  "upstream pool: homes elsewhere: the zone is not used")
+{
+    pool.update({member("near", "wcape", "wcape-a"),
+                 member("far", "ecape", "ecape-a")});
+    auto asked = query("key");
+    asked.homes = {region_name(QStringLiteral("ecape"))};
+    CHECK(choose(asked) == QStringLiteral("far"));
+    asked.homes = {region_name(QStringLiteral("gauteng"))};
+    CHECK(choose(asked) == QStringLiteral("none"));
+}
+
+TEST_CASE_FIXTURE(pool_fixture,
+                  "upstream pool: a lost connection: left out, then probed")
+{
+    pool.update({member("a", "wcape", "wcape-a")});
+    CHECK(choose(query("key")) == QStringLiteral("a"));
+    finish(upstream_evidence::connection_lost, milliseconds(5));
+    CHECK(choose(query("key")) == QStringLiteral("none"));
+    CHECK(pool.take_probes().empty());
+    clock.advance(std::chrono::seconds(2));
+    CHECK(pool.take_probes().size() == 1);
+    CHECK(pool.take_probes().empty());
+    pool.take_probe_answer(upstream_id(QStringLiteral("a")), true);
+    CHECK(choose(query("key")) == QStringLiteral("a"));
+}
+
+TEST_CASE_FIXTURE(
+    pool_fixture,
+    "upstream pool: a new incarnation: nothing is held against it")
+{
+    auto upstream = member("a", "wcape", "wcape-a");
+    pool.update({upstream});
+    choose(query("key"));
+    finish(upstream_evidence::connection_lost, milliseconds(5));
+    upstream.started = incarnation(2);
+    pool.update({upstream});
+    CHECK(choose(query("key")) == QStringLiteral("a"));
+}
+
+TEST_CASE_FIXTURE(pool_fixture,
+                  "upstream pool: cold upstreams: paced by one entry only")
+{
+    auto upstream = member("a", "wcape", "wcape-a");
+    upstream.cold_until = clock.now() + std::chrono::seconds(10);
+    pool.update({upstream});
+    CHECK(choose(query("key")) == QStringLiteral("none"));
+    upstream.cold_rate = 5;
+    pool.update({upstream});
+    int sent = 0;
+    for (int tick = 0; tick < 100; ++tick)
+    {
+        if (choose(query("key")) == QStringLiteral("a"))
+        {
+            ++sent;
+            finish(upstream_evidence::success, milliseconds(0));
+        }
+        clock.advance(milliseconds(10));
+    }
+    CHECK(sent == 5);
+}
+
+TEST_CASE_FIXTURE(pool_fixture,
+                  "upstream pool: no answer can come in time: none is chosen")
+{
+    pool.update({member("a", "wcape", "wcape-a")});
+    auto asked = query("key");
+    asked.time_left = milliseconds(20);
+    auto shortage = pool_shortage::none_known;
+    CHECK_FALSE(pool.choose(asked, shortage));
+    CHECK(shortage == pool_shortage::no_time);
+}
+
+TEST_CASE("region shift limit: the share grows: slowly after the first window")
+{
+    manual_clock_source clock;
+    region_shift_limit limit(0.15);
+    int left_at_once = 0;
+    for (int tick = 0; tick < 400; ++tick)
+    {
+        // Nothing leaves for two windows, then all that may.
+        bool const leaves = tick >= 200 && limit.may_leave(clock.now());
+        left_at_once += leaves && tick < 300 ? 1 : 0;
+        limit.count(clock.now(), leaves);
+        clock.advance(milliseconds(20));
+    }
+    CHECK(left_at_once > 0);
+    CHECK(left_at_once <= 15);
+}
+
+TEST_CASE("region shift limit: the share falls: some requests still leave")
+{
+    manual_clock_source clock;
+    region_shift_limit limit(0.15);
+    for (int tick = 0; tick < 200; ++tick)
+    {
+        limit.count(clock.now(), tick % 2 == 0);
+        clock.advance(milliseconds(20));
+    }
+    int left = 0;
+    for (int tick = 0; tick < 100; ++tick)
+    {
+        bool const leaves = limit.should_leave(clock.now());
+        left += leaves ? 1 : 0;
+        limit.count(clock.now(), leaves);
+        clock.advance(milliseconds(20));
+    }
+    CHECK(left >= 35);
+}
+
+TEST_CASE("split chooser: weights 90 and 10: shares hold over few requests")
+{
+    route_record route;
+    route.name = QStringLiteral("r");
+    route.split = {{service_name(QStringLiteral("a")), 90},
+                   {service_name(QStringLiteral("b")), 10}};
+    split_chooser chooser;
+    int b = 0;
+    for (int request = 0; request < 50; ++request)
+    {
+        b += chooser.choose(route).value() == QStringLiteral("b") ? 1 : 0;
+    }
+    CHECK(b == 5);
+    route.split = {{service_name(QStringLiteral("a")), 1},
+                   {service_name(QStringLiteral("b")), 0}};
+    for (int request = 0; request < 20; ++request)
+    {
+        CHECK(chooser.choose(route).value() == QStringLiteral("a"));
+    }
+}
+
+TEST_CASE("entry look-up: no entry in the zone: the region's are named")
+{
+    entry_view near;
+    near.id = entry_id(QStringLiteral("near"));
+    near.zone = zone_name(QStringLiteral("wcape-b"));
+    near.region = region_name(QStringLiteral("wcape"));
+    entry_view far = near;
+    far.id = entry_id(QStringLiteral("far"));
+    far.region = region_name(QStringLiteral("ecape"));
+    far.zone = zone_name(QStringLiteral("ecape-a"));
+    caller_place const caller{region_name(QStringLiteral("wcape")),
+                              zone_name(QStringLiteral("wcape-a"))};
+    auto const found = nearest_entries(caller, {far, near}, 64);
+    REQUIRE(found.size() == 1);
+    CHECK(found[0].id == near.id);
+    CHECK(nearest_entries(caller, {far}, 64).size() == 1);
+    CHECK(nearest_entries(caller, {}, 64).empty());
+}
