Take the upstreams of a reopened zone for cold; tell entries less

Entries now pace them for the service's cold start. Also: each heartbeat of a warm upstream counted as a change, since the end of its cold time moved on; now the end is the clock's zero.

--- a/source/verbenacove/process/discovery/presence_content.hpp
+++ b/source/verbenacove/process/discovery/presence_content.hpp
@@ -20,9 +20,17 @@
     zone_name zone;
     /** The requests that it runs at the same time. */
     slot_count slots;
-    /** Until when it bears few requests only, on the own clock. */
+    /** Until when it bears few requests only, on the own clock; the clock's
+        zero when it is warm. */
     monotonic_time cold_until;
 
+    /** Returns the time until which an upstream is cold that says it will be
+        for so long from now. */
+    static monotonic_time cold_after(monotonic_time now, milliseconds remaining)
+    {
+        return remaining.count() > 0 ? now + remaining : monotonic_time{};
+    }
+
     /** Returns whether readers need not hear of the difference. */
     bool is_same(upstream_content const& other) const;
 };
--- /dev/null
+++ b/source/verbenacove/process/routing/reopened_zones.cpp
@@ -0,0 +1,33 @@
+#include "verbenacove/process/routing/reopened_zones.hpp"
+
+namespace verbenacove
+{
+
+namespace
+{
+
+/** No upstream stays cold for longer. */
+constexpr milliseconds longest_memory{60000};
+
+} // namespace
+
+void reopened_zones::update(QSet<zone_name> const& evacuated,
+                            monotonic_time now)
+{
+    for (auto const& zone : evacuated_ - evacuated)
+    {
+        reopened_[zone] = now;
+    }
+    reopened_.removeIf([now](auto const& item)
+                       { return elapsed(item.value(), now) > longest_memory; });
+    evacuated_ = evacuated;
+}
+
+monotonic_time reopened_zones::cold_until(zone_name const& zone,
+                                          milliseconds cold_start) const
+{
+    auto const found = reopened_.constFind(zone);
+    return found == reopened_.cend() ? monotonic_time{} : *found + cold_start;
+}
+
+} // namespace verbenacove
--- a/source/verbenacove/process/routing/route_entry_process.cpp
+++ b/source/verbenacove/process/routing/route_entry_process.cpp
@@ -99,6 +99,7 @@
 
 void route_entry_process::publish()
 {
+    reopened_.update(link_.evacuated(), clock_.now());
     auto view = std::make_shared<routing_view>();
     view->routes = link_.routes();
     view->is_ready = is_ready_ && !is_stopping_;
@@ -149,7 +150,9 @@
     member.region = region_of(upstream.content.zone);
     member.slots = upstream.content.slots;
     member.is_silent = upstream.is_silent;
-    member.cold_until = upstream.content.cold_until;
+    member.cold_until = std::max(
+        upstream.content.cold_until,
+        reopened_.cold_until(upstream.content.zone, service.cold_start));
     member.cold_rate = is_own_to_warm(upstream)
                            ? service.warmup_per_second * used_warmup_share
                            : 0;
--- a/source/verbenacove/process/routing/route_entry_process.hpp
+++ b/source/verbenacove/process/routing/route_entry_process.hpp
@@ -2,6 +2,7 @@
 #define VERBENACOVE_PROCESS_ROUTING_ROUTE_ENTRY_PROCESS_HPP
 
 #include "verbenacove/process/discovery/replica_link.hpp"
+#include "verbenacove/process/routing/reopened_zones.hpp"
 #include "verbenacove/process/routing/route_traffic.hpp"
 
 #include <QThread>
@@ -57,6 +58,7 @@
     steady_clock_source clock_;
     timer_service timers_;
     replica_link link_;
+    reopened_zones reopened_;
     bool is_ready_ = false;
     bool is_stopping_ = false;
     std::function<void()> stopped_;
--- a/tests/unit/discovery_board_test.cpp
+++ b/tests/unit/discovery_board_test.cpp
@@ -140,6 +140,21 @@
     CHECK_FALSE(entry.upstreams().find(QStringLiteral("b"))->is_silent);
 }
 
+TEST_CASE_FIXTURE(board_fixture,
+                  "discovery: heartbeats of a warm upstream: no news of them")
+{
+    take(upstream("a", 1000, 1));
+    clock.advance(std::chrono::seconds(2));
+    auto warm = upstream("a", 1000, 2);
+    warm.content.cold_until =
+        upstream_content::cold_after(clock.now(), milliseconds(0));
+    CHECK(take(warm) == presence_change::refreshed);
+    auto cold = upstream("a", 1000, 3);
+    cold.content.cold_until =
+        upstream_content::cold_after(clock.now(), milliseconds(3000));
+    CHECK(take(cold) == presence_change::changed);
+}
+
 TEST_CASE_FIXTURE(board_fixture,
                   "discovery: unreadable news: nothing is taken in")
 {
--- a/tests/unit/steering_pool_test.cpp
+++ b/tests/unit/steering_pool_test.cpp
@@ -1,3 +1,4 @@
+#include "verbenacove/process/routing/reopened_zones.hpp"
 #include "verbenacove/process/routing/split_chooser.hpp"
 #include "verbenacove/request/entry_lookup.hpp"
 #include "verbenacove/request/region_shift_limit.hpp"
@@ -231,6 +232,21 @@
     CHECK(left >= 35);
 }
 
+TEST_CASE("reopened zones: an evacuation ends: upstreams count as cold")
+{
+    zone_name const zone(QStringLiteral("ecape-a"));
+    manual_clock_source clock;
+    reopened_zones zones;
+    zones.update({zone}, clock.now());
+    CHECK(zones.cold_until(zone, milliseconds(3000)) < clock.now());
+    clock.advance(std::chrono::seconds(5));
+    zones.update({}, clock.now());
+    CHECK(zones.cold_until(zone, milliseconds(3000)) ==
+          clock.now() + milliseconds(3000));
+    clock.advance(std::chrono::seconds(4));
+    CHECK(zones.cold_until(zone, milliseconds(3000)) < clock.now());
+}
+
 TEST_CASE("split chooser: weights 90 and 10: shares hold over few requests")
 {
     route_record route;
