Send what a region has no room for elsewhere, by an estimate of its own

Cause: regions with few upstreams queued, since each entry sees a part of the queues only and the share that leaves may move slowly. Now the share is estimated from the entry's own rate, the time requests take, the region's slots and its entries; it may jump in the first two seconds only, and the same objects leave first at all entries.

--- a/source/verbenacove/process/routing/route_entry_process.cpp
+++ b/source/verbenacove/process/routing/route_entry_process.cpp
@@ -103,12 +103,7 @@
     auto view = std::make_shared<routing_view>();
     view->routes = link_.routes();
     view->is_ready = is_ready_ && !is_stopping_;
-    view->live_entries = static_cast<int>(std::count_if(
-        link_.board().entries().records().cbegin(),
-        link_.board().entries().records().cend(),
-        [](entry_presence const& entry) {
-            return !entry.is_silent && entry.phase == presence_phase::serving;
-        }));
+    count_entries(*view);
     if (view->routes)
     {
         for (auto const& service : view->routes->services)
@@ -120,6 +115,22 @@
                     { traffic_->update(view); });
 }
 
+void route_entry_process::count_entries(routing_view& view) const
+{
+    view.live_entries = 0;
+    view.region_entries = 0;
+    for (auto const& entry : link_.board().entries().records())
+    {
+        bool const is_live =
+            !entry.is_silent && entry.phase == presence_phase::serving;
+        bool const is_near = entry.content.region == settings_.region;
+        view.live_entries += is_live ? 1 : 0;
+        view.region_entries += is_live && is_near ? 1 : 0;
+    }
+    view.live_entries = std::max(1, view.live_entries);
+    view.region_entries = std::max(1, view.region_entries);
+}
+
 std::vector<pool_member>
 route_entry_process::members_of(service_name const& service) const
 {
--- a/source/verbenacove/process/routing/route_entry_process.hpp
+++ b/source/verbenacove/process/routing/route_entry_process.hpp
@@ -45,6 +45,7 @@
 private:
     void take_news();
     void publish();
+    void count_entries(routing_view& view) const;
     std::vector<pool_member> members_of(service_name const& service) const;
     pool_member member_of(upstream_presence const& upstream,
                           routed_service const& service) const;
--- a/source/verbenacove/process/routing/routing_view.hpp
+++ b/source/verbenacove/process/routing/routing_view.hpp
@@ -22,6 +22,8 @@
     QHash<service_name, std::vector<pool_member>> members;
     /** The entries that share the limits, this one included. */
     int live_entries = 1;
+    /** Those of the own region, this one included. */
+    int region_entries = 1;
     /** Whether callers may be sent here. */
     bool is_ready = false;
 };
--- a/source/verbenacove/request/upstream_pool.cpp
+++ b/source/verbenacove/request/upstream_pool.cpp
@@ -24,6 +24,8 @@
 constexpr double silence_penalty = 0.5;
 /** What a failing upstream loses of its worth, at most. */
 constexpr double failure_penalty = 0.8;
+/** Of the largest shift between regions: entries do not change alike. */
+constexpr double used_shift_share = 0.5;
 /** How much chance decides for requests without an object. */
 constexpr double jitter_share = 0.1;
 
@@ -42,11 +44,13 @@
     , clock_(clock)
     , shift_(shift)
     , random_(seed)
+    , overflow_(settings.maximum_region_shift * used_shift_share)
 {
 }
 
-void upstream_pool::update(std::vector<pool_member> members)
+void upstream_pool::update(std::vector<pool_member> members, int region_entries)
 {
+    region_entries_ = std::max(1, region_entries);
     auto const now = clock_.now();
     members_ = std::move(members);
     for (auto const& member : members_)
@@ -119,9 +123,9 @@
         return 0;
     }
     double const per_kib =
-        settings_.zone_crossing_cost +
-        (member.region == settings_.region ? 0
-                                           : settings_.region_crossing_cost);
+        settings_.zone_crossing_cost + (member.region == settings_.region
+                                            ? 0
+                                            : settings_.region_crossing_cost);
     return std::min(settings_.highest_crossing_cost,
                     per_kib * work_.average_kib());
 }
@@ -134,8 +138,8 @@
 {
     constexpr double range = 18446744073709551616.0;
     bool const has_object = !key.isEmpty();
-    quint64 const hash = has_object ? stable_hash(key, id.value().toUtf8())
-                                    : quint64{random_()};
+    quint64 const hash =
+        has_object ? stable_hash(key, id.value().toUtf8()) : quint64{random_()};
     double const uniform = (static_cast<double>(hash) + 1) / (range + 2);
     return settings_.object_spread * (has_object ? 1 : jitter_share) *
            -std::log(-std::log(uniform));
@@ -198,6 +202,7 @@
                                                  pool_shortage& shortage)
 {
     auto const now = clock_.now();
+    overflow_.count(now);
     std::vector<candidate> candidates;
     shortage = pool_shortage::none_known;
     for (auto const& member : members_)
@@ -213,7 +218,7 @@
         }
         candidates.push_back(assess(member, query, now));
     }
-    auto const* const chosen = pick(candidates, query.affinity_key, now);
+    auto const* const chosen = pick(candidates, query, now);
     if (chosen == nullptr)
     {
         return std::nullopt;
@@ -229,9 +234,25 @@
     return take(*chosen, now);
 }
 
+double upstream_pool::overflow(pool_query const& query, monotonic_time now)
+{
+    region_capacity capacity;
+    capacity.entries = region_entries_;
+    capacity.mean_work_ms =
+        work_.mean_ms(static_cast<double>(query.objective.count()));
+    for (auto const& member : members_)
+    {
+        bool const has_room = member.region == settings_.region &&
+                              member.cold_until <= now &&
+                              !states_[member.id].standing->is_ejected(now);
+        capacity.slots += has_room ? member.slots.value() : 0;
+    }
+    return overflow_.value(now, capacity);
+}
+
 upstream_pool::candidate const*
-upstream_pool::pick(std::vector<candidate> const& from,
-                    QByteArray const& affinity_key, monotonic_time now)
+upstream_pool::pick(std::vector<candidate> const& from, pool_query const& query,
+                    monotonic_time now)
 {
     std::array<candidate const*, distance_count> best{};
     for (auto const& each : from)
@@ -243,8 +264,11 @@
         }
     }
     // The same objects leave first at all entries, so that they meet again.
-    double const margin =
-        settings_.leave_margin * 2 * stable_fraction(affinity_key);
+    double const order =
+        query.affinity_key.isEmpty()
+            ? std::uniform_real_distribution<double>(0, 1)(random_)
+            : stable_fraction(query.affinity_key);
+    double const margin = settings_.leave_margin * 2 * order;
     auto const* near = best[0];
     if (near == nullptr ||
         (best[1] != nullptr && best[1]->worth > near->worth + margin))
@@ -256,7 +280,8 @@
     {
         return near == nullptr ? far : near;
     }
-    if (far->worth > near->worth + margin)
+    bool const overflows = order < overflow(query, now);
+    if (overflows || far->worth > near->worth + margin)
     {
         return shift_.may_leave(now) ? far : near;
     }
--- a/source/verbenacove/request/upstream_pool.hpp
+++ b/source/verbenacove/request/upstream_pool.hpp
@@ -4,6 +4,7 @@
 #include "verbenacove/core/clock.hpp"
 #include "verbenacove/core/ids.hpp"
 #include "verbenacove/core/socket_address.hpp"
+#include "verbenacove/request/overflow_share.hpp"
 #include "verbenacove/request/region_shift_limit.hpp"
 #include "verbenacove/request/steering_settings.hpp"
 #include "verbenacove/request/upstream_standing.hpp"
@@ -95,8 +96,10 @@
                   region_shift_limit& shift, quint64 seed);
 
     /** Replaces the upstreams; what was learned stays with each incarnation.
-     */
-    void update(std::vector<pool_member> members);
+
+        @param region_entries  the entries of the own region, this one included
+    */
+    void update(std::vector<pool_member> members, int region_entries);
 
     /** Chooses an upstream and counts the attempt as started; `finish` it.
 
@@ -161,7 +164,8 @@
                           milliseconds scale) const;
     std::size_t distance_of(pool_member const& member) const;
     candidate const* pick(std::vector<candidate> const& from,
-                          QByteArray const& affinity_key, monotonic_time now);
+                          pool_query const& query, monotonic_time now);
+    double overflow(pool_query const& query, monotonic_time now);
     pool_choice take(candidate const& chosen, monotonic_time now);
 
     steering_settings settings_;
@@ -171,6 +175,8 @@
     std::vector<pool_member> members_;
     QHash<upstream_id, state> states_;
     service_work work_;
+    overflow_share overflow_;
+    int region_entries_ = 1;
 };
 
 } // namespace verbenacove
--- a/source/verbenacove/request/work_memory.cpp
+++ b/source/verbenacove/request/work_memory.cpp
@@ -71,6 +71,8 @@
 {
     auto& average = average_[kind.value()];
     auto const taken = std::max(1.0, duration_ms);
+    mean_ms_ =
+        mean_ms_ > 0 ? mean_ms_ + newest_weight * (taken - mean_ms_) : taken;
     average = average > 0 ? average + newest_weight * (taken - average) : taken;
 }
 
--- a/source/verbenacove/request/work_memory.hpp
+++ b/source/verbenacove/request/work_memory.hpp
@@ -54,6 +54,12 @@
     */
     double average_ms(work_class kind, double fallback_ms) const;
 
+    /** Returns the average over all classes, or the fallback. */
+    double mean_ms(double fallback_ms) const
+    {
+        return mean_ms_ > 0 ? mean_ms_ : fallback_ms;
+    }
+
     /** Takes in the time that an answer took, its queueing left out. */
     void add(work_class kind, double duration_ms);
 
@@ -65,6 +71,7 @@
 
 private:
     std::array<double, work_class_count> average_{};
+    double mean_ms_ = 0;
     double average_kib_ = 1;
 };
 
--- a/tests/unit/steering_pool_test.cpp
+++ b/tests/unit/steering_pool_test.cpp
@@ -78,8 +78,8 @@
                                            member("b", "wcape", "wcape-a"),
                                            member("c", "wcape", "wcape-a")};
     upstream_pool other(at_zone("wcape", "wcape-a"), clock, shift, 99);
-    pool.update(members);
-    other.update(members);
+    pool.update(members, 1);
+    other.update(members, 1);
     std::map<QString, int> shares;
     for (int key = 0; key < 60; ++key)
     {
@@ -99,8 +99,9 @@
 TEST_CASE_FIXTURE(pool_fixture,
                   "upstream pool: room in the zone: the zone is not left")
 {
-    pool.update({member("near", "wcape", "wcape-a"),
-                 member("far", "ecape", "ecape-a")});
+    pool.update(
+        {member("near", "wcape", "wcape-a"), member("far", "ecape", "ecape-a")},
+        1);
     for (int key = 0; key < 50; ++key)
     {
         CHECK(choose(query(QByteArray::number(key))) == QStringLiteral("near"));
@@ -111,8 +112,9 @@
 TEST_CASE_FIXTURE(pool_fixture,
                   "upstream pool: the zone is full: other regions help")
 {
-    pool.update({member("near", "wcape", "wcape-a"),
-                 member("far", "ecape", "ecape-a")});
+    pool.update(
+        {member("near", "wcape", "wcape-a"), member("far", "ecape", "ecape-a")},
+        1);
     std::set<QString> used;
     for (int request = 0; request < 24; ++request)
     {
@@ -125,8 +127,9 @@
 TEST_CASE_FIXTURE(pool_fixture,
                   "upstream pool: homes elsewhere: the zone is not used")
 {
-    pool.update({member("near", "wcape", "wcape-a"),
-                 member("far", "ecape", "ecape-a")});
+    pool.update(
+        {member("near", "wcape", "wcape-a"), member("far", "ecape", "ecape-a")},
+        1);
     auto asked = query("key");
     asked.homes = {region_name(QStringLiteral("ecape"))};
     CHECK(choose(asked) == QStringLiteral("far"));
@@ -137,7 +140,7 @@
 TEST_CASE_FIXTURE(pool_fixture,
                   "upstream pool: a lost connection: left out, then probed")
 {
-    pool.update({member("a", "wcape", "wcape-a")});
+    pool.update({member("a", "wcape", "wcape-a")}, 1);
     CHECK(choose(query("key")) == QStringLiteral("a"));
     finish(upstream_evidence::connection_lost, milliseconds(5));
     CHECK(choose(query("key")) == QStringLiteral("none"));
@@ -154,11 +157,11 @@
     "upstream pool: a new incarnation: nothing is held against it")
 {
     auto upstream = member("a", "wcape", "wcape-a");
-    pool.update({upstream});
+    pool.update({upstream}, 1);
     choose(query("key"));
     finish(upstream_evidence::connection_lost, milliseconds(5));
     upstream.started = incarnation(2);
-    pool.update({upstream});
+    pool.update({upstream}, 1);
     CHECK(choose(query("key")) == QStringLiteral("a"));
 }
 
@@ -167,10 +170,10 @@
 {
     auto upstream = member("a", "wcape", "wcape-a");
     upstream.cold_until = clock.now() + std::chrono::seconds(10);
-    pool.update({upstream});
+    pool.update({upstream}, 1);
     CHECK(choose(query("key")) == QStringLiteral("none"));
     upstream.cold_rate = 5;
-    pool.update({upstream});
+    pool.update({upstream}, 1);
     int sent = 0;
     for (int tick = 0; tick < 100; ++tick)
     {
@@ -187,7 +190,7 @@
 TEST_CASE_FIXTURE(pool_fixture,
                   "upstream pool: no answer can come in time: none is chosen")
 {
-    pool.update({member("a", "wcape", "wcape-a")});
+    pool.update({member("a", "wcape", "wcape-a")}, 1);
     auto asked = query("key");
     asked.time_left = milliseconds(20);
     auto shortage = pool_shortage::none_known;
@@ -247,6 +250,46 @@
     CHECK(zones.cold_until(zone, milliseconds(3000)) < clock.now());
 }
 
+TEST_CASE(
+    "overflow share: more requests than the region's slots: known at once")
+{
+    manual_clock_source clock;
+    overflow_share overflow(0.1);
+    // 10 requests/s at each of 10 entries, 0.4 s of work: 40 slots.
+    region_capacity const capacity{25, 10, 400};
+    double share = 0;
+    for (int tick = 0; tick < 10; ++tick)
+    {
+        overflow.count(clock.now());
+        clock.advance(milliseconds(100));
+        share = overflow.value(clock.now(), capacity);
+    }
+    CHECK(share > 0.4);
+    CHECK(share < 0.6);
+    CHECK(overflow.value(clock.now(), {100, 10, 400}) == 0);
+}
+
+TEST_CASE("overflow share: the region loses its slots: the share moves slowly")
+{
+    manual_clock_source clock;
+    overflow_share overflow(0.1);
+    double share = 0;
+    for (int tick = 0; tick < 40; ++tick)
+    {
+        overflow.count(clock.now());
+        clock.advance(milliseconds(100));
+        share = overflow.value(clock.now(), {100, 10, 400});
+    }
+    CHECK(share == 0);
+    for (int tick = 0; tick < 20; ++tick)
+    {
+        overflow.count(clock.now());
+        clock.advance(milliseconds(100));
+        share = overflow.value(clock.now(), {0, 10, 400});
+    }
+    CHECK(share == doctest::Approx(0.1));
+}
+
 TEST_CASE("split chooser: weights 90 and 10: shares hold over few requests")
 {
     route_record route;
