--- a/source/verbenacove/request/overflow_share.cpp
+++ b/source/verbenacove/request/overflow_share.cpp
@@ -61,9 +61,12 @@
     {
         return 0;
     }
-    double const demand =
-        requests_per_ms(now) * capacity.entries * capacity.mean_work_ms;
-    double const room = capacity.slots * planned_use;
+    double const of_entry = requests_per_ms(now) * capacity.mean_work_ms;
+    double const demand = of_entry * capacity.entries;
+    double const use_of_all = of_entry * capacity.all_entries /
+                              std::max(1.0, capacity.all_slots * planned_use);
+    double const room =
+        capacity.slots * planned_use * std::max(1.0, use_of_all);
     double const wanted = demand > room ? 1 - room / demand : 0;
     if (elapsed(first_, now) < window)
     {
--- a/source/verbenacove/request/overflow_share.hpp
+++ b/source/verbenacove/request/overflow_share.hpp
@@ -8,7 +8,7 @@
 namespace verbenacove
 {
 
-/** What a service's upstreams in the own region can carry. */
+/** What a service's upstreams can carry, in the own region and in all. */
 struct region_capacity
 {
     /** The slots of all its usable upstreams. */
@@ -16,6 +16,9 @@
     /** The entries that share them; each is taken to get as many requests as
         this one. */
     int entries = 1;
+    /** The same of all regions together. */
+    int all_slots = 0;
+    int all_entries = 1;
     /** How long a request holds a slot, on the average. */
     double mean_work_ms = 0;
 };
@@ -23,6 +26,9 @@
 /** Estimates the share of a service's requests that the own region has no
     room for, from this entry's own requests.
 
+    When there is no room anywhere, the own region keeps its part of the load:
+    exchanging requests among full regions helps none.
+
     Queues tell of an overload only when it is there, and each entry sees a
     part of them. The estimate moves slowly but for the first window, so that
     the share of requests that leave the region does not jump. All calls come
--- a/source/verbenacove/request/upstream_pool.cpp
+++ b/source/verbenacove/request/upstream_pool.cpp
@@ -48,9 +48,11 @@
 {
 }
 
-void upstream_pool::update(std::vector<pool_member> members, int region_entries)
+void upstream_pool::update(std::vector<pool_member> members,
+                           int region_entries, int all_entries)
 {
     region_entries_ = std::max(1, region_entries);
+    all_entries_ = std::max(region_entries_, all_entries);
     auto const now = clock_.now();
     members_ = std::move(members);
     for (auto const& member : members_)
@@ -238,14 +240,17 @@
 {
     region_capacity capacity;
     capacity.entries = region_entries_;
+    capacity.all_entries = all_entries_;
     capacity.mean_work_ms =
         work_.mean_ms(static_cast<double>(query.objective.count()));
     for (auto const& member : members_)
     {
-        bool const has_room = member.region == settings_.region &&
-                              member.cold_until <= now &&
+        bool const has_room = member.cold_until <= now &&
                               !states_[member.id].standing->is_ejected(now);
-        capacity.slots += has_room ? member.slots.value() : 0;
+        bool const is_near = member.region == settings_.region;
+        int const slots = has_room ? member.slots.value() : 0;
+        capacity.all_slots += slots;
+        capacity.slots += is_near ? slots : 0;
     }
     return overflow_.value(now, capacity);
 }
--- a/source/verbenacove/request/upstream_pool.hpp
+++ b/source/verbenacove/request/upstream_pool.hpp
@@ -98,8 +98,10 @@
     /** Replaces the upstreams; what was learned stays with each incarnation.
 
         @param region_entries  the entries of the own region, this one included
+        @param all_entries     the entries of all regions
     */
-    void update(std::vector<pool_member> members, int region_entries);
+    void update(std::vector<pool_member> members, int region_entries,
+                int all_entries);
 
     /** Chooses an upstream and counts the attempt as started; `finish` it.
 
@@ -177,6 +179,7 @@
     service_work work_;
     overflow_share overflow_;
     int region_entries_ = 1;
+    int all_entries_ = 1;
 };
 
 } // namespace verbenacove
--- a/tests/unit/steering_pool_test.cpp
+++ b/tests/unit/steering_pool_test.cpp
@@ -78,8 +78,8 @@
                                            member("b", "wcape", "wcape-a"),
                                            member("c", "wcape", "wcape-a")};
     upstream_pool other(at_zone("wcape", "wcape-a"), clock, shift, 99);
-    pool.update(members, 1);
-    other.update(members, 1);
+    pool.update(members, 1, 1);
+    other.update(members, 1, 1);
     std::map<QString, int> shares;
     for (int key = 0; key < 60; ++key)
     {
@@ -101,7 +101,7 @@
 {
     pool.update(
         {member("near", "wcape", "wcape-a"), member("far", "ecape", "ecape-a")},
-        1);
+        1, 1);
     for (int key = 0; key < 50; ++key)
     {
         CHECK(choose(query(QByteArray::number(key))) == QStringLiteral("near"));
@@ -114,7 +114,7 @@
 {
     pool.update(
         {member("near", "wcape", "wcape-a"), member("far", "ecape", "ecape-a")},
-        1);
+        1, 1);
     std::set<QString> used;
     for (int request = 0; request < 24; ++request)
     {
@@ -129,7 +129,7 @@
 {
     pool.update(
         {member("near", "wcape", "wcape-a"), member("far", "ecape", "ecape-a")},
-        1);
+        1, 1);
     auto asked = query("key");
     asked.homes = {region_name(QStringLiteral("ecape"))};
     CHECK(choose(asked) == QStringLiteral("far"));
@@ -140,7 +140,7 @@
 TEST_CASE_FIXTURE(pool_fixture,
                   "upstream pool: a lost connection: left out, then probed")
 {
-    pool.update({member("a", "wcape", "wcape-a")}, 1);
+    pool.update({member("a", "wcape", "wcape-a")}, 1, 1);
     CHECK(choose(query("key")) == QStringLiteral("a"));
     finish(upstream_evidence::connection_lost, milliseconds(5));
     CHECK(choose(query("key")) == QStringLiteral("none"));
@@ -157,11 +157,11 @@
     "upstream pool: a new incarnation: nothing is held against it")
 {
     auto upstream = member("a", "wcape", "wcape-a");
-    pool.update({upstream}, 1);
+    pool.update({upstream}, 1, 1);
     choose(query("key"));
     finish(upstream_evidence::connection_lost, milliseconds(5));
     upstream.started = incarnation(2);
-    pool.update({upstream}, 1);
+    pool.update({upstream}, 1, 1);
     CHECK(choose(query("key")) == QStringLiteral("a"));
 }
 
@@ -170,10 +170,10 @@
 {
     auto upstream = member("a", "wcape", "wcape-a");
     upstream.cold_until = clock.now() + std::chrono::seconds(10);
-    pool.update({upstream}, 1);
+    pool.update({upstream}, 1, 1);
     CHECK(choose(query("key")) == QStringLiteral("none"));
     upstream.cold_rate = 5;
-    pool.update({upstream}, 1);
+    pool.update({upstream}, 1, 1);
     int sent = 0;
     for (int tick = 0; tick < 100; ++tick)
     {
@@ -190,7 +190,7 @@
 TEST_CASE_FIXTURE(pool_fixture,
                   "upstream pool: no answer can come in time: none is chosen")
 {
-    pool.update({member("a", "wcape", "wcape-a")}, 1);
+    pool.update({member("a", "wcape", "wcape-a")}, 1, 1);
     auto asked = query("key");
     asked.time_left = milliseconds(20);
     auto shortage = pool_shortage::none_known;
@@ -256,7 +256,7 @@
     manual_clock_source clock;
     overflow_share overflow(0.1);
     // 10 requests/s at each of 10 entries, 0.4 s of work: 40 slots.
-    region_capacity const capacity{25, 10, 400};
+    region_capacity const capacity{25, 10, 200, 30, 400};
     double share = 0;
     for (int tick = 0; tick < 10; ++tick)
     {
@@ -266,7 +266,21 @@
     }
     CHECK(share > 0.4);
     CHECK(share < 0.6);
-    CHECK(overflow.value(clock.now(), {100, 10, 400}) == 0);
+    CHECK(overflow.value(clock.now(), {100, 10, 300, 30, 400}) == 0);
+}
+
+TEST_CASE("overflow share: all regions are full: requests stay")
+{
+    manual_clock_source clock;
+    overflow_share overflow(0.1);
+    double share = 1;
+    for (int tick = 0; tick < 10; ++tick)
+    {
+        overflow.count(clock.now());
+        clock.advance(milliseconds(100));
+        share = overflow.value(clock.now(), {25, 10, 75, 30, 400});
+    }
+    CHECK(share == doctest::Approx(0));
 }
 
 TEST_CASE("overflow share: the region loses its slots: the share moves slowly")
@@ -278,14 +292,14 @@
     {
         overflow.count(clock.now());
         clock.advance(milliseconds(100));
-        share = overflow.value(clock.now(), {100, 10, 400});
+        share = overflow.value(clock.now(), {100, 10, 300, 30, 400});
     }
     CHECK(share == 0);
     for (int tick = 0; tick < 20; ++tick)
     {
         overflow.count(clock.now());
         clock.advance(milliseconds(100));
-        share = overflow.value(clock.now(), {0, 10, 400});
+        share = overflow.value(clock.now(), {0, 10, 300, 30, 400});
     }
     CHECK(share == doctest::Approx(0.1));
 }
