--- a/source/verbenacove/process/discovery/discovery_service.cpp
+++ b/source/verbenacove/process/discovery/discovery_service.cpp
@@ -312,7 +312,8 @@
     {
         return;
     }
-    auto const from = *found;
+    // Kept alive here: a callback may drop the replica.
+    std::shared_ptr<source> from = *found;
     auto const now = clock_.now();
     from->is_reading = false;
     if (!reply || cbor_text(*reply, "status") != QLatin1String("ok"))
@@ -367,7 +368,7 @@
         count->done(false);
         return;
     }
-    auto const settle = [this, count, id = record.id](bool is_ok)
+    auto const settle = [count, id = record.id](bool is_ok)
     {
         --count->open;
         count->needed -= is_ok && count->needed > 0 ? 1 : 0;
--- a/source/verbenacove/process/routing/replica_process.cpp
+++ b/source/verbenacove/process/routing/replica_process.cpp
@@ -36,7 +36,7 @@
     lose power: what is left must meet every majority. */
 std::size_t voters_for(int tolerated_losses)
 {
-    return static_cast<std::size_t>(2 * tolerated_losses + 3);
+    return std::size_t{3} + 2 * static_cast<std::size_t>(tolerated_losses);
 }
 
 control_settings control_settings_of(replica_settings const& settings)
--- a/source/verbenacove/process/routing/route_entry_settings.cpp
+++ b/source/verbenacove/process/routing/route_entry_settings.cpp
@@ -19,12 +19,14 @@
     steering.highest_crossing_cost =
         reader.fraction("steering", "highest_crossing_cost",
                         steering.highest_crossing_cost, 0, 1);
-    steering.leave_margin = reader.fraction(
-        "steering", "leave_margin", steering.leave_margin, 0, 1);
-    steering.unseen_share = reader.fraction(
-        "steering", "unseen_share", steering.unseen_share, 0, 1);
-    steering.object_spread = reader.fraction(
-        "steering", "object_spread", steering.object_spread, 0, 1);
+    steering.leave_margin = reader.fraction("steering", "leave_margin",
+                                            steering.leave_margin, 0, 1);
+    steering.longest_wait = reader.fraction("steering", "longest_wait",
+                                            steering.longest_wait, 0, 1);
+    steering.unseen_share = reader.fraction("steering", "unseen_share",
+                                            steering.unseen_share, 0, 1);
+    steering.object_spread = reader.fraction("steering", "object_spread",
+                                             steering.object_spread, 0, 1);
     steering.zone_round_trip =
         reader.duration("steering", "zone_round_trip", steering.zone_round_trip,
                         milliseconds(0), longest_setting);
--- a/source/verbenacove/request/overflow_share.cpp
+++ b/source/verbenacove/request/overflow_share.cpp
@@ -1,6 +1,7 @@
 #include "verbenacove/request/overflow_share.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace verbenacove
 {
@@ -66,7 +67,7 @@
     double const use_of_all = of_entry * capacity.all_entries /
                               std::max(1.0, capacity.all_slots * planned_use);
     double const room =
-        capacity.slots * planned_use * std::max(1.0, use_of_all);
+        capacity.slots * planned_use * std::sqrt(std::max(1.0, use_of_all));
     double const wanted = demand > room ? 1 - room / demand : 0;
     if (elapsed(first_, now) < window)
     {
--- a/source/verbenacove/request/steering_settings.hpp
+++ b/source/verbenacove/request/steering_settings.hpp
@@ -29,6 +29,9 @@
     /** How much more worth an upstream farther away must promise, on the
         average over all objects. */
     double leave_margin = 0.1;
+    /** A request is refused when its answer is expected to take more of the
+        time that its caller has left. */
+    double longest_wait = 0.95;
     /** What an answer after its objective is worth. */
     double late_worth = 0.2;
     /** The round trip that leaving the region adds. */
--- a/source/verbenacove/request/upstream_pool.cpp
+++ b/source/verbenacove/request/upstream_pool.cpp
@@ -16,8 +16,6 @@
 constexpr milliseconds missing_memory{30000};
 /** How sharply lateness sets in, as a share of the objective. */
 constexpr double lateness_spread = 0.2;
-/** An answer that would take more of the time left is not waited for. */
-constexpr double longest_share = 0.95;
 /** Slots that are nearly all in use make an upstream slower. */
 constexpr double crowding_ms = 15;
 /** What an upstream with silent heartbeats loses of its worth. */
@@ -48,8 +46,8 @@
 {
 }
 
-void upstream_pool::update(std::vector<pool_member> members,
-                           int region_entries, int all_entries)
+void upstream_pool::update(std::vector<pool_member> members, int region_entries,
+                           int all_entries)
 {
     region_entries_ = std::max(1, region_entries);
     all_entries_ = std::max(region_entries_, all_entries);
@@ -173,6 +171,9 @@
         : leaves_zone        ? settings_.zone_round_trip.count()
                              : 0);
     result.expected_ms = work + queue + crowding + round_trip;
+    result.shortest_ms =
+        result.expected_ms - work +
+        std::min(work, work_.average_ms(work_class(0), objective));
 
     double const warm = work_.average_ms(work_class(0), objective);
     double const extra =
@@ -226,8 +227,8 @@
         return std::nullopt;
     }
     bool const has_time =
-        chosen->expected_ms <
-        longest_share * static_cast<double>(query.time_left.count());
+        chosen->shortest_ms <
+        settings_.longest_wait * static_cast<double>(query.time_left.count());
     if (!has_time)
     {
         shortage = pool_shortage::no_time;
--- a/source/verbenacove/request/upstream_pool.hpp
+++ b/source/verbenacove/request/upstream_pool.hpp
@@ -147,6 +147,8 @@
         state* known = nullptr;
         work_class work = unseen_work;
         double expected_ms = 0;
+        /** The same, had the upstream handled the object just before. */
+        double shortest_ms = 0;
         /** What its answer is worth, less what crossing costs. */
         double worth = 0;
         /** The worth, and how well the object suits the upstream. */
--- a/tests/platform/platform_path_test.cpp
+++ b/tests/platform/platform_path_test.cpp
@@ -1,23 +1,10 @@
-#include "support/child_process.hpp"
-#include "support/http_caller.hpp"
-#include "support/wait_until.hpp"
-
-#include "verbenacove/connection/http_server.hpp"
-
 #define DOCTEST_CONFIG_IMPLEMENT
 #include <doctest/doctest.h>
 
+#include "platform/platform_cluster.hpp"
+
 #include <QCoreApplication>
-#include <QDateTime>
-#include <QFile>
-#include <QJsonArray>
-#include <QJsonDocument>
-#include <QMutex>
-#include <QTemporaryDir>
-#include <QThread>
 
-#include <atomic>
-#include <map>
 #include <thread>
 
 using namespace verbenacove;
@@ -26,349 +13,23 @@
 namespace
 {
 
-socket_address local(quint16 port)
-{
-    return {QHostAddress(QHostAddress::LocalHost), port};
-}
-
-http_answer get(socket_address const& address, QByteArray const& target)
-{
-    http_call call;
-    call.address = address;
-    call.target = target;
-    return call_http(call);
-}
-
-/** An upstream that speaks the platform's protocol, on a thread of its own.
-    It counts how often each request ran. */
-class platform_upstream
-{
-public:
-    explicit platform_upstream(QString id)
-        : id_(std::move(id))
-        , port_(free_port())
-        , born_(QDateTime::currentMSecsSinceEpoch())
-    {
-        thread_.start();
-        context_.moveToThread(&thread_);
-        QMetaObject::invokeMethod(
-            &context_,
-            [this]
-            {
-                server_ = std::make_unique<http_server>(
-                    http_limits{},
-                    [this](std::shared_ptr<http_exchange> const& exchange)
-                    { answer(exchange); });
-                server_->listen(local(port_));
-            },
-            Qt::BlockingQueuedConnection);
-    }
-
-    ~platform_upstream()
-    {
-        QMetaObject::invokeMethod(
-            &context_, [this] { server_.reset(); },
-            Qt::BlockingQueuedConnection);
-        thread_.quit();
-        thread_.wait();
-    }
-
-    platform_upstream(platform_upstream const&) = delete;
-    platform_upstream& operator=(platform_upstream const&) = delete;
-
-    http_answer beat(socket_address const& replica, char const* state = "ready")
-    {
-        QJsonObject const body{
-            {QStringLiteral("Service"), QStringLiteral("grades")},
-            {QStringLiteral("Address"), local(port_).text()},
-            {QStringLiteral("Zone"), QStringLiteral("wcape-a")},
-            {QStringLiteral("Version"), QStringLiteral("v1")},
-            {QStringLiteral("Slots"), 4},
-            {QStringLiteral("State"), QLatin1String(state)},
-            {QStringLiteral("ColdRemaining"), QStringLiteral("0ms")},
-            {QStringLiteral("Sequence"), ++sequence_},
-            {QStringLiteral("born"), born_}};
-        return call_http({replica,
-                          "PUT",
-                          "/api/instances/" + id_.toUtf8(),
-                          {"Content-Type: application/json"},
-                          QJsonDocument(body).toJson(),
-                          milliseconds(1500)});
-    }
-
-    int runs(QByteArray const& request) const
-    {
-        QMutexLocker const lock(&mutex_);
-        auto const found = runs_.find(request);
-        return found == runs_.end() ? 0 : found->second;
-    }
-
-    int all_runs() const
-    {
-        QMutexLocker const lock(&mutex_);
-        int result = 0;
-        for (auto const& [request, count] : runs_)
-        {
-            result += count;
-        }
-        return result;
-    }
-
-    /** Makes the next answers come without ending, and the connection break. */
-    std::atomic<bool> loses_answers{false};
-
-private:
-    void answer(std::shared_ptr<http_exchange> const& exchange)
-    {
-        auto const& request = exchange->request();
-        auto const id = request.header("Verbenacove-Request-Id");
-        if (request.header("Verbenacove-Target-Instance") != id_.toUtf8())
-        {
-            exchange->respond(
-                {421, {{"Verbenacove-Instance-Id", id_.toUtf8()}}, {}});
-            return;
-        }
-        {
-            QMutexLocker const lock(&mutex_);
-            ++runs_[id];
-        }
-        if (loses_answers)
-        {
-            // The wrong id makes it another request's answer.
-            exchange->respond({200, {{"Verbenacove-Request-Id", "x"}}, "?"});
-            return;
-        }
-        exchange->respond({200,
-                           {{"Verbenacove-Request-Id", id},
-                            {"Verbenacove-Response-Signature", "s-" + id},
-                            {"Verbenacove-Backend-Load", "1,0,4"}},
-                           "graded " + request.path + ' ' + request.body});
-    }
-
-    QString id_;
-    quint16 port_;
-    qint64 born_;
-    int sequence_ = 0;
-    mutable QMutex mutex_;
-    std::map<QByteArray, int> runs_;
-    QThread thread_;
-    QObject context_;
-    std::unique_ptr<http_server> server_;
-};
-
-/** Three replicas that find each other, two entries, and upstreams that send
-    heartbeats from another thread. */
-class platform_fixture
+/** Three replicas, two entries, and two upstreams that send heartbeats from
+    another thread. */
+class platform_fixture : public platform_cluster
 {
 public:
     platform_fixture()
+        : platform_cluster(3, 2)
     {
-        for (int i = 0; i < 3; ++i)
-        {
-            replicas_.push_back({free_port(), free_port(), free_port()});
-        }
-        for (int i = 0; i < 3; ++i)
-        {
-            start_replica(i, true);
-        }
-        for (int i = 0; i < 2; ++i)
-        {
-            entries_.push_back({free_port(), free_port()});
-            start_entry(i);
-        }
         beats_ = std::jthread([this](std::stop_token const& stop)
                               { send_heartbeats(stop); });
     }
 
-    ~platform_fixture()
-    {
-        beats_.request_stop();
-        beats_.join();
-    }
-
-    platform_fixture(platform_fixture const&) = delete;
-    platform_fixture& operator=(platform_fixture const&) = delete;
-
-    void start_replica(int number, bool is_first)
-    {
-        auto const& ports = replicas_[static_cast<std::size_t>(number)];
-        auto const text =
-            QStringLiteral("[replica]\nregion = wcape\nzone = wcape-a\n"
-                           "data_folder = %1/replica-%2\nlisten = %3\n"
-                           "control = %4\ndirectory = %5\nfirst_start = %6\n"
-                           "[discovery]\nreplicas = %7\n")
-                .arg(folder_.path())
-                .arg(number)
-                .arg(local(ports.internal).text(), local(ports.control).text(),
-                     local(ports.directory).text(),
-                     is_first ? QStringLiteral("true")
-                              : QStringLiteral("false"),
-                     seeds());
-        start(replica_processes_[number], QStringLiteral("replica"), number,
-              text);
-    }
-
-    void wipe_replica(int number)
-    {
-        replica_processes_[number].kill_now();
-        QDir(folder_.path() + QStringLiteral("/replica-%1").arg(number))
-            .removeRecursively();
-        start_replica(number, false);
-    }
-
-    void start_entry(int number)
-    {
-        auto const& ports = entries_[static_cast<std::size_t>(number)];
-        auto const text =
-            QStringLiteral("[entry]\nname = entry-%1\nregion = wcape\n"
-                           "zone = wcape-a\ncallers = %2\nreadiness = %3\n"
-                           "[discovery]\nreplicas = %4\n"
-                           "[zones]\nwcape-a = wcape\n")
-                .arg(number)
-                .arg(local(ports.callers).text(), local(ports.readiness).text(),
-                     seeds());
-        start(entry_processes_[number], QStringLiteral("entry"), number, text);
-    }
-
-    QString seeds() const
-    {
-        QStringList result;
-        for (auto const& ports : replicas_)
-        {
-            result += local(ports.internal).text();
-        }
-        return result.join(QLatin1Char(','));
-    }
-
-    socket_address control(int number) const
-    {
-        return local(replicas_[static_cast<std::size_t>(number)].control);
-    }
-
-    http_answer order(int replica, char const* method, QByteArray const& body,
-                      QByteArray const& base)
-    {
-        return call_http({control(replica),
-                          method,
-                          "/api/config",
-                          {"If-Match: " + base},
-                          body});
-    }
-
-    static QByteArray configuration(int version, char const* kind)
-    {
-        return R"({"Version":"r)" + QByteArray::number(version) +
-               R"(","Routes":{"r-1":{"Hostname":"g.example",)"
-               R"("PathPrefix":"/grades/","Kind":")" +
-               kind +
-               R"(","Timeout":"2000ms","TargetLatency":"500ms",)"
-               R"("Priority":1,"Service":"grades","MaxAttempts":2,)"
-               R"("SessionAffinity":true,"HomeRegions":[]}},)"
-               R"("Services":{"grades":{"HealthPath":"/health",)"
-               R"("MaxConnections":390,"ColdStart":"3s","WarmupPerS":5}},)"
-               R"("Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1048576,)"
-               R"("HeaderTimeout":"3000ms","IdleTimeout":"15000ms"}})";
-    }
-
-    void put_until_accepted(int version, char const* kind,
-                            QByteArray const& base)
-    {
-        REQUIRE(wait_until(
-            [&]
-            {
-                return order(version % 3, "PUT", configuration(version, kind),
-                             base)
-                    .is(200);
-            }));
-    }
-
-    http_answer call(int entry, QByteArray const& id,
-                     QByteArray const& method = "GET")
-    {
-        return call_http(
-            {local(entries_[static_cast<std::size_t>(entry)].callers),
-             method,
-             "/grades/7",
-             {"Host: g.example", "Verbenacove-Request-Id: " + id,
-              "Verbenacove-Affinity-Key: 17", "Verbenacove-Deadline-Ms: 2500"},
-             method == "POST" ? "bale" : ""});
-    }
-
-    bool serves(int entry)
-    {
-        static int number = 0;
-        return wait_until(
-            [&] {
-                return call(entry, "probe-" + QByteArray::number(++number))
-                    .is(200);
-            });
-    }
-
-    http_answer look_up(int replica)
-    {
-        return get(
-            local(replicas_[static_cast<std::size_t>(replica)].directory),
-            "/api/resolve?Name=g.example&Region=wcape&Zone=wcape-a");
-    }
-
-    qsizetype named_entries(int replica)
-    {
-        return look_up(replica)
-            .json()[QStringLiteral("Addresses")]
-            .toArray()
-            .size();
-    }
-
-    bool is_ready(int entry)
-    {
-        return get(local(entries_[static_cast<std::size_t>(entry)].readiness),
-                   "/api/ready")
-            .is(200);
-    }
-
-    child_process& entry_process(int number)
-    {
-        return entry_processes_[number];
-    }
-    child_process& replica_process(int number)
-    {
-        return replica_processes_[number];
-    }
-
     platform_upstream first{QStringLiteral("i-first")};
     platform_upstream second{QStringLiteral("i-second")};
     std::atomic<bool> first_leaves{false};
 
 private:
-    struct replica_ports
-    {
-        quint16 internal;
-        quint16 control;
-        quint16 directory;
-    };
-
-    struct entry_ports
-    {
-        quint16 callers;
-        quint16 readiness;
-    };
-
-    void start(child_process& process, QString const& role, int number,
-               QString const& settings)
-    {
-        auto const path =
-            folder_.path() + QStringLiteral("/%1-%2").arg(role).arg(number);
-        QFile file(path + QStringLiteral(".ini"));
-        REQUIRE(file.open(QIODevice::WriteOnly));
-        file.write(settings.toUtf8());
-        file.close();
-        qputenv("VERBENACOVE_BOOT", file.fileName().toUtf8());
-        REQUIRE(process.start(
-            QStringLiteral(VERBENACOVE_BINARIES) +
-                QStringLiteral("/platform/verbenacove-platform-%1").arg(role),
-            {}, path + QStringLiteral(".log")));
-    }
-
     void send_heartbeats(std::stop_token const& stop)
     {
         int round = 0;
@@ -384,11 +45,6 @@
         }
     }
 
-    QTemporaryDir folder_;
-    std::vector<replica_ports> replicas_;
-    std::vector<entry_ports> entries_;
-    std::map<int, child_process> replica_processes_;
-    std::map<int, child_process> entry_processes_;
     std::jthread beats_;
 };
 
--- /dev/null
+++ b/tests/platform/platform_upstream.hpp
@@ -0,0 +1,170 @@
+#ifndef VERBENACOVE_TESTS_PLATFORM_PLATFORM_UPSTREAM_HPP
+#define VERBENACOVE_TESTS_PLATFORM_PLATFORM_UPSTREAM_HPP
+
+#include "support/child_process.hpp"
+#include "support/http_caller.hpp"
+
+#include "verbenacove/connection/http_server.hpp"
+
+#include <QDateTime>
+#include <QJsonDocument>
+#include <QMutex>
+#include <QThread>
+
+#include <atomic>
+#include <map>
+#include <optional>
+
+namespace verbenacove::support
+{
+
+inline socket_address local(quint16 port)
+{
+    return {QHostAddress(QHostAddress::LocalHost), port};
+}
+
+inline http_answer get(socket_address const& address, QByteArray const& target)
+{
+    http_call call;
+    call.address = address;
+    call.target = target;
+    return call_http(call);
+}
+
+/** An upstream that speaks the platform's protocol, on a thread of its own.
+    It counts how often each request ran. */
+class platform_upstream
+{
+public:
+    explicit platform_upstream(QString id)
+        : id_(std::move(id))
+        , port_(free_port())
+        , born_(QDateTime::currentMSecsSinceEpoch())
+    {
+        thread_.start();
+        context_.moveToThread(&thread_);
+        QMetaObject::invokeMethod(
+            &context_,
+            [this]
+            {
+                server_ = std::make_unique<http_server>(
+                    http_limits{},
+                    [this](std::shared_ptr<http_exchange> const& exchange)
+                    { answer(exchange); });
+                server_->listen(local(port_));
+            },
+            Qt::BlockingQueuedConnection);
+    }
+
+    /** Returns where it listens. */
+    socket_address address() const { return local(port_); }
+
+    /** Announces this address instead, such as a proxy's. */
+    void announce_at(socket_address const& address) { announced_ = address; }
+
+    /** Starts anew under the same id, as after a crash. */
+    void restart()
+    {
+        born_ = QDateTime::currentMSecsSinceEpoch();
+        sequence_ = 0;
+    }
+
+    QByteArray id() const { return id_.toUtf8(); }
+
+    ~platform_upstream()
+    {
+        QMetaObject::invokeMethod(
+            &context_, [this] { server_.reset(); },
+            Qt::BlockingQueuedConnection);
+        thread_.quit();
+        thread_.wait();
+    }
+
+    platform_upstream(platform_upstream const&) = delete;
+    platform_upstream& operator=(platform_upstream const&) = delete;
+
+    http_answer beat(socket_address const& replica, char const* state = "ready")
+    {
+        QJsonObject const body{
+            {QStringLiteral("Service"), QStringLiteral("grades")},
+            {QStringLiteral("Address"),
+             announced_.value_or(local(port_)).text()},
+            {QStringLiteral("Zone"), QStringLiteral("wcape-a")},
+            {QStringLiteral("Version"), QStringLiteral("v1")},
+            {QStringLiteral("Slots"), 4},
+            {QStringLiteral("State"), QLatin1String(state)},
+            {QStringLiteral("ColdRemaining"), QStringLiteral("0ms")},
+            {QStringLiteral("Sequence"), ++sequence_},
+            {QStringLiteral("born"), born_}};
+        return call_http({replica,
+                          "PUT",
+                          "/api/instances/" + id_.toUtf8(),
+                          {"Content-Type: application/json"},
+                          QJsonDocument(body).toJson(),
+                          milliseconds(1500)});
+    }
+
+    int runs(QByteArray const& request) const
+    {
+        QMutexLocker const lock(&mutex_);
+        auto const found = runs_.find(request);
+        return found == runs_.end() ? 0 : found->second;
+    }
+
+    int all_runs() const
+    {
+        QMutexLocker const lock(&mutex_);
+        int result = 0;
+        for (auto const& [request, count] : runs_)
+        {
+            result += count;
+        }
+        return result;
+    }
+
+    /** Makes the next answers come without ending, and the connection break. */
+    std::atomic<bool> loses_answers{false};
+
+private:
+    void answer(std::shared_ptr<http_exchange> const& exchange)
+    {
+        auto const& request = exchange->request();
+        auto const id = request.header("Verbenacove-Request-Id");
+        if (request.header("Verbenacove-Target-Instance") != id_.toUtf8())
+        {
+            exchange->respond(
+                {421, {{"Verbenacove-Instance-Id", id_.toUtf8()}}, {}});
+            return;
+        }
+        {
+            QMutexLocker const lock(&mutex_);
+            ++runs_[id];
+        }
+        if (loses_answers)
+        {
+            // The wrong id makes it another request's answer.
+            exchange->respond({200, {{"Verbenacove-Request-Id", "x"}}, "?"});
+            return;
+        }
+        exchange->respond({200,
+                           {{"Verbenacove-Request-Id", id},
+                            {"Verbenacove-Response-Signature", "s-" + id},
+                            {"Verbenacove-Backend-Load", "1,0,4"}},
+                           "graded " + request.path + ' ' + request.body});
+    }
+
+    QString id_;
+    quint16 port_;
+    std::optional<socket_address> announced_;
+    qint64 born_;
+    int sequence_ = 0;
+    mutable QMutex mutex_;
+    std::map<QByteArray, int> runs_;
+    QThread thread_;
+    QObject context_;
+    std::unique_ptr<http_server> server_;
+};
+
+} // namespace verbenacove::support
+
+#endif
