--- a/source/verbenacove/process/operator_command_line.cpp
+++ b/source/verbenacove/process/operator_command_line.cpp
@@ -426,6 +426,8 @@
   drain SCOPE NAME               send no new work to an upstream, a zone or
                                  a region
   undrain SCOPE NAME             end a drain
+  explain ID FILE...             tell the way of one request by the processes'
+                                 logs
   status                         show replicas, entries and upstreams
   history [KIND [NAME]]          show accepted changes, the latest first
 
--- a/source/verbenacove/request/overflow_share.hpp
+++ b/source/verbenacove/request/overflow_share.hpp
@@ -26,7 +26,7 @@
 /** Estimates the share of a service's requests that the own region has no
     room for, from this entry's own requests.
 
-    When there is no room anywhere, the own region keeps its part of the load:
+    When there is no room anywhere, the own region keeps more of its load:
     exchanging requests among full regions helps none.
 
     Queues tell of an overload only when it is there, and each entry sees a
