--- a/source/verbenacove/request/routed_request.cpp
+++ b/source/verbenacove/request/routed_request.cpp
@@ -191,7 +191,10 @@
     }
     if (result.end != attempt_end::answered)
     {
-        take_loss(result);
+        // Only a connection that broke can tell of a process that died.
+        bool const is_late = result.end == attempt_end::timed_out_after_send;
+        take_loss(result, is_late ? upstream_evidence::failure
+                                  : upstream_evidence::connection_lost);
         return;
     }
     auto const marks = services_.dialect.read_answer(result.response);
@@ -208,7 +211,7 @@
     {
         result.end = attempt_end::failed_after_send;
         result.reason = QStringLiteral("The answer is not the request's.");
-        take_loss(result);
+        take_loss(result, upstream_evidence::failure);
     }
     else
     {
@@ -252,13 +255,12 @@
     answer_shortage(is_misdirected ? "misdirected" : "full");
 }
 
-void routed_request::take_loss(attempt_result const& result)
+void routed_request::take_loss(attempt_result const& result,
+                               upstream_evidence evidence)
 {
     bool const was_sent = may_have_been_sent(result.end);
     bool const is_late = result.end == attempt_end::timed_out_after_send;
-    end_attempt(is_late ? upstream_evidence::failure
-                        : upstream_evidence::connection_lost,
-                std::nullopt);
+    end_attempt(evidence, std::nullopt);
     may_have_run_ = may_have_run_ || was_sent;
     if (may_try_again(was_sent ? arrival::may_have_run : arrival::never))
     {
--- a/source/verbenacove/request/routed_request.hpp
+++ b/source/verbenacove/request/routed_request.hpp
@@ -93,7 +93,7 @@
     void take_answer(attempt_result const& result, answer_marks const& marks);
     void take_not_executed(attempt_result const& result,
                            answer_marks const& marks);
-    void take_loss(attempt_result const& result);
+    void take_loss(attempt_result const& result, upstream_evidence evidence);
     void end_attempt(upstream_evidence evidence,
                      std::optional<upstream_load> const& load,
                      qint64 answer_bytes = 0);
--- a/tests/platform/platform_cluster.hpp
+++ b/tests/platform/platform_cluster.hpp
@@ -146,7 +146,7 @@
              "/grades/7",
              {"Host: g.example", "Verbenacove-Request-Id: " + id,
               "Verbenacove-Affinity-Key: 17", "Verbenacove-Deadline-Ms: 2500"},
-             method == "POST" ? "bale" : ""});
+             method == "POST" ? "bale of " + id : QByteArray()});
     }
 
     bool serves(int entry)
--- a/tests/soak/platform_soak.cpp
+++ b/tests/soak/platform_soak.cpp
@@ -270,7 +270,9 @@
     {
         for (int entry = 0; entry < entry_count; ++entry)
         {
-            CHECK(serves(entry));
+            bool const is_back = serves(entry);
+            CHECK(is_back);
+            has_recovered_ = has_recovered_ && is_back;
         }
     }
 
@@ -349,7 +351,8 @@
             }));
         CHECK(QJsonDocument(read.json()) == QJsonDocument::fromJson(accepted_));
         bool const holds = doubled == 0 && untrue == 0 &&
-                           wrong_answers_.empty() && served_ > 0;
+                           wrong_answers_.empty() && served_ > 0 &&
+                           has_recovered_;
         if (!holds)
         {
             keep_folder();
@@ -370,6 +373,7 @@
     std::vector<sent_request> sent_;
     std::vector<QByteArray> wrong_answers_;
     int served_ = 0;
+    bool has_recovered_ = true;
     std::jthread beats_;
     std::vector<std::jthread> callers_;
 };
