--- a/source/verbenacove/request/upstream_pool.cpp
+++ b/source/verbenacove/request/upstream_pool.cpp
@@ -171,6 +171,7 @@
         : leaves_zone        ? settings_.zone_round_trip.count()
                              : 0);
     result.expected_ms = work + queue + crowding + round_trip;
+    result.has_free_slot = load + 1 <= slots;
     result.shortest_ms =
         result.expected_ms - work +
         std::min(work, work_.average_ms(work_class(0), objective));
@@ -226,9 +227,11 @@
     {
         return std::nullopt;
     }
+    // A free slot is worth a try, however short the time.
     bool const has_time =
-        chosen->shortest_ms <
-        settings_.longest_wait * static_cast<double>(query.time_left.count());
+        chosen->has_free_slot ||
+        chosen->shortest_ms < settings_.longest_wait *
+                                  static_cast<double>(query.time_left.count());
     if (!has_time)
     {
         shortage = pool_shortage::no_time;
--- a/source/verbenacove/request/upstream_pool.hpp
+++ b/source/verbenacove/request/upstream_pool.hpp
@@ -149,6 +149,7 @@
         double expected_ms = 0;
         /** The same, had the upstream handled the object just before. */
         double shortest_ms = 0;
+        bool has_free_slot = true;
         /** What its answer is worth, less what crossing costs. */
         double worth = 0;
         /** The worth, and how well the object suits the upstream. */
--- a/tests/unit/steering_pool_test.cpp
+++ b/tests/unit/steering_pool_test.cpp
@@ -194,6 +194,11 @@
     pool.update({member("a", "wcape", "wcape-a")}, 1, 1);
     auto asked = query("key");
     asked.time_left = milliseconds(20);
+    // Each of its four slots is worth a try.
+    for (int request = 0; request < 4; ++request)
+    {
+        CHECK(choose(asked) == QStringLiteral("a"));
+    }
     auto shortage = pool_shortage::none_known;
     CHECK_FALSE(pool.choose(asked, shortage));
     CHECK(shortage == pool_shortage::no_time);
