--- /dev/null
+++ b/source/verbenacove/process/raft_node_detail.hpp
@@ -0,0 +1,36 @@
+#ifndef VERBENACOVE_PROCESS_RAFT_NODE_DETAIL_HPP
+#define VERBENACOVE_PROCESS_RAFT_NODE_DETAIL_HPP
+
+#include "verbenacove/core/cbor.hpp"
+#include "verbenacove/core/log.hpp"
+#include "verbenacove/process/raft_node.hpp"
+
+#include <algorithm>
+
+/** What the parts of raft_node share and nobody else uses. */
+namespace verbenacove::raft_detail
+{
+
+inline log_part const raft_log{"raft"};
+
+constexpr milliseconds join_interval{500};
+constexpr milliseconds learner_expiry{5000};
+constexpr milliseconds name_in_use_for{5000};
+constexpr milliseconds compaction_interval{1000};
+constexpr int hand_over_timeouts = 2;
+
+inline QString named(raft_member const& member)
+{
+    return member.name + QLatin1Char('/') + member.identity.value().left(8);
+}
+
+inline bool has_identity(raft_members const& members, replica_id const& id)
+{
+    return std::any_of(members.begin(), members.end(),
+                       [&id](raft_member const& member)
+                       { return member.identity == id; });
+}
+
+} // namespace verbenacove::raft_detail
+
+#endif
