--- a/tests/unit/raft_node_test.cpp
+++ b/tests/unit/raft_node_test.cpp
@@ -103,6 +103,7 @@
         settings.known_names = names_;
         settings.known_addresses = addresses_;
         settings.snapshot_after_bytes = snapshot_after_bytes;
+        settings.maximum_voters = maximum_voters;
         auto storage = raft_storage::open(at.folder);
         REQUIRE(storage);
         at.storage = std::move(*storage);
@@ -112,6 +113,24 @@
                                         at.machine, clock, at.address, at.name);
     }
 
+    /** Adds a replica that nobody's settings name, with an empty disk. */
+    int add_stranger(QString const& name)
+    {
+        int const number = int(replicas.size());
+        auto& added = *replicas.emplace_back(std::make_unique<replica>());
+        added.name = name;
+        added.address = {QHostAddress::LocalHost, quint16(number + 1)};
+        added.folder = folder_.filePath(name);
+        REQUIRE(raft_storage::create(added.folder, replica_id(name), {}));
+        start(number);
+        return number;
+    }
+
+    /** Lets any replica take part; before the replicas start anew. */
+    void admit_all() { names_.clear(); }
+
+    std::size_t maximum_voters = 7;
+
     void stop(int i)
     {
         replicas[std::size_t(i)]->node.reset();
@@ -437,6 +456,56 @@
     CHECK(raft.run_until([&] { return raft.all_hold({1, 2, 3}); }));
 }
 
+TEST_CASE("raft: more replicas than voters: a voter lost for good is replaced")
+{
+    raft_fixture raft(3);
+    raft.admit_all();
+    raft.maximum_voters = 3;
+    for (int i = 0; i < 3; ++i)
+    {
+        raft.stop(i);
+        raft.start(i);
+    }
+    raft.commit(1);
+    auto const stranger = raft.add_stranger(QStringLiteral("stranger"));
+    auto const& learner = *raft.replicas[std::size_t(stranger)];
+    REQUIRE(raft.run_until([&] { return raft.all_hold({1}); }));
+    raft.run(milliseconds(15000));
+    CHECK_FALSE(learner.node->is_voter());
+    auto const lost = (raft.index_of(&raft.elect()) + 1) % 3;
+    raft.stop(lost);
+    REQUIRE(raft.run_until([&] { return learner.node->is_voter(); },
+                           milliseconds(30000)));
+    CHECK(raft.elect().node->members().size() == 3);
+    // Now another one may go.
+    auto const second = raft.index_of(&raft.elect());
+    raft.stop(second);
+    raft.commit(2);
+    CHECK(raft.run_until([&] { return raft.all_hold({1, 2}); }));
+}
+
+TEST_CASE("raft: replicas that nobody named: voters up to the most")
+{
+    raft_fixture raft(3);
+    raft.admit_all();
+    raft.maximum_voters = 5;
+    for (int i = 0; i < 3; ++i)
+    {
+        raft.stop(i);
+        raft.start(i);
+    }
+    raft.commit(1);
+    for (auto const* name : {"a", "b", "c"})
+    {
+        raft.add_stranger(QString::fromLatin1(name));
+    }
+    CHECK(raft.run_until([&]
+                         { return raft.elect().node->members().size() == 5; }));
+    raft.run(milliseconds(5000));
+    CHECK(raft.elect().node->members().size() == 5);
+    CHECK(raft.run_until([&] { return raft.all_hold({1}); }));
+}
+
 TEST_CASE("raft: a replaced replica: does not vote for what it forgot")
 {
     raft_fixture raft(3);
