--- a/source/verbenacove/process/discovery/discovery_service.cpp
+++ b/source/verbenacove/process/discovery/discovery_service.cpp
@@ -307,13 +307,12 @@
 void discovery_service::take_news(socket_address const& address,
                                   std::optional<QCborMap> const& reply)
 {
-    auto const found = sources_.constFind(address);
-    if (found == sources_.cend())
+    // Kept alive here: a callback may drop the replica.
+    auto const from = sources_.value(address);
+    if (!from)
     {
         return;
     }
-    // Kept alive here: a callback may drop the replica.
-    std::shared_ptr<source> from = *found;
     auto const now = clock_.now();
     from->is_reading = false;
     if (!reply || cbor_text(*reply, "status") != QLatin1String("ok"))
