--- a/source/verbenacove/process/routing/route_traffic.cpp
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -83,8 +83,9 @@
     for (auto item = view_->members.cbegin(); item != view_->members.cend();
          ++item)
     {
-        pool(item.key())->upstreams.update(item.value(), view_->region_entries,
-                                           view_->live_entries);
+        pool(item.key())
+            ->upstreams.update(item.value(), view_->region_entries,
+                               view_->live_entries);
     }
     for (auto item = pools_.cbegin(); item != pools_.cend(); ++item)
     {
