Try an upstream again soon after one stalled answer

Cause: the first answer set the estimate of an upstream's slowness alone, and it faded by 10 s; one answer that stalled for 2 s on a busy machine (100 times the average) kept an upstream unused for some 40 s, as nothing tried it meanwhile. The new test shows it without load: three upstreams, one stalled answer, not one request in the next 5 s.

Now a slow upstream without requests is tried after 1 s, 2 s and so on up to 8 s while it stays slow, and an answer after a pause counts more than those before it.

--- a/source/verbenacove/request/upstream_chooser.cpp
+++ b/source/verbenacove/request/upstream_chooser.cpp
@@ -160,7 +160,7 @@
 {
     auto const now = clock_.now();
     collect(excluded, now);
-    // A retry is not risked on an upstream that failed before.
+    // A retry is not risked on an upstream that failed or was slow before.
     auto const* probed = excluded.empty() ? probe_target(kind, now) : nullptr;
     if (probed)
     {
@@ -298,10 +298,22 @@
     {
         return nullptr;
     }
-    auto const found = std::find_if(
+    auto const failed = std::find_if(
         local_.ejected.begin(), local_.ejected.end(),
         [now](member const* one) { return one->record->needs_probe(now); });
-    return found == local_.ejected.end() ? nullptr : *found;
+    if (failed != local_.ejected.end())
+    {
+        return *failed;
+    }
+    if (!settings_.parts.latency)
+    {
+        return nullptr;
+    }
+    auto const slow =
+        std::find_if(local_.usable.begin(), local_.usable.end(),
+                     [now](candidate const& one)
+                     { return one.upstream->record->needs_trial(now); });
+    return slow == local_.usable.end() ? nullptr : slow->upstream;
 }
 
 upstream_chooser::candidate const* upstream_chooser::pick_from(group const& of)
--- a/source/verbenacove/request/upstream_cost.cpp
+++ b/source/verbenacove/request/upstream_cost.cpp
@@ -13,8 +13,6 @@
 
 constexpr double failure_cost_ms = 1000;
 constexpr double non_idempotent_failure_cost_ms = 4000;
-/** An answer that takes less than this many times the average is normal. */
-constexpr double normal_slowness = 2;
 constexpr double smallest_ramp_share = 0.01;
 
 } // namespace
@@ -82,7 +80,8 @@
         return expected.count();
     }
     // A cold upstream gets warm only with work, so more is normal there.
-    auto const normal = normal_slowness / ramp_share(record.view(), now);
+    auto const normal =
+        upstream_record::normal_slowness / ramp_share(record.view(), now);
     auto const slowness = record.slowness(now);
     return expected.count() * (slowness < normal ? 1 : slowness);
 }
--- a/source/verbenacove/request/upstream_record.cpp
+++ b/source/verbenacove/request/upstream_record.cpp
@@ -27,6 +27,13 @@
 /** The time for a probe; a service may have no request that can be one. */
 constexpr milliseconds probe_patience{30000};
 constexpr milliseconds suspicion{60000};
+/** A slow upstream that gets no requests is tried after this time, doubled
+    for each trial in a row that was slow again: one stalled answer does not
+    keep it out of use, and one that stays slow costs few requests. */
+constexpr milliseconds first_trial{1000};
+constexpr int largest_trial_doubling = 3;
+/** An average over answers further apart than this is mostly the latest. */
+constexpr milliseconds latency_memory{500};
 
 double fade(monotonic_time since, monotonic_time now, milliseconds span)
 {
@@ -71,6 +78,7 @@
 void upstream_record::start(monotonic_time now, microseconds expected)
 {
     ++in_flight_;
+    started_at_ = now;
     started_sum_ += now.time_since_epoch();
     expected_sum_ += expected;
     if (is_ejected_)
@@ -150,13 +158,30 @@
     return is_ejected_ && now >= ejected_until_;
 }
 
+bool upstream_record::needs_trial(monotonic_time now) const
+{
+    return in_flight_ == 0 && slowness(now) >= normal_slowness &&
+           now - started_at_ >= first_trial * (1 << slow_trials_);
+}
+
 void upstream_record::add_latency(monotonic_time now, double ratio)
 {
     auto const bounded = std::min(ratio, largest_slowness);
+    // What comes together is one event.
+    bool const is_trial = has_latency_ && now - latency_at_ >= first_trial;
+    if (ratio < normal_slowness)
+    {
+        slow_trials_ = 0;
+    }
+    else if (is_trial)
+    {
+        slow_trials_ = std::min(slow_trials_ + 1, largest_trial_doubling);
+    }
     auto const before =
         1 + (slowness_ - 1) * fade(latency_at_, now, latency_fade);
-    slowness_ =
-        has_latency_ ? before + latency_weight * (bounded - before) : bounded;
+    auto const gap_weight = 1 - fade(latency_at_, now, latency_memory);
+    auto const weight = std::max(latency_weight, gap_weight);
+    slowness_ = has_latency_ ? before + weight * (bounded - before) : bounded;
     has_latency_ = true;
     latency_at_ = now;
 }
--- a/source/verbenacove/request/upstream_record.hpp
+++ b/source/verbenacove/request/upstream_record.hpp
@@ -94,6 +94,14 @@
     /** Returns true when it is ejected and one attempt may try it. */
     bool needs_probe(monotonic_time now) const;
 
+    /** Returns true when it is slow, has nothing in flight and has not been
+        tried of late: one attempt may find out whether it still is. */
+    bool needs_trial(monotonic_time now) const;
+
+    /** An answer that takes less than this many times the average is normal.
+     */
+    static constexpr double normal_slowness = 2;
+
 private:
     void add_latency(monotonic_time now, double ratio);
     void add_failure(monotonic_time now, double weight);
@@ -102,10 +110,12 @@
 
     upstream_view view_;
     int in_flight_ = 0;
+    monotonic_time started_at_{};
     std::chrono::nanoseconds started_sum_{0};
     std::chrono::microseconds expected_sum_{0};
     double slowness_ = 1;
     bool has_latency_ = false;
+    int slow_trials_ = 0;
     monotonic_time latency_at_;
     double failure_share_ = 0;
     monotonic_time failure_at_;
--- a/tests/unit/upstream_chooser_test.cpp
+++ b/tests/unit/upstream_chooser_test.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <cmath>
 #include <limits>
 #include <map>
@@ -265,6 +266,73 @@
     }
 }
 
+TEST_CASE_FIXTURE(chooser_fixture,
+                  "slowness: one stalled answer: in use again within 5 s")
+{
+    publish({view(1), view(2), view(3)});
+    bool has_stalled = false;
+    auto const serve = [&](upstream_id const& id)
+    {
+        bool const stalls = id == id_of(1) && !has_stalled;
+        has_stalled = has_stalled || stalls;
+        return ended(attempt_outcome::answered,
+                     milliseconds(stalls ? 2000 : 20));
+    };
+    run(250, serve);
+    REQUIRE(has_stalled);
+    auto const counts = run(250, serve);
+    CHECK(counts.contains(id_of(1)));
+    CHECK(counts.at(id_of(1)) > 20);
+}
+
+TEST_CASE_FIXTURE(chooser_fixture,
+                  "slowness: several answers stall at once: used within 5 s")
+{
+    publish({view(1), view(2), view(3)});
+    std::vector<choice> running;
+    for (int i = 0; i < 30; ++i)
+    {
+        running.push_back(*chooser->choose(request_class::interactive));
+    }
+    auto const stalled = std::partition(
+        running.begin(), running.end(),
+        [](choice const& each) { return each.upstream().id != id_of(1); });
+    REQUIRE(running.end() - stalled > 5);
+    clock.advance(milliseconds(20));
+    std::for_each(running.begin(), stalled,
+                  [](choice& each) {
+                      each.finish(attempt_outcome::answered, milliseconds(20));
+                  });
+    clock.advance(milliseconds(1980));
+    std::for_each(
+        stalled, running.end(),
+        [](choice& each)
+        { each.finish(attempt_outcome::answered, milliseconds(2000)); });
+    auto const serve = [](upstream_id const&)
+    {
+        return ended(attempt_outcome::answered, milliseconds(20));
+    };
+    run(250, serve);
+    auto const counts = run(250, serve);
+    CHECK(counts.contains(id_of(1)));
+    CHECK(counts.at(id_of(1)) > 20);
+}
+
+TEST_CASE_FIXTURE(chooser_fixture,
+                  "slowness: an upstream stays slow: tried ever less often")
+{
+    publish({view(1), view(2), view(3)});
+    auto const counts =
+        run(500,
+            [](upstream_id const& id)
+            {
+                return ended(attempt_outcome::answered,
+                             milliseconds(id == id_of(1) ? 400 : 20));
+            });
+    CHECK(counts.at(id_of(1)) >= 3);
+    CHECK(counts.at(id_of(1)) <= 8);
+}
+
 TEST_CASE_FIXTURE(chooser_fixture,
                   "region: a free slot at home: other regions not used")
 {
