Work out the distance of two processes in one place

Five copies, in look-ups, the choice of a replica and that of upstreams, are one function now. Answers of another zone of the region are taken for faster by that zone's round trip, which one of the copies had left out.

Not measured yet.

Ruled out as no use: a struct of zone and region in all types.

--- a/bench/capacity_lookup_bench.cpp
+++ b/bench/capacity_lookup_bench.cpp
@@ -69,7 +69,7 @@
             entries.push_back(entry(i, clock.now()));
         }
         lookup_ranking ranking(clock, 1);
-        caller_place const caller{entries[0].region, entries[0].zone};
+        location const caller{entries[0].region, entries[0].zone};
         std::size_t ranked = 0;
         auto const cost = microseconds_of(
             200000 / count, [&](int)
--- a/source/verbenacove/process/discovery/replica_link.cpp
+++ b/source/verbenacove/process/discovery/replica_link.cpp
@@ -1,6 +1,7 @@
 #include "verbenacove/process/discovery/replica_link.hpp"
 
 #include "verbenacove/core/cbor.hpp"
+#include "verbenacove/core/distance.hpp"
 #include "verbenacove/core/event_log.hpp"
 
 #include <QDateTime>
@@ -28,7 +29,8 @@
 /** A nearer replica that failed is trusted again after so long. */
 constexpr milliseconds return_delay{6000};
 constexpr milliseconds pause_between_reads{150};
-constexpr int farthest = 3;
+/** One step beyond all that are known. */
+constexpr int farthest = static_cast<int>(network_distance::other_region) + 1;
 
 qint64 no_stream()
 {
@@ -211,15 +213,9 @@
 int replica_link::distance_of(socket_address const& address) const
 {
     auto const* known = board_.replicas().find(address.text());
-    if (known == nullptr)
-    {
-        return farthest;
-    }
-    if (known->content.zone == settings_.self.zone)
-    {
-        return 0;
-    }
-    return known->content.region == settings_.self.region ? 1 : 2;
+    return known == nullptr ? farthest
+                            : static_cast<int>(distance_between(
+                                  settings_.self, known->content));
 }
 
 bool replica_link::is_better_there() const
--- a/source/verbenacove/process/routing/route_entry_process.cpp
+++ b/source/verbenacove/process/routing/route_entry_process.cpp
@@ -1,11 +1,13 @@
 #include "verbenacove/process/routing/route_entry_process.hpp"
 
+#include "verbenacove/core/distance.hpp"
 #include "verbenacove/core/event_log.hpp"
 #include "verbenacove/core/stable_hash.hpp"
 
 #include <QMetaObject>
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace verbenacove
@@ -164,7 +166,9 @@
     member.cold_until = std::max(
         upstream.content.cold_until,
         reopened_.cold_until(upstream.content.zone, service.cold_start));
-    member.cold_rate = is_own_to_warm(upstream)
+    // Ranking the entries takes time, and only cold upstreams need it.
+    bool const is_cold = member.cold_until > clock_.now();
+    member.cold_rate = is_cold && is_own_to_warm(upstream)
                            ? service.warmup_per_second * used_warmup_share
                            : 0;
     member.health_path = service.health_path;
@@ -176,22 +180,21 @@
 bool route_entry_process::is_own_to_warm(
     upstream_presence const& upstream) const
 {
-    auto const& zone = upstream.content.zone;
-    auto const region = region_of(zone);
+    location const place{region_of(upstream.content.zone),
+                         upstream.content.zone};
     QString best;
-    std::pair<int, quint64> best_rank{-1, 0};
+    std::pair best_rank{network_distance::other_region,
+                        std::numeric_limits<quint64>::max()};
     for (auto const& entry : link_.board().entries().records())
     {
         if (entry.is_silent || entry.phase != presence_phase::serving)
         {
             continue;
         }
-        int const nearness = entry.content.zone == zone       ? 2
-                             : entry.content.region == region ? 1
-                                                              : 0;
-        std::pair<int, quint64> const rank{
-            nearness, stable_hash(upstream.id.toUtf8(), entry.id.toUtf8())};
-        if (rank > best_rank)
+        std::pair const rank{
+            distance_between(place, entry.content),
+            stable_hash(upstream.id.toUtf8(), entry.id.toUtf8())};
+        if (rank < best_rank)
         {
             best_rank = rank;
             best = entry.id;
--- a/source/verbenacove/process/traffic_server.cpp
+++ b/source/verbenacove/process/traffic_server.cpp
@@ -206,7 +206,7 @@
                                            "There is no such service."));
         return;
     }
-    caller_place const caller{
+    location const caller{
         region_name(query.queryItemValue(QStringLiteral("region"))),
         zone_name(query.queryItemValue(QStringLiteral("zone")))};
     metrics_.count_lookup();
@@ -214,7 +214,7 @@
 }
 
 QByteArray traffic_server::lookup_body(service_name const& service,
-                                       caller_place const& caller)
+                                       location const& caller)
 {
     QByteArrayList entries;
     for (auto const& entry : ranking_.rank(caller, view_->self, view_->entries))
--- a/source/verbenacove/process/traffic_server.hpp
+++ b/source/verbenacove/process/traffic_server.hpp
@@ -88,8 +88,7 @@
     void handle_readiness(exchange_ptr const& exchange);
     void handle_metrics(exchange_ptr const& exchange);
     void handle_unknown(exchange_ptr const& exchange);
-    QByteArray lookup_body(service_name const& service,
-                           caller_place const& caller);
+    QByteArray lookup_body(service_name const& service, location const& caller);
     request_services services();
     void update_slots();
     void ask_for_grants();
--- a/source/verbenacove/request/entry_lookup.cpp
+++ b/source/verbenacove/request/entry_lookup.cpp
@@ -1,37 +1,25 @@
 #include "verbenacove/request/entry_lookup.hpp"
 
+#include "verbenacove/core/distance.hpp"
+
 #include <algorithm>
 
 namespace verbenacove
 {
 
-namespace
-{
-
-int distance(caller_place const& caller, entry_view const& entry)
-{
-    if (entry.zone == caller.zone)
-    {
-        return 0;
-    }
-    return entry.region == caller.region ? 1 : 2;
-}
-
-} // namespace
-
-std::vector<entry_view> nearest_entries(caller_place const& caller,
+std::vector<entry_view> nearest_entries(location const& caller,
                                         std::vector<entry_view> const& entries,
                                         std::size_t most)
 {
     std::vector<entry_view> result;
-    int nearest = 2;
+    auto nearest = network_distance::other_region;
     for (auto const& entry : entries)
     {
-        nearest = std::min(nearest, distance(caller, entry));
+        nearest = std::min(nearest, distance_between(caller, entry));
     }
     for (auto const& entry : entries)
     {
-        if (result.size() < most && distance(caller, entry) == nearest)
+        if (result.size() < most && distance_between(caller, entry) == nearest)
         {
             result.push_back(entry);
         }
--- a/source/verbenacove/request/entry_lookup.hpp
+++ b/source/verbenacove/request/entry_lookup.hpp
@@ -16,7 +16,7 @@
     @param entries  those that serve, as far as is known
     @param most     the most entries in the answer
 */
-std::vector<entry_view> nearest_entries(caller_place const& caller,
+std::vector<entry_view> nearest_entries(location const& caller,
                                         std::vector<entry_view> const& entries,
                                         std::size_t most);
 
--- a/source/verbenacove/request/lookup_ranking.cpp
+++ b/source/verbenacove/request/lookup_ranking.cpp
@@ -1,5 +1,7 @@
 #include "verbenacove/request/lookup_ranking.hpp"
 
+#include "verbenacove/core/distance.hpp"
+
 #include <algorithm>
 #include <cmath>
 
@@ -13,14 +15,9 @@
 constexpr double scarce_headroom = 0.1;
 constexpr double smallest_weight = 0.01;
 
-enum tier : int
-{
-    same_zone,
-    same_region,
-    elsewhere,
-    /** Near or far, an entry that is nearly full comes after the others. */
-    scarce
-};
+/** Near or far, an entry that is nearly full comes after the others. */
+constexpr int scarce_tier =
+    static_cast<int>(network_distance::other_region) + 1;
 
 double headroom_of(entry_view const& entry)
 {
@@ -28,17 +25,11 @@
                                          : 0.0;
 }
 
-int tier_of(caller_place const& caller, entry_view const& entry)
+int tier_of(location const& caller, entry_view const& entry)
 {
-    if (headroom_of(entry) < scarce_headroom)
-    {
-        return scarce;
-    }
-    if (entry.region != caller.region)
-    {
-        return elsewhere;
-    }
-    return entry.zone == caller.zone ? same_zone : same_region;
+    return headroom_of(entry) < scarce_headroom
+               ? scarce_tier
+               : static_cast<int>(distance_between(caller, entry));
 }
 
 } // namespace
@@ -50,7 +41,7 @@
 }
 
 std::vector<entry_view>
-lookup_ranking::rank(caller_place const& caller, entry_view const& self,
+lookup_ranking::rank(location const& caller, entry_view const& self,
                      std::vector<entry_view> const& others)
 {
     auto const now = clock_.now();
@@ -83,7 +74,7 @@
     return result;
 }
 
-lookup_ranking::ranked lookup_ranking::place(caller_place const& caller,
+lookup_ranking::ranked lookup_ranking::place(location const& caller,
                                              entry_view const& entry)
 {
     // The smallest of exponential draws is each entry with a probability in
--- a/source/verbenacove/request/lookup_ranking.hpp
+++ b/source/verbenacove/request/lookup_ranking.hpp
@@ -2,6 +2,7 @@
 #define VERBENACOVE_REQUEST_LOOKUP_RANKING_HPP
 
 #include "verbenacove/core/clock.hpp"
+#include "verbenacove/core/distance.hpp"
 #include "verbenacove/core/ids.hpp"
 #include "verbenacove/core/socket_address.hpp"
 
@@ -26,13 +27,6 @@
     monotonic_time reported_at;
 };
 
-/** Where the caller of a look-up is; empty names when it does not say. */
-struct caller_place
-{
-    region_name region;
-    zone_name zone;
-};
-
 /** Orders the entries for the answer to a look-up.
 
     Entries of the caller's zone come before those of its region, and those
@@ -63,8 +57,7 @@
         @param self    the entry that answers
         @param others  the other entries; `self` may be among them
     */
-    std::vector<entry_view> rank(caller_place const& caller,
-                                 entry_view const& self,
+    std::vector<entry_view> rank(location const& caller, entry_view const& self,
                                  std::vector<entry_view> const& others);
 
 private:
@@ -75,7 +68,7 @@
         double order;
     };
 
-    ranked place(caller_place const& caller, entry_view const& entry);
+    ranked place(location const& caller, entry_view const& entry);
 
     clock_source const& clock_;
     std::mt19937_64 random_;
--- a/source/verbenacove/request/upstream_chooser.cpp
+++ b/source/verbenacove/request/upstream_chooser.cpp
@@ -140,7 +140,7 @@
             found = std::prev(members_.end());
         }
         found->record->renew(view);
-        found->distance = distance_of(view);
+        found->distance = distance_between(settings_, view);
         found->is_listed = true;
         found->last_listed = now;
     }
@@ -183,16 +183,6 @@
     return take(*chosen->upstream, kind);
 }
 
-upstream_distance upstream_chooser::distance_of(upstream_view const& view) const
-{
-    if (view.region != settings_.region)
-    {
-        return upstream_distance::other_region;
-    }
-    return view.zone == settings_.zone ? upstream_distance::same_zone
-                                       : upstream_distance::same_region;
-}
-
 bool upstream_chooser::is_usable(member const& upstream,
                                  monotonic_time now) const
 {
@@ -213,8 +203,8 @@
         {
             continue;
         }
-        auto& of = known.distance == upstream_distance::other_region ? remote_
-                                                                     : local_;
+        auto& of =
+            known.distance == network_distance::other_region ? remote_ : local_;
         ++of.count;
         if (contains(excluded, known.record->view().id))
         {
@@ -371,7 +361,7 @@
             clock_,
             kind,
             cost_.expected_latency(target.distance, kind),
-            target.distance == upstream_distance::other_region};
+            target.distance == network_distance::other_region};
 }
 
 upstream_chooser::pick_function upstream_chooser::pick_of(chooser_policy policy)
--- a/source/verbenacove/request/upstream_chooser.hpp
+++ b/source/verbenacove/request/upstream_chooser.hpp
@@ -103,7 +103,7 @@
     struct member
     {
         std::shared_ptr<upstream_record> record;
-        upstream_distance distance = upstream_distance::other_region;
+        network_distance distance = network_distance::other_region;
         bool is_listed = true;
         monotonic_time last_listed{};
     };
@@ -134,7 +134,6 @@
 
     static pick_function pick_of(chooser_policy policy);
 
-    upstream_distance distance_of(upstream_view const& view) const;
     bool is_usable(member const& upstream, monotonic_time now) const;
     void collect(std::vector<upstream_id> const& excluded, monotonic_time now);
     void release_over_bound(group& of, monotonic_time now) const;
--- a/source/verbenacove/request/upstream_cost.cpp
+++ b/source/verbenacove/request/upstream_cost.cpp
@@ -25,7 +25,7 @@
 }
 
 double upstream_cost::milliseconds_of(upstream_record const& record,
-                                      upstream_distance distance,
+                                      network_distance distance,
                                       double capacity, request_class kind,
                                       monotonic_time now) const
 {
@@ -36,16 +36,16 @@
 }
 
 std::chrono::microseconds
-upstream_cost::expected_latency(upstream_distance distance,
+upstream_cost::expected_latency(network_distance distance,
                                 request_class kind) const
 {
     auto const average = latencies_->average(kind);
     if (!settings_.parts.zone_distance ||
-        distance == upstream_distance::same_zone)
+        distance == network_distance::same_zone)
     {
         return average;
     }
-    return average + (distance == upstream_distance::same_region
+    return average + (distance == network_distance::same_region
                           ? settings_.zone_round_trip
                           : settings_.region_round_trip);
 }
@@ -71,7 +71,7 @@
 }
 
 double upstream_cost::latency_ms(upstream_record const& record,
-                                 upstream_distance distance, request_class kind,
+                                 network_distance distance, request_class kind,
                                  monotonic_time now) const
 {
     milliseconds_double const expected = expected_latency(distance, kind);
--- a/source/verbenacove/request/upstream_cost.hpp
+++ b/source/verbenacove/request/upstream_cost.hpp
@@ -1,6 +1,7 @@
 #ifndef VERBENACOVE_REQUEST_UPSTREAM_COST_HPP
 #define VERBENACOVE_REQUEST_UPSTREAM_COST_HPP
 
+#include "verbenacove/core/distance.hpp"
 #include "verbenacove/request/chooser_settings.hpp"
 #include "verbenacove/request/upstream_record.hpp"
 
@@ -9,14 +10,6 @@
 namespace verbenacove
 {
 
-/** How far an upstream is from the entry. */
-enum class upstream_distance
-{
-    same_zone,
-    same_region,
-    other_region
-};
-
 /** Estimates what an attempt at an upstream costs, in milliseconds: its
     latency, the wait for a slot, and the risk that it fails.
 
@@ -37,12 +30,12 @@
         @param capacity  the slots that may be used, more than 0
     */
     double milliseconds_of(upstream_record const& record,
-                           upstream_distance distance, double capacity,
+                           network_distance distance, double capacity,
                            request_class kind, monotonic_time now) const;
 
     /** Returns the time that an upstream which is as fast as the others
         takes for an answer. */
-    std::chrono::microseconds expected_latency(upstream_distance distance,
+    std::chrono::microseconds expected_latency(network_distance distance,
                                                request_class kind) const;
 
     /** Returns the share of its slots that an upstream may use so long after
@@ -53,7 +46,7 @@
     double own_in_flight(upstream_record const& record) const;
 
 private:
-    double latency_ms(upstream_record const& record, upstream_distance distance,
+    double latency_ms(upstream_record const& record, network_distance distance,
                       request_class kind, monotonic_time now) const;
     double failure_ms(upstream_record const& record, request_class kind,
                       monotonic_time now) const;
--- a/source/verbenacove/request/upstream_pool.cpp
+++ b/source/verbenacove/request/upstream_pool.cpp
@@ -107,27 +107,32 @@
     return 1 / (1 + std::exp(excess));
 }
 
-std::size_t upstream_pool::distance_of(pool_member const& member) const
+double upstream_pool::crossing_cost(network_distance distance) const
 {
-    if (member.zone == settings_.zone)
+    if (distance == network_distance::same_zone)
     {
         return 0;
     }
-    return member.region == settings_.region ? 1 : 2;
+    double const per_kib = settings_.zone_crossing_cost +
+                           (distance == network_distance::other_region
+                                ? settings_.region_crossing_cost
+                                : 0);
+    return std::min(settings_.highest_crossing_cost,
+                    per_kib * work_.average_kib());
 }
 
-double upstream_pool::crossing_cost(pool_member const& member) const
+milliseconds upstream_pool::round_trip(network_distance distance) const
 {
-    if (member.zone == settings_.zone)
+    switch (distance)
     {
-        return 0;
+    case network_distance::same_zone:
+        break;
+    case network_distance::same_region:
+        return settings_.zone_round_trip;
+    case network_distance::other_region:
+        return settings_.region_round_trip;
     }
-    double const per_kib =
-        settings_.zone_crossing_cost + (member.region == settings_.region
-                                            ? 0
-                                            : settings_.region_crossing_cost);
-    return std::min(settings_.highest_crossing_cost,
-                    per_kib * work_.average_kib());
+    return milliseconds(0);
 }
 
 // Gumbel noise that all entries draw alike for an object and an upstream: the
@@ -155,8 +160,7 @@
     result.member = &member;
     result.known = &known;
     result.work = known.keys.classify(query.affinity_key);
-    result.leaves_region = member.region != settings_.region;
-    result.distance = distance_of(member);
+    result.distance = distance_between(settings_, member);
 
     double const slots = std::max(1, member.slots.value());
     double const load = standing.load(now);
@@ -165,12 +169,9 @@
         work_.average_ms(result.work, objective) * standing.slowness(now);
     double const queue = std::max(0.0, load + 1 - slots) / slots * work;
     double const crowding = crowding_ms * std::min(1.0, load / slots);
-    bool const leaves_zone = member.zone != settings_.zone;
-    double const round_trip = static_cast<double>(
-        result.leaves_region ? settings_.region_round_trip.count()
-        : leaves_zone        ? settings_.zone_round_trip.count()
-                             : 0);
-    result.expected_ms = work + queue + crowding + round_trip;
+    result.expected_ms =
+        work + queue + crowding +
+        static_cast<double>(round_trip(result.distance).count());
     result.has_free_slot = load + 1 <= slots;
     result.shortest_ms =
         result.expected_ms - work +
@@ -188,14 +189,14 @@
     double const at_all =
         in_time_chance(counted_ms, query.time_left, query.objective);
     result.worth = in_time + settings_.late_worth * (at_all - in_time) -
-                   crossing_cost(member) - queue / 1e5;
+                   crossing_cost(result.distance) - queue / 1e5;
     result.worth -= failure_penalty * standing.failure_share(now);
     result.worth -= member.is_silent ? silence_penalty : 0;
     result.preference =
         result.worth + object_preference(query.affinity_key, member.id);
     // The first request shows what a new upstream can do.
     bool const is_new = !standing.last_used() && member.cold_until > now;
-    if (is_new && !leaves_zone)
+    if (is_new && result.distance == network_distance::same_zone)
     {
         result.worth += 1;
     }
@@ -266,7 +267,7 @@
     std::array<candidate const*, distance_count> best{};
     for (auto const& each : from)
     {
-        auto*& of_distance = best[each.distance];
+        auto*& of_distance = best[static_cast<std::size_t>(each.distance)];
         if (of_distance == nullptr || each.preference > of_distance->preference)
         {
             of_distance = &each;
@@ -308,13 +309,13 @@
             now + std::chrono::duration_cast<monotonic_time::duration>(pause);
     }
     known.standing->start(now);
-    shift_.count(now, chosen.leaves_region);
+    shift_.count(now, chosen.distance == network_distance::other_region);
     pool_choice result;
     result.member = *chosen.member;
     result.standing = known.standing;
     result.work = chosen.work;
     result.expected = milliseconds(static_cast<qint64>(chosen.expected_ms));
-    result.leaves_region = chosen.leaves_region;
+    result.distance = chosen.distance;
     result.started = now;
     return result;
 }
@@ -341,9 +342,8 @@
         return;
     }
     work_.add_size(bytes);
-    double const round_trip = static_cast<double>(
-        choice.leaves_region ? settings_.region_round_trip.count() : 0);
-    work_.add(choice.work, (taken - round_trip) / std::max(0.2, slowness));
+    auto const way = static_cast<double>(round_trip(choice.distance).count());
+    work_.add(choice.work, (taken - way) / std::max(0.2, slowness));
     auto const known = states_.find(choice.member.id);
     if (known != states_.end() && known->started == choice.member.started)
     {
--- a/source/verbenacove/request/upstream_pool.hpp
+++ b/source/verbenacove/request/upstream_pool.hpp
@@ -2,6 +2,7 @@
 #define VERBENACOVE_REQUEST_UPSTREAM_POOL_HPP
 
 #include "verbenacove/core/clock.hpp"
+#include "verbenacove/core/distance.hpp"
 #include "verbenacove/core/ids.hpp"
 #include "verbenacove/core/socket_address.hpp"
 #include "verbenacove/request/overflow_share.hpp"
@@ -63,7 +64,7 @@
     work_class work = unseen_work;
     /** How long the answer should take, the upstream's queue included. */
     milliseconds expected{0};
-    bool leaves_region = false;
+    network_distance distance = network_distance::same_zone;
     monotonic_time started;
 };
 
@@ -154,8 +155,7 @@
         double worth = 0;
         /** The worth, and how well the object suits the upstream. */
         double preference = 0;
-        std::size_t distance = 0;
-        bool leaves_region = false;
+        network_distance distance = network_distance::same_zone;
     };
 
     bool is_allowed(pool_member const& member, pool_query const& query) const;
@@ -163,11 +163,11 @@
                    monotonic_time now) const;
     candidate assess(pool_member const& member, pool_query const& query,
                      monotonic_time now);
-    double crossing_cost(pool_member const& member) const;
+    double crossing_cost(network_distance distance) const;
+    milliseconds round_trip(network_distance distance) const;
     double object_preference(QByteArray const& key, upstream_id const& id);
     double in_time_chance(double expected_ms, milliseconds left,
                           milliseconds scale) const;
-    std::size_t distance_of(pool_member const& member) const;
     candidate const* pick(std::vector<candidate> const& from,
                           pool_query const& query, monotonic_time now);
     double overflow(pool_query const& query, monotonic_time now);
--- a/tests/unit/lookup_ranking_test.cpp
+++ b/tests/unit/lookup_ranking_test.cpp
@@ -11,7 +11,7 @@
 namespace
 {
 
-caller_place place(char const* region, char const* zone)
+location place(char const* region, char const* zone)
 {
     return {region_name(QString::fromLatin1(region)),
             zone_name(QString::fromLatin1(zone))};
@@ -39,19 +39,19 @@
         return entry_id(QStringLiteral("e%1").arg(number));
     }
 
-    std::vector<entry_view> rank(caller_place const& caller, int self = 0)
+    std::vector<entry_view> rank(location const& caller, int self = 0)
     {
         return ranking.rank(caller, entries.at(std::size_t(self)), entries);
     }
 
-    bool names(caller_place const& caller, entry_id const& id, int self = 0)
+    bool names(location const& caller, entry_id const& id, int self = 0)
     {
         auto const order = rank(caller, self);
         return std::any_of(order.begin(), order.end(),
                            [&](entry_view const& one) { return one.id == id; });
     }
 
-    std::map<entry_id, int> first_of(int count, caller_place const& caller)
+    std::map<entry_id, int> first_of(int count, location const& caller)
     {
         std::map<entry_id, int> counts;
         for (int i = 0; i < count; ++i)
--- a/tests/unit/steering_pool_test.cpp
+++ b/tests/unit/steering_pool_test.cpp
@@ -343,8 +343,8 @@
     far.id = entry_id(QStringLiteral("far"));
     far.region = region_name(QStringLiteral("ecape"));
     far.zone = zone_name(QStringLiteral("ecape-a"));
-    caller_place const caller{region_name(QStringLiteral("wcape")),
-                              zone_name(QStringLiteral("wcape-a"))};
+    location const caller{region_name(QStringLiteral("wcape")),
+                          zone_name(QStringLiteral("wcape-a"))};
     auto const found = nearest_entries(caller, {far, near}, 64);
     REQUIRE(found.size() == 1);
     CHECK(found[0].id == near.id);
