Probe an upstream after a lost connection only, and once it is healthy no more

Cause: an upstream that was left out stayed on trial until a request succeeded, and was probed twice a second all that time; with 79 entries and 474 upstreams most pairs see a request seldom. Failing requests on whole connections asked for probes too, though a good health says nothing of them. Two tests failed first.

--- a/source/verbenacove/request/upstream_standing.cpp
+++ b/source/verbenacove/request/upstream_standing.cpp
@@ -61,7 +61,7 @@
         slowness_ += answer_weight *
                      (std::clamp(ratio, 0.05, largest_ratio) - slowness_);
         slowness_at_ = now;
-        losses_in_row_ = 0;
+        awaits_probe_ = false;
         if (failure_share_ < failure_limit)
         {
             ejections_ = 0;
@@ -74,7 +74,7 @@
         }
         break;
     case upstream_evidence::connection_lost:
-        ++losses_in_row_;
+        awaits_probe_ = true;
         eject(now, shortest_ejection);
         break;
     case upstream_evidence::full:
@@ -125,12 +125,12 @@
 void upstream_standing::note_healthy(monotonic_time now)
 {
     ejected_until_ = now;
-    losses_in_row_ = 0;
+    awaits_probe_ = false;
 }
 
 bool upstream_standing::take_probe(monotonic_time now)
 {
-    bool const is_due = is_on_trial() && !is_ejected(now) &&
+    bool const is_due = awaits_probe_ && !is_ejected(now) &&
                         elapsed(probed_, now) > probe_interval;
     if (is_due)
     {
--- a/source/verbenacove/request/upstream_standing.hpp
+++ b/source/verbenacove/request/upstream_standing.hpp
@@ -82,8 +82,10 @@
     monotonic_time slowness_at_{};
     double failure_share_ = 0;
     monotonic_time failure_at_{};
-    int losses_in_row_ = 0;
     int ejections_ = 0;
+    /** It lost a connection and has neither answered nor been found in health
+        since. */
+    bool awaits_probe_ = false;
     monotonic_time ejected_until_{};
     monotonic_time probed_{};
     std::optional<monotonic_time> last_used_;
--- a/tests/unit/steering_pool_test.cpp
+++ b/tests/unit/steering_pool_test.cpp
@@ -153,6 +153,39 @@
     CHECK(choose(query("key")) == QStringLiteral("a"));
 }
 
+TEST_CASE_FIXTURE(pool_fixture,
+                  "upstream pool: a healthy probe, no request since: no other")
+{
+    pool.update({member("a", "wcape", "wcape-a")}, 1, 1);
+    choose(query("key"));
+    finish(upstream_evidence::connection_lost, milliseconds(5));
+    clock.advance(std::chrono::seconds(2));
+    REQUIRE(pool.take_probes().size() == 1);
+    pool.take_probe_answer(upstream_id(QStringLiteral("a")), true);
+    clock.advance(std::chrono::seconds(5));
+    CHECK(pool.take_probes().empty());
+    choose(query("key"));
+    finish(upstream_evidence::connection_lost, milliseconds(5));
+    clock.advance(std::chrono::seconds(5));
+    CHECK(pool.take_probes().size() == 1);
+}
+
+TEST_CASE_FIXTURE(pool_fixture,
+                  "upstream pool: requests fail, connections hold: no probe")
+{
+    pool.update({member("a", "wcape", "wcape-a")}, 1, 1);
+    for (int i = 0; i < 6 && choose(query("key")) == QStringLiteral("a"); ++i)
+    {
+        finish(upstream_evidence::failure, milliseconds(5));
+    }
+    REQUIRE(choose(query("key")) == QStringLiteral("none"));
+    for (int i = 0; i < 20; ++i)
+    {
+        clock.advance(milliseconds(500));
+        CHECK(pool.take_probes().empty());
+    }
+}
+
 TEST_CASE_FIXTURE(
     pool_fixture,
     "upstream pool: a new incarnation: nothing is held against it")
