Spread objects over a region's zones by what crossing costs

Cause: an entry left its zone only for a better worth, so each zone of a region warmed its own copy of every object; zones with few upstreams cannot hold them all, and each copy starts cold. Now the zones of a region compete by worth, with the cost of crossing, and the object's noise, so that entries of all its zones mostly meet at one upstream. The new test failed first: of 100 objects two entries met for none.

--- a/source/verbenacove/request/upstream_pool.cpp
+++ b/source/verbenacove/request/upstream_pool.cpp
@@ -281,7 +281,7 @@
     double const margin = settings_.leave_margin * 2 * order;
     auto const* near = best[0];
     if (near == nullptr ||
-        (best[1] != nullptr && best[1]->worth > near->worth + margin))
+        (best[1] != nullptr && best[1]->preference > near->preference))
     {
         near = best[1];
     }
--- a/tests/unit/steering_pool_test.cpp
+++ b/tests/unit/steering_pool_test.cpp
@@ -97,6 +97,30 @@
     CHECK(shares.size() == 3);
 }
 
+TEST_CASE_FIXTURE(pool_fixture,
+                  "upstream pool: entries of two zones: most objects meet")
+{
+    std::vector<pool_member> const members{
+        member("a1", "wcape", "wcape-a"), member("a2", "wcape", "wcape-a"),
+        member("b1", "wcape", "wcape-b"), member("b2", "wcape", "wcape-b")};
+    upstream_pool other(at_zone("wcape", "wcape-b"), clock, shift, 99);
+    pool.update(members, 2, 2);
+    other.update(members, 2, 2);
+    int met = 0;
+    for (int key = 0; key < 100; ++key)
+    {
+        auto const asked = query(QByteArray::number(key));
+        auto const here = choose(asked);
+        finish(upstream_evidence::nothing, milliseconds(0));
+        auto shortage = pool_shortage::none_known;
+        auto const there = other.choose(asked, shortage);
+        REQUIRE(there);
+        other.finish(*there, "", upstream_evidence::nothing, std::nullopt, 0);
+        met += there->member.id.value() == here ? 1 : 0;
+    }
+    CHECK(met > 50);
+}
+
 TEST_CASE_FIXTURE(pool_fixture,
                   "upstream pool: room in the zone: the zone is not left")
 {
