Share among entries which requests crash upstreams

Cause, from the code and a test of the whole path: the routed path told the quarantine of lost connections but never that an upstream's process was gone, so that every loss expired and no request was ever refused; and each entry knew its own losses only.

Now a newer start or a refused probe confirms a crash; entries tell replicas with their question for news, replicas read it from each other, and entries get it as they get other news. All attempts are tracked; suspects are not held back, since upstreams that crash for other reasons have many aboard.

The codec of the news has a file of its own. Ruled out: a message of its own to each entry (grows with their square).

--- /dev/null
+++ b/source/verbenacove/process/discovery/crash_exchange.cpp
@@ -0,0 +1,69 @@
+#include "verbenacove/process/discovery/crash_exchange.hpp"
+
+#include "verbenacove/core/cbor.hpp"
+#include "verbenacove/core/event_log.hpp"
+
+namespace verbenacove
+{
+
+namespace
+{
+
+event_log const crash_log{"crashes"};
+
+constexpr char records_key[] = "crashes";
+constexpr char position_key[] = "crashes_after";
+
+} // namespace
+
+news_position add_crashes(QCborMap& message, quarantine const& known,
+                          news_position since)
+{
+    if (!known.has_news(since))
+    {
+        return since;
+    }
+    auto const news = known.export_news(since);
+    message[QLatin1String(records_key)] = to_cbor(news);
+    return news.next;
+}
+
+std::optional<quarantine_news> crashes_in(QCborMap const& message)
+{
+    if (!message.contains(QLatin1String(records_key)))
+    {
+        return std::nullopt;
+    }
+    auto const parsed = parse_quarantine_news(cbor_map(message, records_key));
+    if (!parsed)
+    {
+        crash_log.note("crashes.unreadable", {});
+        return std::nullopt;
+    }
+    return *parsed;
+}
+
+void crash_position::add_to(QCborMap& question) const
+{
+    question[QLatin1String(position_key)] = since_.value();
+}
+
+void crash_position::move(qint64 stream,
+                          std::optional<quarantine_news> const& news)
+{
+    if (stream != stream_)
+    {
+        // What this answer left out comes with the next one.
+        stream_ = stream;
+        since_ = news_position(0);
+        return;
+    }
+    since_ = news ? news->next : since_;
+}
+
+news_position crash_position::in(QCborMap const& question)
+{
+    return news_position(cbor_number(question, position_key));
+}
+
+} // namespace verbenacove
--- a/source/verbenacove/process/discovery/discovery_service.cpp
+++ b/source/verbenacove/process/discovery/discovery_service.cpp
@@ -137,11 +137,12 @@
     {
         board_.take(std::move(entry));
     }
+    take_crashes(request);
     auto const hold = std::clamp(milliseconds(cbor_number(request, "hold")),
                                  milliseconds(0), longest_hold);
     waiting_reader const reader{
         request, parse_board_position(cbor_map(request, "position")),
-        now + hold, reply};
+        crash_position::in(request), now + hold, reply};
     if (has_answer(reader) || waiting_.size() >= maximum_waiting)
     {
         answer(reader);
@@ -159,6 +160,7 @@
         !cbor_flag(reader.request, "replica") &&
         cbor_flag(reader.request, "current") != is_current();
     return board_.has_news(reader.position) ||
+           crashes_.has_news(reader.crashes) ||
            (has_older_routes && is_current()) || is_standing_new ||
            clock_.now() >= reader.until;
 }
@@ -184,6 +186,7 @@
         news[QLatin1String("routes_revision")] = routes.revision();
         news[QLatin1String("evacuated")] = evacuated;
     }
+    add_crashes(news, crashes_, reader.crashes);
     reader.reply(news);
 }
 
@@ -299,6 +302,7 @@
         {QLatin1String("hold"), qint64{longest_hold.count()}},
         {QLatin1String("position"), to_cbor(from.position)},
         {QLatin1String("self"), to_cbor(*self, now)}};
+    from.crashes.add_to(request);
     from.client->call(std::move(request), longest_hold + read_margin,
                       [this, address](std::optional<QCborMap> const& reply)
                       { take_news(address, reply); });
@@ -322,9 +326,21 @@
     }
     from->heard = now;
     from->position = board_.merge(*reply);
+    from->crashes.move(from->position.stream, crashes_in(*reply));
+    take_crashes(*reply);
     read(address, *from);
 }
 
+void discovery_service::take_crashes(QCborMap const& message)
+{
+    auto const news = crashes_in(message);
+    if (news)
+    {
+        crashes_.merge_news(*news);
+        answer_soon();
+    }
+}
+
 // Acknowledgements.
 
 void discovery_service::handle_push(QCborMap const& request,
--- a/source/verbenacove/process/discovery/discovery_service.hpp
+++ b/source/verbenacove/process/discovery/discovery_service.hpp
@@ -2,6 +2,7 @@
 #define VERBENACOVE_PROCESS_DISCOVERY_DISCOVERY_SERVICE_HPP
 
 #include "verbenacove/process/control_server.hpp"
+#include "verbenacove/process/discovery/crash_exchange.hpp"
 #include "verbenacove/process/discovery/discovery_board.hpp"
 
 #include <QHash>
@@ -73,6 +74,7 @@
     {
         QCborMap request;
         board_position position;
+        news_position crashes;
         monotonic_time until;
         reply_function reply;
     };
@@ -82,6 +84,7 @@
     {
         std::unique_ptr<rpc_client> client;
         board_position position;
+        crash_position crashes;
         bool is_reading = false;
         monotonic_time next_read;
         /** When it answered last. */
@@ -100,6 +103,7 @@
     void read(socket_address const& address, source& from);
     void take_news(socket_address const& address,
                    std::optional<QCborMap> const& reply);
+    void take_crashes(QCborMap const& message);
     void push(upstream_presence const& record, acknowledge_callback done);
     void note_upstream(upstream_presence const& record);
     void note_entry(entry_presence const& record);
@@ -110,6 +114,8 @@
     steady_clock_source clock_;
     timer_service timers_;
     discovery_board board_;
+    /** What entries told of requests that crash upstreams, to pass on. */
+    quarantine crashes_{clock_};
     incarnation started_;
     qint64 beats_ = 0;
     monotonic_time last_beat_;
--- a/source/verbenacove/process/discovery/replica_link.cpp
+++ b/source/verbenacove/process/discovery/replica_link.cpp
@@ -39,10 +39,9 @@
 
 } // namespace
 
-replica_link::replica_link(replica_link_settings settings,
-                           change_callback changed)
+replica_link::replica_link(replica_link_settings settings, listener calls)
     : settings_(std::move(settings))
-    , changed_(std::move(changed))
+    , calls_(std::move(calls))
     , board_(no_stream(), silence_judge::source, clock_,
              {[this](upstream_presence const&) { has_changes_ = true; },
               [this](entry_presence const&) { has_changes_ = true; },
@@ -85,7 +84,7 @@
     if (has_changes_)
     {
         has_changes_ = false;
-        changed_();
+        calls_.changed();
     }
     if (!is_reading_ && clock_.now() >= next_read_)
     {
@@ -122,10 +121,17 @@
     }
     is_reading_ = true;
     auto const number = ++read_number_;
-    client_of(*current_).client->call(
-        request(hold), hold + read_margin,
-        [this, from = *current_, number](std::optional<QCborMap> const& reply)
-        { take_news(from, number, reply); });
+    auto question = request(hold);
+    heard_crashes_.add_to(question);
+    auto const told = add_crashes(question, own_, told_);
+    client_of(*current_).client->call(std::move(question), hold + read_margin,
+                                      [this, from = *current_, number, told](
+                                          std::optional<QCborMap> const& reply)
+                                      {
+                                          told_ = reply && told_ < told ? told
+                                                                        : told_;
+                                          take_news(from, number, reply);
+                                      });
 }
 
 void replica_link::take_news(socket_address const& from, quint64 number,
@@ -146,6 +152,7 @@
         return;
     }
     position_ = board_.merge(*reply);
+    take_crashes(*reply);
     was_current_ = cbor_flag(*reply, "current");
     if (was_current_)
     {
@@ -156,7 +163,7 @@
     }
     if (std::exchange(has_changes_, false))
     {
-        changed_();
+        calls_.changed();
     }
     if (!was_current_)
     {
@@ -169,6 +176,16 @@
     read();
 }
 
+void replica_link::take_crashes(QCborMap const& reply)
+{
+    auto news = crashes_in(reply);
+    heard_crashes_.move(position_.stream, news);
+    if (news)
+    {
+        calls_.crashed(std::move(*news));
+    }
+}
+
 void replica_link::take_routes(QCborMap const& reply)
 {
     auto const revision = cbor_number(reply, "routes_revision", -1);
--- a/source/verbenacove/process/discovery/replica_link.hpp
+++ b/source/verbenacove/process/discovery/replica_link.hpp
@@ -2,6 +2,7 @@
 #define VERBENACOVE_PROCESS_DISCOVERY_REPLICA_LINK_HPP
 
 #include "verbenacove/connection/rpc_client.hpp"
+#include "verbenacove/process/discovery/crash_exchange.hpp"
 #include "verbenacove/process/discovery/discovery_board.hpp"
 #include "verbenacove/version/route_configuration.hpp"
 
@@ -34,10 +35,16 @@
 class replica_link
 {
 public:
-    /** Called when routes, upstreams, entries or zones changed. */
-    using change_callback = std::function<void()>;
+    /** What the link calls. */
+    struct listener
+    {
+        /** Routes, upstreams, entries or zones changed. */
+        std::function<void()> changed;
+        /** Other entries tell of requests that crash upstreams. */
+        std::function<void(quarantine_news)> crashed;
+    };
 
-    replica_link(replica_link_settings settings, change_callback changed);
+    replica_link(replica_link_settings settings, listener calls);
     replica_link(replica_link const&) = delete;
     replica_link& operator=(replica_link const&) = delete;
 
@@ -47,6 +54,9 @@
     /** Sets how far this entry has come, and tells the replica at once. */
     void set_phase(presence_phase phase);
 
+    /** Tells the other entries of requests that crash upstreams. */
+    void tell_crashes(quarantine_news const& news) { own_.merge_news(news); }
+
     /** Replaces the addresses that are tried first. */
     void set_seeds(std::vector<socket_address> seeds);
 
@@ -75,6 +85,7 @@
     void take_news(socket_address const& from, quint64 number,
                    std::optional<QCborMap> const& reply);
     void take_routes(QCborMap const& reply);
+    void take_crashes(QCborMap const& reply);
     void leave_replica(char const* reason);
     void choose_replica();
     int distance_of(socket_address const& address) const;
@@ -82,7 +93,7 @@
     replica& client_of(socket_address const& address);
 
     replica_link_settings settings_;
-    change_callback changed_;
+    listener calls_;
     steady_clock_source clock_;
     timer_service timers_;
     discovery_board board_;
@@ -94,6 +105,10 @@
     /** The replica that is read. */
     std::optional<socket_address> current_;
     board_position position_;
+    crash_position heard_crashes_;
+    /** What this entry saw, and how much of it a replica has taken in. */
+    quarantine own_{clock_};
+    news_position told_{0};
     /** Counts the reads; the answer to an earlier one is late. */
     quint64 read_number_ = 0;
     bool is_reading_ = false;
--- a/source/verbenacove/process/routing/route_entry_process.cpp
+++ b/source/verbenacove/process/routing/route_entry_process.cpp
@@ -39,7 +39,12 @@
     , link_({settings_.name,
              {settings_.callers, settings_.zone, settings_.region},
              settings_.replicas},
-            [this] { take_news(); })
+            {[this] { take_news(); },
+             [this](quarantine_news news)
+             {
+                 call_on_traffic([this, news = std::move(news)]
+                                 { traffic_->take_crashes(news); });
+             }})
 {
 }
 
@@ -67,7 +72,15 @@
         traffic_context_.get(),
         [&]
         {
-            traffic_ = std::make_unique<route_traffic>(settings_, dialect_);
+            traffic_ = std::make_unique<route_traffic>(
+                settings_, dialect_,
+                [this](quarantine_news const& news)
+                {
+                    QMetaObject::invokeMethod(
+                        &control_context_,
+                        [this, news] { link_.tell_crashes(news); },
+                        Qt::QueuedConnection);
+                });
             error = traffic_->start();
         },
         Qt::BlockingQueuedConnection);
--- a/source/verbenacove/process/routing/route_entry_process.hpp
+++ b/source/verbenacove/process/routing/route_entry_process.hpp
@@ -58,6 +58,8 @@
     route_dialect const& dialect_;
     steady_clock_source clock_;
     timer_service timers_;
+    /** Takes calls from the traffic thread. */
+    QObject control_context_;
     replica_link link_;
     reopened_zones reopened_;
     bool is_ready_ = false;
--- a/source/verbenacove/process/routing/route_traffic.cpp
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -17,6 +17,8 @@
 
 constexpr milliseconds probe_interval{200};
 constexpr milliseconds probe_timeout{1000};
+/** How often crashes are told; several that come together are told at once. */
+constexpr milliseconds crash_interval{250};
 constexpr milliseconds refusal_delay{250};
 /** Of what all entries may retry together, so that their views of one another
     may differ. */
@@ -32,10 +34,12 @@
 } // namespace
 
 route_traffic::route_traffic(route_entry_settings settings,
-                             route_dialect const& dialect)
+                             route_dialect const& dialect,
+                             crash_callback crashed)
     : settings_(std::move(settings))
     , dialect_(dialect)
     , crashes_(clock_)
+    , crashed_(std::move(crashed))
     , shift_(settings_.steering.maximum_region_shift)
     , callers_(settings_.limits,
                [this](exchange_ptr const& exchange) { handle(exchange); })
@@ -68,6 +72,8 @@
         }
     }
     probe_timer_ = timers_.call_every(probe_interval, [this] { probe(); });
+    crash_timer_ =
+        timers_.call_every(crash_interval, [this] { tell_crashes(); });
     return {};
 }
 
@@ -75,6 +81,7 @@
 {
     bool const has_new_routes = view->routes != view_->routes;
     view_ = std::move(view);
+    note_restarts();
     if (has_new_routes && view_->routes)
     {
         take_limits();
@@ -97,6 +104,43 @@
     }
 }
 
+// A newer start says that the earlier process has ended.
+void route_traffic::note_restarts()
+{
+    QHash<upstream_id, incarnation> known;
+    for (auto const& members : view_->members)
+    {
+        for (auto const& member : members)
+        {
+            auto const before = starts_.value(member.id, member.started);
+            if (before < member.started)
+            {
+                crashes_.upstream_gone(member.id, before);
+            }
+            known.insert(member.id, member.started);
+        }
+    }
+    starts_ = std::move(known);
+}
+
+void route_traffic::tell_crashes()
+{
+    if (!crashes_.has_news(told_crashes_))
+    {
+        return;
+    }
+    auto const news = crashes_.export_news(told_crashes_);
+    told_crashes_ = news.next;
+    for (auto const& record : news.records)
+    {
+        entry_log.note("request.crashes",
+                       {{"request", QString::fromLatin1(
+                                        record.fingerprint.value().toHex())},
+                        {"upstreams", qint64(record.crashes.size())}});
+    }
+    crashed_(news);
+}
+
 void route_traffic::take_limits()
 {
     auto const& said = view_->routes->limits;
@@ -245,18 +289,26 @@
     probe.headers = {{"Host", member.address.text().toLatin1()}};
     probe.time_left = probe_timeout;
     probe.connect_timeout = probe_timeout;
-    upstreams_.start(
-        std::move(probe),
-        [this, of, id = member.id](attempt_result const& result)
-        {
-            auto const marks = dialect_.read_answer(result.response);
-            bool const is_healthy = result.end == attempt_end::answered &&
-                                    result.response.status == 200 &&
-                                    marks.responder == id;
-            entry_log.note("upstream.probed",
-                           {{"upstream", id.value()}, {"healthy", is_healthy}});
-            of->upstreams.take_probe_answer(id, is_healthy);
-        });
+    upstreams_.start(std::move(probe),
+                     [this, of, member](attempt_result const& result)
+                     { take_probe_answer(of, member, result); });
+}
+
+void route_traffic::take_probe_answer(std::shared_ptr<routed_pool> const& of,
+                                      pool_member const& member,
+                                      attempt_result const& result)
+{
+    auto const marks = dialect_.read_answer(result.response);
+    bool const is_healthy = result.end == attempt_end::answered &&
+                            result.response.status == 200 &&
+                            marks.responder == member.id;
+    if (result.end == attempt_end::connect_failed)
+    {
+        crashes_.upstream_gone(member.id, member.started);
+    }
+    entry_log.note("upstream.probed",
+                   {{"upstream", member.id.value()}, {"healthy", is_healthy}});
+    of->upstreams.take_probe_answer(member.id, is_healthy);
 }
 
 } // namespace verbenacove
--- a/source/verbenacove/process/routing/route_traffic.hpp
+++ b/source/verbenacove/process/routing/route_traffic.hpp
@@ -10,6 +10,7 @@
 
 #include <QHash>
 
+#include <functional>
 #include <memory>
 
 namespace verbenacove
@@ -23,11 +24,21 @@
 class route_traffic
 {
 public:
+    /** Gets what this entry has learned of requests that crash upstreams. */
+    using crash_callback = std::function<void(quarantine_news const&)>;
+
     /** The dialect must outlive the traffic. */
-    route_traffic(route_entry_settings settings, route_dialect const& dialect);
+    route_traffic(route_entry_settings settings, route_dialect const& dialect,
+                  crash_callback crashed);
     route_traffic(route_traffic const&) = delete;
     route_traffic& operator=(route_traffic const&) = delete;
 
+    /** Takes in what other entries saw of requests that crash upstreams. */
+    void take_crashes(quarantine_news const& news)
+    {
+        crashes_.merge_news(news);
+    }
+
     /** Opens the doors; the reason when one cannot be had, else empty. */
     QString start();
 
@@ -57,6 +68,11 @@
     void probe();
     void probe_upstream(std::shared_ptr<routed_pool> const& of,
                         pool_member const& member);
+    void take_probe_answer(std::shared_ptr<routed_pool> const& of,
+                           pool_member const& member,
+                           attempt_result const& result);
+    void note_restarts();
+    void tell_crashes();
     void note_end(routed_end const& end);
 
     route_entry_settings settings_;
@@ -64,8 +80,13 @@
     steady_clock_source clock_;
     timer_service timers_;
     timer_service::subscription probe_timer_;
+    timer_service::subscription crash_timer_;
     entry_metrics metrics_;
     quarantine crashes_;
+    crash_callback crashed_;
+    news_position told_crashes_{0};
+    /** The start of each upstream that is known. */
+    QHash<upstream_id, incarnation> starts_;
     region_shift_limit shift_;
     split_chooser splits_;
     routing_view_ptr view_ = std::make_shared<routing_view const>();
--- a/source/verbenacove/request/quarantine.cpp
+++ b/source/verbenacove/request/quarantine.cpp
@@ -1,107 +1,10 @@
 #include "verbenacove/request/quarantine.hpp"
 
-#include <QCborArray>
-
 #include <algorithm>
 
 namespace verbenacove
 {
 
-namespace leaf = boost::leaf;
-
-namespace
-{
-
-constexpr qsizetype name_characters = 64;
-
-leaf::error_id fail(char const* reason)
-{
-    return leaf::new_error(
-        quarantine_format_error{QString::fromLatin1(reason)});
-}
-
-QCborArray to_cbor(crash_record const& crash)
-{
-    return {crash.upstream.value(), crash.upstream_incarnation.value(),
-            qint64(crash.age.count()), crash.is_cleared, crash.is_trial};
-}
-
-leaf::result<crash_record> parse_crash(QCborArray const& fields)
-{
-    bool const is_right = fields.size() == 5 && fields.at(0).isString() &&
-                          fields.at(1).isInteger() &&
-                          fields.at(2).isInteger() && fields.at(3).isBool() &&
-                          fields.at(4).isBool();
-    if (!is_right)
-    {
-        return fail("a crash is wrong");
-    }
-    auto const upstream = fields.at(0).toString();
-    auto const age = fields.at(2).toInteger();
-    if (upstream.isEmpty() || upstream.size() > name_characters || age < 0)
-    {
-        return fail("a crash is out of range");
-    }
-    return crash_record{
-        upstream_id(upstream), incarnation(fields.at(1).toInteger()),
-        milliseconds(age), fields.at(3).toBool(), fields.at(4).toBool()};
-}
-
-leaf::result<crash_news> parse_record(QCborArray const& fields)
-{
-    crash_news record{request_fingerprint(fields.at(0).toByteArray()), {}};
-    auto const crashes = fields.at(1).toArray();
-    if (record.fingerprint.value().size() != fingerprint_bytes ||
-        crashes.size() > qsizetype(quarantine::maximum_crashes))
-    {
-        return fail("a record is wrong");
-    }
-    for (auto const& crash : crashes)
-    {
-        BOOST_LEAF_AUTO(parsed, parse_crash(crash.toArray()));
-        record.crashes.push_back(parsed);
-    }
-    return record;
-}
-
-} // namespace
-
-QCborMap to_cbor(quarantine_news const& news)
-{
-    QCborArray records;
-    for (auto const& record : news.records)
-    {
-        QCborArray crashes;
-        for (auto const& crash : record.crashes)
-        {
-            crashes.append(to_cbor(crash));
-        }
-        records.append(QCborArray{record.fingerprint.value(), crashes});
-    }
-    QCborMap map;
-    map.insert(QLatin1String("next"), news.next.value());
-    map.insert(QLatin1String("records"), records);
-    return map;
-}
-
-leaf::result<quarantine_news> parse_quarantine_news(QCborMap const& map)
-{
-    auto const next = map.value(QLatin1String("next"));
-    auto const records = map.value(QLatin1String("records"));
-    if (next.toInteger(-1) < 0 || !records.isArray() ||
-        records.toArray().size() > qsizetype(quarantine::maximum_news))
-    {
-        return fail("news are wrong");
-    }
-    quarantine_news news{news_position(next.toInteger()), {}};
-    for (auto const& record : records.toArray())
-    {
-        BOOST_LEAF_AUTO(parsed, parse_record(record.toArray()));
-        news.records.push_back(std::move(parsed));
-    }
-    return news;
-}
-
 quarantine::quarantine(clock_source const& clock)
     : clock_(clock)
 {
@@ -150,7 +53,25 @@
     {
         return std::nullopt;
     }
-    bool const is_alone = permission(request) == send_permission::alone;
+    return note(request, upstream, upstream_incarnation,
+                permission(request) == send_permission::alone);
+}
+
+std::optional<attempt_number>
+quarantine::track(request_fingerprint const& request,
+                  upstream_id const& upstream, incarnation upstream_incarnation)
+{
+    if (attempts_.size() >= maximum_attempts)
+    {
+        return std::nullopt;
+    }
+    return note(request, upstream, upstream_incarnation, false);
+}
+
+attempt_number quarantine::note(request_fingerprint const& request,
+                                upstream_id const& upstream,
+                                incarnation upstream_incarnation, bool is_alone)
+{
     last_attempt_ = attempt_number(last_attempt_.value() + 1);
     attempts_.insert(last_attempt_,
                      {request, upstream, upstream_incarnation, is_alone});
@@ -258,11 +179,9 @@
         }
     }
     std::sort(changed.begin(), changed.end());
-    if (changed.size() > maximum_news)
-    {
-        changed.resize(maximum_news);
-    }
-    quarantine_news news{since, {}};
+    bool const is_all = changed.size() <= maximum_news;
+    changed.resize(std::min(changed.size(), maximum_news));
+    quarantine_news news{is_all ? last_news_ : changed.back().first, {}};
     auto const now = clock_.now();
     for (auto const& [position, request] : changed)
     {
@@ -274,7 +193,6 @@
                  elapsed(crash.when, now), crash.is_cleared, crash.is_trial});
         }
         news.records.push_back(std::move(record));
-        news.next = position;
     }
     return news;
 }
--- a/source/verbenacove/request/quarantine.hpp
+++ b/source/verbenacove/request/quarantine.hpp
@@ -148,6 +148,15 @@
                                         upstream_id const& upstream,
                                         incarnation upstream_incarnation);
 
+    /** Notes that an attempt starts, whatever its permission: for an entry
+        that holds no suspect back, only what is refused.
+
+        @return as of `start`; nothing only when too many are in flight
+    */
+    std::optional<attempt_number> track(request_fingerprint const& request,
+                                        upstream_id const& upstream,
+                                        incarnation upstream_incarnation);
+
     /** Notes the whole answer to an attempt, which clears the request. */
     void answered(attempt_number attempt);
 
@@ -181,6 +190,9 @@
     */
     quarantine_news export_news(news_position since) const;
 
+    /** Returns true when `export_news` would have some. */
+    bool has_news(news_position since) const { return since < last_news_; }
+
     /** Takes in another process's news. */
     void merge_news(quarantine_news const& news);
 
@@ -244,6 +256,9 @@
         monotonic_time when;
     };
 
+    attempt_number note(request_fingerprint const& request,
+                        upstream_id const& upstream,
+                        incarnation upstream_incarnation, bool is_alone);
     std::vector<crash> open_crashes(request_fingerprint const& request) const;
     int crash_count(request_fingerprint const& request,
                     std::vector<crash> const& open) const;
--- /dev/null
+++ b/source/verbenacove/request/quarantine_news.cpp
@@ -0,0 +1,105 @@
+#include "verbenacove/request/quarantine.hpp"
+
+#include <QCborArray>
+
+#include <algorithm>
+
+namespace verbenacove
+{
+
+namespace leaf = boost::leaf;
+
+namespace
+{
+
+constexpr qsizetype name_characters = 64;
+
+leaf::error_id fail(char const* reason)
+{
+    return leaf::new_error(
+        quarantine_format_error{QString::fromLatin1(reason)});
+}
+
+QCborArray to_cbor(crash_record const& crash)
+{
+    return {crash.upstream.value(), crash.upstream_incarnation.value(),
+            qint64(crash.age.count()), crash.is_cleared, crash.is_trial};
+}
+
+leaf::result<crash_record> parse_crash(QCborArray const& fields)
+{
+    bool const is_right = fields.size() == 5 && fields.at(0).isString() &&
+                          fields.at(1).isInteger() &&
+                          fields.at(2).isInteger() && fields.at(3).isBool() &&
+                          fields.at(4).isBool();
+    if (!is_right)
+    {
+        return fail("a crash is wrong");
+    }
+    auto const upstream = fields.at(0).toString();
+    auto const age = fields.at(2).toInteger();
+    if (upstream.isEmpty() || upstream.size() > name_characters || age < 0)
+    {
+        return fail("a crash is out of range");
+    }
+    return crash_record{
+        upstream_id(upstream), incarnation(fields.at(1).toInteger()),
+        milliseconds(age), fields.at(3).toBool(), fields.at(4).toBool()};
+}
+
+leaf::result<crash_news> parse_record(QCborArray const& fields)
+{
+    crash_news record{request_fingerprint(fields.at(0).toByteArray()), {}};
+    auto const crashes = fields.at(1).toArray();
+    if (record.fingerprint.value().size() != fingerprint_bytes ||
+        crashes.size() > qsizetype(quarantine::maximum_crashes))
+    {
+        return fail("a record is wrong");
+    }
+    for (auto const& crash : crashes)
+    {
+        BOOST_LEAF_AUTO(parsed, parse_crash(crash.toArray()));
+        record.crashes.push_back(parsed);
+    }
+    return record;
+}
+
+} // namespace
+
+QCborMap to_cbor(quarantine_news const& news)
+{
+    QCborArray records;
+    for (auto const& record : news.records)
+    {
+        QCborArray crashes;
+        for (auto const& crash : record.crashes)
+        {
+            crashes.append(to_cbor(crash));
+        }
+        records.append(QCborArray{record.fingerprint.value(), crashes});
+    }
+    QCborMap map;
+    map.insert(QLatin1String("next"), news.next.value());
+    map.insert(QLatin1String("records"), records);
+    return map;
+}
+
+leaf::result<quarantine_news> parse_quarantine_news(QCborMap const& map)
+{
+    auto const next = map.value(QLatin1String("next"));
+    auto const records = map.value(QLatin1String("records"));
+    if (next.toInteger(-1) < 0 || !records.isArray() ||
+        records.toArray().size() > qsizetype(quarantine::maximum_news))
+    {
+        return fail("news are wrong");
+    }
+    quarantine_news news{news_position(next.toInteger()), {}};
+    for (auto const& record : records.toArray())
+    {
+        BOOST_LEAF_AUTO(parsed, parse_record(record.toArray()));
+        news.records.push_back(std::move(parsed));
+    }
+    return news;
+}
+
+} // namespace verbenacove
--- a/source/verbenacove/request/routed_request.cpp
+++ b/source/verbenacove/request/routed_request.cpp
@@ -150,7 +150,7 @@
 void routed_request::send_to(pool_choice choice)
 {
     ++tries_;
-    number_ = services_.crashes.start(fingerprint_, choice.member.id,
+    number_ = services_.crashes.track(fingerprint_, choice.member.id,
                                       choice.member.started);
     tried_.push_back(choice.member.id);
     attempt_span_ = trace_span::begin_child(QStringLiteral("attempt"),
--- a/tests/platform/platform_cluster.hpp
+++ b/tests/platform/platform_cluster.hpp
@@ -138,12 +138,13 @@
     }
 
     http_answer call(int entry, QByteArray const& id,
-                     QByteArray const& method = "GET")
+                     QByteArray const& method = "GET",
+                     QByteArray const& target = "/grades/7")
     {
         return call_http(
             {local(entries_[static_cast<std::size_t>(entry)].callers),
              method,
-             "/grades/7",
+             target,
              {"Host: g.example", "Verbenacove-Request-Id: " + id,
               "Verbenacove-Affinity-Key: 17", "Verbenacove-Deadline-Ms: 2500"},
              method == "POST" ? "bale of " + id : QByteArray()});
--- a/tests/platform/platform_path_test.cpp
+++ b/tests/platform/platform_path_test.cpp
@@ -98,6 +98,37 @@
     }
 }
 
+TEST_CASE_FIXTURE(
+    platform_fixture,
+    "platform: a request crashes two upstreams: no entry sends it")
+{
+    put_until_accepted(3, "safe", "r0");
+    REQUIRE(serves(0));
+    REQUIRE(serves(1));
+    auto const crash = [&](int entry, QByteArray const& id)
+    {
+        return call(entry, id, "GET",
+                    "/grades" + QByteArray(platform_upstream::crasher));
+    };
+    auto const crashes = [&]
+    {
+        return first.crashes() + second.crashes();
+    };
+    CHECK_FALSE(crash(0, "crash-1").is(200));
+    CHECK(crashes() == 2);
+    first.come_back();
+    second.come_back();
+    // The news need a heartbeat, a reading by the entries and one back.
+    std::this_thread::sleep_for(milliseconds(2500));
+    for (int i = 0; i < 4; ++i)
+    {
+        CHECK(crash(i % 2, "crash-again-" + QByteArray::number(i)).is(503));
+    }
+    CHECK(crashes() == 2);
+    CHECK(serves(0));
+    CHECK(serves(1));
+}
+
 TEST_CASE_FIXTURE(platform_fixture,
                   "platform: a draining upstream is acknowledged: no new work")
 {
--- a/tests/platform/platform_upstream.hpp
+++ b/tests/platform/platform_upstream.hpp
@@ -43,17 +43,7 @@
     {
         thread_.start();
         context_.moveToThread(&thread_);
-        QMetaObject::invokeMethod(
-            &context_,
-            [this]
-            {
-                server_ = std::make_unique<http_server>(
-                    http_limits{},
-                    [this](std::shared_ptr<http_exchange> const& exchange)
-                    { answer(exchange); });
-                server_->listen(local(port_));
-            },
-            Qt::BlockingQueuedConnection);
+        listen();
     }
 
     /** Returns where it listens. */
@@ -69,6 +59,16 @@
         sequence_ = 0;
     }
 
+    /** Starts anew after a crash of its own, and listens again. */
+    void come_back()
+    {
+        restart();
+        listen();
+    }
+
+    /** Returns how often a request has crashed it. */
+    int crashes() const { return crashes_; }
+
     QByteArray id() const { return id_.toUtf8(); }
 
     ~platform_upstream()
@@ -95,7 +95,7 @@
             {QStringLiteral("State"), QLatin1String(state)},
             {QStringLiteral("ColdRemaining"), QStringLiteral("0ms")},
             {QStringLiteral("Sequence"), ++sequence_},
-            {QStringLiteral("born"), born_}};
+            {QStringLiteral("born"), born_.load()}};
         return call_http({replica,
                           "PUT",
                           "/api/instances/" + id_.toUtf8(),
@@ -125,7 +125,25 @@
     /** Makes the next answers come without ending, and the connection break. */
     std::atomic<bool> loses_answers{false};
 
+    /** What a request's path ends with that crashes it. */
+    static constexpr char crasher[] = "/crasher";
+
 private:
+    void listen()
+    {
+        QMetaObject::invokeMethod(
+            &context_,
+            [this]
+            {
+                server_ = std::make_unique<http_server>(
+                    http_limits{},
+                    [this](std::shared_ptr<http_exchange> const& exchange)
+                    { answer(exchange); });
+                server_->listen(local(port_));
+            },
+            Qt::BlockingQueuedConnection);
+    }
+
     void answer(std::shared_ptr<http_exchange> const& exchange)
     {
         auto const& request = exchange->request();
@@ -140,6 +158,15 @@
             QMutexLocker const lock(&mutex_);
             ++runs_[id];
         }
+        if (request.path.endsWith(crasher))
+        {
+            ++crashes_;
+            // The exchange is kept, or it would be answered.
+            QMetaObject::invokeMethod(
+                &context_, [this, exchange] { server_.reset(); },
+                Qt::QueuedConnection);
+            return;
+        }
         if (loses_answers)
         {
             // The wrong id makes it another request's answer.
@@ -156,8 +183,9 @@
     QString id_;
     quint16 port_;
     std::optional<socket_address> announced_;
-    qint64 born_;
-    int sequence_ = 0;
+    std::atomic<qint64> born_;
+    std::atomic<int> sequence_ = 0;
+    std::atomic<int> crashes_ = 0;
     mutable QMutex mutex_;
     std::map<QByteArray, int> runs_;
     QThread thread_;
