--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -1,3 +1,4 @@
+#include "verbenacove/process/discovery/crash_exchange.hpp"
 #include "verbenacove/request/quarantine_trials.hpp"
 
 #include <QCborArray>
@@ -488,3 +489,67 @@
     clock.advance(milliseconds(1));
     CHECK(decide(1, 1, 1, 1) == trial_decision::permitted);
 }
+
+TEST_CASE_FIXTURE(
+    quarantine_fixture,
+    "tracked attempts: two upstreams gone: refused, beside others")
+{
+    // A suspect that is not held back, and others on the same upstreams.
+    for (int at = 1; at <= 2; ++at)
+    {
+        auto const suspect =
+            first.track(request(1), upstream(at), incarnation(1));
+        auto const other =
+            first.track(request(10 + at), upstream(at), incarnation(1));
+        REQUIRE((suspect && other));
+        first.lost(*suspect);
+        first.lost(*other);
+        CHECK(first.permission(request(1)) != refused);
+        first.upstream_gone(upstream(at), incarnation(1));
+    }
+    CHECK(first.permission(request(1)) == refused);
+    CHECK(first.permission(request(11)) != refused);
+    CHECK(first.permission(request(12)) != refused);
+}
+
+TEST_CASE_FIXTURE(quarantine_fixture,
+                  "news: what they told of is forgotten: none are left")
+{
+    crash(first, 1, 1);
+    CHECK(first.has_news(news_position(0)));
+    clock.advance(quarantine::memory + std::chrono::seconds(1));
+    first.upstream_gone(upstream(2), incarnation(1));
+    auto const news = first.export_news(news_position(0));
+    CHECK(news.records.empty());
+    CHECK_FALSE(first.has_news(news.next));
+}
+
+TEST_CASE_FIXTURE(quarantine_fixture,
+                  "crash exchange: the source starts anew: read from the start")
+{
+    crash(first, 1, 1);
+    crash(first, 1, 2);
+    crash_position position;
+    auto const ask = [&](qint64 stream)
+    {
+        QCborMap question;
+        position.add_to(question);
+        QCborMap answer;
+        add_crashes(answer, first, crash_position::in(question));
+        auto const news = crashes_in(answer);
+        position.move(stream, news);
+        return news.has_value();
+    };
+    CHECK(ask(1));
+    CHECK(ask(1));
+    CHECK_FALSE(ask(1));
+    CHECK_FALSE(ask(2));
+    CHECK(ask(2));
+    CHECK_FALSE(ask(2));
+}
+
+TEST_CASE("crash exchange: news that cannot be read: left out")
+{
+    QCborMap const answer{{QLatin1String("crashes"), QLatin1String("?")}};
+    CHECK_FALSE(crashes_in(answer));
+}
--- a/tests/unit/steering_pool_test.cpp
+++ b/tests/unit/steering_pool_test.cpp
@@ -64,6 +64,19 @@
         pool.finish(last, "key", evidence, std::nullopt, 1000);
     }
 
+    /** Returns which upstreams two entries choose for an object. */
+    std::pair<QString, QString> choose_at_both(upstream_pool& other, int key)
+    {
+        auto const asked = query(QByteArray::number(key));
+        auto const here = choose(asked);
+        finish(upstream_evidence::nothing, milliseconds(0));
+        auto shortage = pool_shortage::none_known;
+        auto const there = other.choose(asked, shortage);
+        REQUIRE(there);
+        other.finish(*there, {}, upstream_evidence::nothing, std::nullopt, 0);
+        return {here, there->member.id.value()};
+    }
+
     manual_clock_source clock;
     region_shift_limit shift{1};
     upstream_pool pool{at_zone("wcape", "wcape-a"), clock, shift, 1};
@@ -84,14 +97,8 @@
     std::map<QString, int> shares;
     for (int key = 0; key < 60; ++key)
     {
-        auto const asked = query(QByteArray::number(key));
-        auto const here = choose(asked);
-        finish(upstream_evidence::nothing, milliseconds(0));
-        auto shortage = pool_shortage::none_known;
-        auto const there = other.choose(asked, shortage);
-        REQUIRE(there);
-        other.finish(*there, {}, upstream_evidence::nothing, std::nullopt, 0);
-        CHECK(there->member.id.value() == here);
+        auto const [here, there] = choose_at_both(other, key);
+        CHECK(there == here);
         ++shares[here];
     }
     CHECK(shares.size() == 3);
@@ -109,14 +116,8 @@
     int met = 0;
     for (int key = 0; key < 100; ++key)
     {
-        auto const asked = query(QByteArray::number(key));
-        auto const here = choose(asked);
-        finish(upstream_evidence::nothing, milliseconds(0));
-        auto shortage = pool_shortage::none_known;
-        auto const there = other.choose(asked, shortage);
-        REQUIRE(there);
-        other.finish(*there, "", upstream_evidence::nothing, std::nullopt, 0);
-        met += there->member.id.value() == here ? 1 : 0;
+        auto const [here, there] = choose_at_both(other, key);
+        met += there == here ? 1 : 0;
     }
     CHECK(met > 50);
 }
--- a/tests/unit/upstream_chooser_test.cpp
+++ b/tests/unit/upstream_chooser_test.cpp
@@ -19,6 +19,13 @@
     return upstream_id(QStringLiteral("u%1").arg(number));
 }
 
+using ended = std::pair<attempt_outcome, milliseconds>;
+
+ended serve_quickly(upstream_id const& /*id*/)
+{
+    return {attempt_outcome::answered, milliseconds(20)};
+}
+
 /** A chooser in region `r0`, zone `r0a`, and upstreams that started long ago.
  */
 struct chooser_fixture
@@ -77,14 +84,20 @@
         return counts;
     }
 
+    /** Checks that of 250 requests, 5 s of them, some go to an upstream. */
+    void check_in_use(upstream_id const& id)
+    {
+        auto const counts = run(250, serve_quickly);
+        CHECK(counts.contains(id));
+        CHECK(counts.at(id) > 20);
+    }
+
     manual_clock_source clock;
     chooser_settings settings;
     std::optional<upstream_chooser> chooser;
     std::vector<upstream_view> set;
 };
 
-using ended = std::pair<attempt_outcome, milliseconds>;
-
 auto const allow_all = [](region_name const&)
 {
     return true;
@@ -280,9 +293,7 @@
     };
     run(250, serve);
     REQUIRE(has_stalled);
-    auto const counts = run(250, serve);
-    CHECK(counts.contains(id_of(1)));
-    CHECK(counts.at(id_of(1)) > 20);
+    check_in_use(id_of(1));
 }
 
 TEST_CASE_FIXTURE(chooser_fixture,
@@ -308,14 +319,8 @@
         stalled, running.end(),
         [](choice& each)
         { each.finish(attempt_outcome::answered, milliseconds(2000)); });
-    auto const serve = [](upstream_id const&)
-    {
-        return ended(attempt_outcome::answered, milliseconds(20));
-    };
-    run(250, serve);
-    auto const counts = run(250, serve);
-    CHECK(counts.contains(id_of(1)));
-    CHECK(counts.at(id_of(1)) > 20);
+    run(250, serve_quickly);
+    check_in_use(id_of(1));
 }
 
 TEST_CASE_FIXTURE(chooser_fixture,
