--- a/source/verbenacove/process/routing/route_traffic.cpp
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -133,10 +133,11 @@
     told_crashes_ = news.next;
     for (auto const& record : news.records)
     {
-        entry_log.note("request.crashes",
-                       {{"request", QString::fromLatin1(
-                                        record.fingerprint.value().toHex())},
-                        {"upstreams", qint64(record.crashes.size())}});
+        entry_log.note(
+            "request.crashes",
+            {{"fingerprint",
+              QString::fromLatin1(record.fingerprint.value().toHex())},
+             {"upstreams", qint64(record.crashes.size())}});
     }
     crashed_(news);
 }
