--- a/source/verbenacove/process/process_signal.cpp
+++ b/source/verbenacove/process/process_signal.cpp
@@ -25,12 +25,18 @@
 
 } // namespace
 
+void process_signal::hold(std::vector<int> const& numbers)
+{
+    auto const signals = set_of(numbers);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
 process_signal::process_signal(std::vector<int> numbers,
                                std::function<void()> call)
     : numbers_(std::move(numbers))
 {
+    hold(numbers_);
     auto const signals = set_of(numbers_);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     descriptor_ = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
     notifier_ =
         std::make_unique<QSocketNotifier>(descriptor_, QSocketNotifier::Read);
--- a/source/verbenacove/process/process_signal.hpp
+++ b/source/verbenacove/process/process_signal.hpp
@@ -18,6 +18,10 @@
 class process_signal
 {
 public:
+    /** Holds signals back until a process_signal takes them; call it first in
+        a program, so that one that comes during the start does not end it. */
+    static void hold(std::vector<int> const& numbers);
+
     /** Calls back on each of these signals, such as SIGTERM. */
     process_signal(std::vector<int> numbers, std::function<void()> call);
     ~process_signal();
