--- a/source/verbenacove/request/steering_settings.hpp
+++ b/source/verbenacove/request/steering_settings.hpp
@@ -26,7 +26,7 @@
     /** How far apart two upstreams must be in worth for nearly all objects to
         go to the better one; below, objects are spread over both. */
     double object_spread = 0.2;
-    /** How much more worth an upstream farther away must promise, on the
+    /** How much more worth an upstream of another region must promise, on the
         average over all objects. */
     double leave_margin = 0.1;
     /** A request is refused when its answer is expected to take more of the
