--- a/source/verbenacove/core/setting_reader.cpp
+++ b/source/verbenacove/core/setting_reader.cpp
@@ -47,26 +47,35 @@
     return entry == nullptr ? fallback : entry->value;
 }
 
-qint64 setting_reader::number(char const* section, char const* key,
-                              qint64 fallback, qint64 lowest, qint64 highest)
+template <class Value, class Parse>
+Value setting_reader::bounded(ini_entry const* entry, Value fallback,
+                              Value lowest, Value highest, Parse parse,
+                              QString const& allowed)
 {
-    auto const* entry = find(section, key);
     if (entry == nullptr)
     {
         return fallback;
     }
     bool is_number = false;
-    auto const value = entry->value.toLongLong(&is_number);
-    if (!is_number || value < lowest || value > highest)
+    Value const value = parse(entry->value, is_number);
+    if (!is_number || !(value >= lowest && value <= highest))
     {
-        fail(*entry, QStringLiteral("must be a whole number from %1 to %2")
-                         .arg(lowest)
-                         .arg(highest));
+        fail(*entry, allowed.arg(lowest).arg(highest));
         return fallback;
     }
     return value;
 }
 
+qint64 setting_reader::number(char const* section, char const* key,
+                              qint64 fallback, qint64 lowest, qint64 highest)
+{
+    return bounded(
+        find(section, key), fallback, lowest, highest,
+        [](QString const& text, bool& is_number)
+        { return qint64{text.toLongLong(&is_number)}; },
+        QStringLiteral("must be a whole number from %1 to %2"));
+}
+
 milliseconds setting_reader::duration(char const* section, char const* key,
                                       milliseconds fallback,
                                       milliseconds lowest, milliseconds highest)
@@ -115,21 +124,11 @@
 double setting_reader::fraction(char const* section, char const* key,
                                 double fallback, double lowest, double highest)
 {
-    auto const* entry = find(section, key);
-    if (entry == nullptr)
-    {
-        return fallback;
-    }
-    bool is_number = false;
-    double const value = entry->value.toDouble(&is_number);
-    if (!is_number || !(value >= lowest && value <= highest))
-    {
-        fail(*entry, QStringLiteral("must be a number from %1 to %2")
-                         .arg(lowest)
-                         .arg(highest));
-        return fallback;
-    }
-    return value;
+    return bounded(
+        find(section, key), fallback, lowest, highest,
+        [](QString const& text, bool& is_number)
+        { return text.toDouble(&is_number); },
+        QStringLiteral("must be a number from %1 to %2"));
 }
 
 QHash<QString, QString> setting_reader::section(char const* section)
--- a/source/verbenacove/core/setting_reader.hpp
+++ b/source/verbenacove/core/setting_reader.hpp
@@ -74,6 +74,9 @@
     ini_entry const* find(char const* section, char const* key);
     ini_entry const* require(char const* section, char const* key);
     void fail(ini_entry const& entry, QString const& allowed);
+    template <class Value, class Parse>
+    Value bounded(ini_entry const* entry, Value fallback, Value lowest,
+                  Value highest, Parse parse, QString const& allowed);
     std::optional<qint64>
     scaled(ini_entry const& entry,
            std::vector<std::pair<QString, qint64>> const& units);
--- a/source/verbenacove/process/discovery/replica_link.cpp
+++ b/source/verbenacove/process/discovery/replica_link.cpp
@@ -37,6 +37,11 @@
     return 0;
 }
 
+bool is_answered(std::optional<QCborMap> const& reply)
+{
+    return reply && cbor_text(*reply, "status") == QLatin1String("ok");
+}
+
 } // namespace
 
 replica_link::replica_link(replica_link_settings settings, listener calls)
@@ -128,8 +133,10 @@
                                       [this, from = *current_, number, told](
                                           std::optional<QCborMap> const& reply)
                                       {
-                                          told_ = reply && told_ < told ? told
-                                                                        : told_;
+                                          if (is_answered(reply))
+                                          {
+                                              told_ = std::max(told_, told);
+                                          }
                                           take_news(from, number, reply);
                                       });
 }
@@ -143,7 +150,7 @@
     }
     is_reading_ = false;
     auto& asked = client_of(from);
-    if (!reply || cbor_text(*reply, "status") != QLatin1String("ok"))
+    if (!is_answered(reply))
     {
         asked.failed = clock_.now();
         asked.has_failed = true;
