Share the fixed part of the retry budget among the entries known now

Cause: an entry took its part of the fixed retries from the number of entries that it knew when it first saw the service, and kept it. At a first start all entries begin together and each may know itself alone: 79 entries with 118 retries each, where all may make 198.

Beside it: a probe's word on a cold start is used (it was decoded and dropped), so that an upstream that came back under its id gets no full load before its heartbeat tells of it; upstream_pool tells of ended processes, in place of a second table of starts in route_traffic; one look-up a member in choose. Tests: routed pool, more entries than at first; upstream pool, a probe tells of a cold start, a new incarnation; retry budget, a lower floor.

--- a/source/verbenacove/process/routing/route_traffic.cpp
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -20,9 +20,6 @@
 /** How often crashes are told; several that come together are told at once. */
 constexpr milliseconds crash_interval{250};
 constexpr milliseconds refusal_delay{250};
-/** Of what all entries may retry together, so that their views of one another
-    may differ. */
-constexpr double used_retry_share = 0.6;
 
 http_limits door_limits(route_entry_settings const& settings)
 {
@@ -81,7 +78,6 @@
 {
     bool const has_new_routes = view->routes != view_->routes;
     view_ = std::move(view);
-    note_restarts();
     if (has_new_routes && view_->routes)
     {
         take_limits();
@@ -90,37 +86,26 @@
     for (auto item = view_->members.cbegin(); item != view_->members.cend();
          ++item)
     {
-        pool(item.key())
-            ->upstreams.update(item.value(), view_->region_entries,
-                               view_->live_entries);
+        update_pool(item.key(), item.value());
     }
-    for (auto item = pools_.cbegin(); item != pools_.cend(); ++item)
+    for (auto const& service : pools_.keys())
     {
-        if (!view_->members.contains(item.key()))
+        if (!view_->members.contains(service))
         {
-            item.value()->upstreams.update({}, view_->region_entries,
-                                           view_->live_entries);
+            update_pool(service, {});
         }
     }
 }
 
-// A newer start says that the earlier process has ended.
-void route_traffic::note_restarts()
+void route_traffic::update_pool(service_name const& service,
+                                std::vector<pool_member> members)
 {
-    QHash<upstream_id, incarnation> known;
-    for (auto const& members : view_->members)
+    auto const ended = pool(service)->update(
+        std::move(members), view_->region_entries, view_->live_entries);
+    for (auto const& process : ended)
     {
-        for (auto const& member : members)
-        {
-            auto const before = starts_.value(member.id, member.started);
-            if (before < member.started)
-            {
-                crashes_.upstream_gone(member.id, before);
-            }
-            known.insert(member.id, member.started);
-        }
+        crashes_.upstream_gone(process.id, process.started);
     }
-    starts_ = std::move(known);
 }
 
 void route_traffic::tell_crashes()
@@ -158,17 +143,9 @@
     auto& known = pools_[service];
     if (!known)
     {
-        auto const& steering = settings_.steering;
-        double const entries = std::max(1, view_->live_entries);
-        retry_budget_settings const budget{
-            steering.retry_ratio * used_retry_share,
-            static_cast<int>(steering.retry_slack * used_retry_share / entries),
-            steering.retry_window};
-        known = std::shared_ptr<routed_pool>(new routed_pool{
-            service,
-            upstream_pool(steering, clock_, shift_,
-                          QRandomGenerator::system()->generate64()),
-            retry_budget(budget, clock_)});
+        known = std::make_shared<routed_pool>(
+            service, settings_.steering, clock_, shift_,
+            QRandomGenerator::system()->generate64());
     }
     return known;
 }
@@ -307,9 +284,11 @@
     {
         crashes_.upstream_gone(member.id, member.started);
     }
-    entry_log.note("upstream.probed",
-                   {{"upstream", member.id.value()}, {"healthy", is_healthy}});
-    of->upstreams.take_probe_answer(member.id, is_healthy);
+    auto const cold_for = marks.cold_for.value_or(milliseconds(0));
+    entry_log.note("upstream.probed", {{"upstream", member.id.value()},
+                                       {"healthy", is_healthy},
+                                       {"cold_ms", qint64{cold_for.count()}}});
+    of->upstreams.take_probe_answer(member.id, is_healthy, cold_for);
 }
 
 } // namespace verbenacove
--- a/source/verbenacove/process/routing/route_traffic.hpp
+++ b/source/verbenacove/process/routing/route_traffic.hpp
@@ -71,7 +71,8 @@
     void take_probe_answer(std::shared_ptr<routed_pool> const& of,
                            pool_member const& member,
                            attempt_result const& result);
-    void note_restarts();
+    void update_pool(service_name const& service,
+                     std::vector<pool_member> members);
     void tell_crashes();
     void note_end(routed_end const& end);
 
@@ -85,8 +86,6 @@
     quarantine crashes_;
     crash_callback crashed_;
     news_position told_crashes_{0};
-    /** The start of each upstream that is known. */
-    QHash<upstream_id, incarnation> starts_;
     region_shift_limit shift_;
     split_chooser splits_;
     routing_view_ptr view_ = std::make_shared<routing_view const>();
--- a/source/verbenacove/request/retry_budget.hpp
+++ b/source/verbenacove/request/retry_budget.hpp
@@ -33,6 +33,9 @@
     /** Creates a budget; the clock must outlive it. */
     retry_budget(retry_budget_settings settings, clock_source const& clock);
 
+    /** Changes the retries allowed in any window; what was taken counts. */
+    void set_floor(int retries) { settings_.retry_floor = retries; }
+
     /** Counts a request; not called for its retries. */
     void count_request();
 
--- /dev/null
+++ b/source/verbenacove/request/routed_pool.cpp
@@ -0,0 +1,44 @@
+#include "verbenacove/request/routed_pool.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace verbenacove
+{
+
+namespace
+{
+
+/** Of what all entries may retry together, so that their views of one another
+    may differ. */
+constexpr double used_retry_share = 0.6;
+
+int retry_floor(int slack, int all_entries)
+{
+    return static_cast<int>(slack * used_retry_share /
+                            std::max(1, all_entries));
+}
+
+} // namespace
+
+routed_pool::routed_pool(service_name name, steering_settings const& settings,
+                         clock_source const& clock, region_shift_limit& shift,
+                         quint64 seed)
+    : service(std::move(name))
+    , upstreams(settings, clock, shift, seed)
+    , retries({settings.retry_ratio * used_retry_share,
+               retry_floor(settings.retry_slack, 1), settings.retry_window},
+              clock)
+    , retry_slack_(settings.retry_slack)
+{
+}
+
+std::vector<ended_process> routed_pool::update(std::vector<pool_member> members,
+                                               int region_entries,
+                                               int all_entries)
+{
+    retries.set_floor(retry_floor(retry_slack_, all_entries));
+    return upstreams.update(std::move(members), region_entries, all_entries);
+}
+
+} // namespace verbenacove
--- a/source/verbenacove/request/routed_request.hpp
+++ b/source/verbenacove/request/routed_request.hpp
@@ -7,9 +7,8 @@
 #include "verbenacove/core/trace.hpp"
 #include "verbenacove/core/verdict.hpp"
 #include "verbenacove/request/quarantine.hpp"
-#include "verbenacove/request/retry_budget.hpp"
 #include "verbenacove/request/route_dialect.hpp"
-#include "verbenacove/request/upstream_pool.hpp"
+#include "verbenacove/request/routed_pool.hpp"
 #include "verbenacove/version/route_configuration.hpp"
 
 #include <functional>
@@ -18,14 +17,6 @@
 namespace verbenacove
 {
 
-/** What an entry keeps for one service, for all its routes. */
-struct routed_pool
-{
-    service_name service;
-    upstream_pool upstreams;
-    retry_budget retries;
-};
-
 /** What a routed request's end is told to. */
 struct routed_end
 {
--- a/source/verbenacove/request/upstream_pool.cpp
+++ b/source/verbenacove/request/upstream_pool.cpp
@@ -46,9 +46,11 @@
 {
 }
 
-void upstream_pool::update(std::vector<pool_member> members, int region_entries,
-                           int all_entries)
+std::vector<ended_process>
+upstream_pool::update(std::vector<pool_member> members, int region_entries,
+                      int all_entries)
 {
+    std::vector<ended_process> ended;
     region_entries_ = std::max(1, region_entries);
     all_entries_ = std::max(region_entries_, all_entries);
     auto const now = clock_.now();
@@ -58,6 +60,10 @@
         auto& known = states_[member.id];
         if (!known.standing || known.started != member.started)
         {
+            if (known.standing && known.started < member.started)
+            {
+                ended.push_back({member.id, known.started});
+            }
             known = state{};
             known.started = member.started;
             known.standing = std::make_shared<upstream_standing>();
@@ -67,6 +73,7 @@
     states_.removeIf(
         [now](auto const& item)
         { return elapsed(item.value().last_listed, now) > missing_memory; });
+    return ended;
 }
 
 bool upstream_pool::is_allowed(pool_member const& member,
@@ -81,6 +88,12 @@
     return !was_tried && is_at_home;
 }
 
+bool upstream_pool::is_cold(pool_member const& member, state const& known,
+                            monotonic_time now)
+{
+    return std::max(member.cold_until, known.cold_until) > now;
+}
+
 bool upstream_pool::is_usable(pool_member const& member, state const& known,
                               monotonic_time now) const
 {
@@ -93,8 +106,8 @@
     {
         return false;
     }
-    bool const is_cold = member.cold_until > now;
-    return !is_cold || (member.cold_rate > 0 && now >= known.next_cold);
+    return !is_cold(member, known, now) ||
+           (member.cold_rate > 0 && now >= known.next_cold);
 }
 
 double upstream_pool::in_time_chance(double expected_ms, milliseconds left,
@@ -151,10 +164,10 @@
 }
 
 upstream_pool::candidate upstream_pool::assess(pool_member const& member,
+                                               state& known,
                                                pool_query const& query,
                                                monotonic_time now)
 {
-    auto& known = states_[member.id];
     auto const& standing = *known.standing;
     candidate result;
     result.member = &member;
@@ -195,7 +208,7 @@
     result.preference =
         result.worth + object_preference(query.affinity_key, member.id);
     // The first request shows what a new upstream can do.
-    bool const is_new = !standing.last_used() && member.cold_until > now;
+    bool const is_new = !standing.last_used() && is_cold(member, known, now);
     if (is_new && result.distance == network_distance::same_zone)
     {
         result.worth += 1;
@@ -216,12 +229,13 @@
         {
             continue;
         }
-        if (!is_usable(member, states_[member.id], now))
+        auto& known = states_[member.id];
+        if (!is_usable(member, known, now))
         {
             shortage = pool_shortage::none_usable;
             continue;
         }
-        candidates.push_back(assess(member, query, now));
+        candidates.push_back(assess(member, known, query, now));
     }
     auto const* const chosen = pick(candidates, query, now);
     if (chosen == nullptr)
@@ -250,8 +264,9 @@
         work_.mean_ms(static_cast<double>(query.objective.count()));
     for (auto const& member : members_)
     {
-        bool const has_room = member.cold_until <= now &&
-                              !states_[member.id].standing->is_ejected(now);
+        auto const& known = states_[member.id];
+        bool const has_room =
+            !is_cold(member, known, now) && !known.standing->is_ejected(now);
         bool const is_near = member.region == settings_.region;
         int const slots = has_room ? member.slots.value() : 0;
         capacity.all_slots += slots;
@@ -301,7 +316,7 @@
 pool_choice upstream_pool::take(candidate const& chosen, monotonic_time now)
 {
     auto& known = *chosen.known;
-    if (chosen.member->cold_until > now)
+    if (is_cold(*chosen.member, known, now))
     {
         auto const pause = std::chrono::duration<double>(
             1 / std::max(0.01, chosen.member->cold_rate));
@@ -365,7 +380,8 @@
     return result;
 }
 
-void upstream_pool::take_probe_answer(upstream_id const& id, bool is_healthy)
+void upstream_pool::take_probe_answer(upstream_id const& id, bool is_healthy,
+                                      milliseconds cold_for)
 {
     auto const known = states_.find(id);
     if (known == states_.end())
@@ -375,6 +391,8 @@
     if (is_healthy)
     {
         known->standing->note_healthy(clock_.now());
+        known->cold_until =
+            clock_.now() + std::min(cold_for, longest_cold_time);
         return;
     }
     known->standing->start(clock_.now());
--- a/source/verbenacove/request/upstream_pool.hpp
+++ b/source/verbenacove/request/upstream_pool.hpp
@@ -68,6 +68,13 @@
     monotonic_time started;
 };
 
+/** A process of an upstream that has ended. */
+struct ended_process
+{
+    upstream_id id;
+    incarnation started;
+};
+
 /** Why no upstream was chosen. */
 enum class pool_shortage
 {
@@ -89,6 +96,10 @@
 class upstream_pool
 {
 public:
+    /** The longest time to warm up that an upstream's own word is taken for;
+        the same as that of a zone that is taken back into use. */
+    static constexpr milliseconds longest_cold_time{60000};
+
     /** The clock and the limit must outlive the pool.
 
         @param seed  of the random draws; differs from entry to entry
@@ -100,9 +111,11 @@
 
         @param region_entries  the entries of the own region, this one included
         @param all_entries     the entries of all regions
+        @return the processes that have ended, as a newer start of the same
+                upstream shows
     */
-    void update(std::vector<pool_member> members, int region_entries,
-                int all_entries);
+    std::vector<ended_process> update(std::vector<pool_member> members,
+                                      int region_entries, int all_entries);
 
     /** Chooses an upstream and counts the attempt as started; `finish` it.
 
@@ -123,8 +136,13 @@
         now, before a request tries them. */
     std::vector<pool_member> take_probes();
 
-    /** Takes in the answer to a probe. */
-    void take_probe_answer(upstream_id const& id, bool is_healthy);
+    /** Takes in the answer to a probe.
+
+        @param cold_for  how long the upstream says that it bears few requests
+                         only; at most `longest_cold_time` is believed
+    */
+    void take_probe_answer(upstream_id const& id, bool is_healthy,
+                           milliseconds cold_for = milliseconds(0));
 
     std::vector<pool_member> const& members() const { return members_; }
 
@@ -134,6 +152,8 @@
         incarnation started;
         std::shared_ptr<upstream_standing> standing;
         upstream_work_memory keys;
+        /** Until when it is cold by its own answer to a probe. */
+        monotonic_time cold_until{};
         /** When the next request may go to it while it is cold. */
         monotonic_time next_cold{};
         monotonic_time last_listed{};
@@ -159,10 +179,12 @@
     };
 
     bool is_allowed(pool_member const& member, pool_query const& query) const;
+    static bool is_cold(pool_member const& member, state const& known,
+                        monotonic_time now);
     bool is_usable(pool_member const& member, state const& known,
                    monotonic_time now) const;
-    candidate assess(pool_member const& member, pool_query const& query,
-                     monotonic_time now);
+    candidate assess(pool_member const& member, state& known,
+                     pool_query const& query, monotonic_time now);
     double crossing_cost(network_distance distance) const;
     milliseconds round_trip(network_distance distance) const;
     double object_preference(QByteArray const& key, upstream_id const& id);
--- a/tests/unit/retry_budget_test.cpp
+++ b/tests/unit/retry_budget_test.cpp
@@ -78,3 +78,28 @@
     CHECK(retries <= 600);
     CHECK(retries >= 500);
 }
+
+TEST_CASE_FIXTURE(budget_fixture,
+                  "retry budget: a lower floor: what was taken counts")
+{
+    CHECK(budget.take_retry());
+    CHECK(budget.take_retry());
+    budget.set_floor(2);
+    CHECK(take_all() == 0);
+    clock.advance(std::chrono::seconds(10));
+    CHECK(take_all() == 2);
+}
+
+TEST_CASE_FIXTURE(budget_fixture,
+                  "retry budget: retries long after their requests: none left "
+                  "when the requests fade")
+{
+    count(1000);
+    clock.advance(std::chrono::seconds(4));
+    CHECK(take_all() == 100);
+    clock.advance(std::chrono::seconds(6));
+    count(20);
+    CHECK(budget.retries_left() == 0);
+    clock.advance(std::chrono::seconds(4));
+    CHECK(budget.retries_left() == 3);
+}
--- a/tests/unit/steering_pool_test.cpp
+++ b/tests/unit/steering_pool_test.cpp
@@ -2,7 +2,7 @@
 #include "verbenacove/process/routing/split_chooser.hpp"
 #include "verbenacove/request/entry_lookup.hpp"
 #include "verbenacove/request/region_shift_limit.hpp"
-#include "verbenacove/request/upstream_pool.hpp"
+#include "verbenacove/request/routed_pool.hpp"
 
 #include <doctest/doctest.h>
 
@@ -224,6 +224,52 @@
     CHECK(choose(query("key")) == QStringLiteral("a"));
 }
 
+TEST_CASE_FIXTURE(pool_fixture,
+                  "upstream pool: a new incarnation: the earlier one has ended")
+{
+    auto upstream = member("a", "wcape", "wcape-a");
+    CHECK(pool.update({upstream}, 1, 1).empty());
+    CHECK(pool.update({}, 1, 1).empty());
+    upstream.started = incarnation(2);
+    auto const ended = pool.update({upstream}, 1, 1);
+    REQUIRE(ended.size() == 1);
+    CHECK(ended.front().id == upstream.id);
+    CHECK(ended.front().started == incarnation(1));
+    CHECK(pool.update({upstream}, 1, 1).empty());
+}
+
+TEST_CASE_FIXTURE(pool_fixture,
+                  "upstream pool: a probe tells of a cold start: no requests "
+                  "until it is warm")
+{
+    auto const upstream = member("a", "wcape", "wcape-a");
+    pool.update({upstream}, 1, 1);
+    choose(query("key"));
+    finish(upstream_evidence::connection_lost, milliseconds(5));
+    clock.advance(std::chrono::seconds(2));
+    REQUIRE(pool.take_probes().size() == 1);
+    pool.take_probe_answer(upstream.id, true, milliseconds(1500));
+    CHECK(choose(query("key")) == QStringLiteral("none"));
+    pool.update({upstream}, 1, 1);
+    CHECK(choose(query("key")) == QStringLiteral("none"));
+    clock.advance(milliseconds(1501));
+    CHECK(choose(query("key")) == QStringLiteral("a"));
+}
+
+TEST_CASE_FIXTURE(pool_fixture,
+                  "routed pool: more entries than at first: retries are shared "
+                  "among all")
+{
+    auto settings = at_zone("wcape", "wcape-a");
+    settings.retry_slack = 100;
+    routed_pool routed(service_name(QStringLiteral("gradebook")), settings,
+                       clock, shift, 1);
+    routed.update({}, 1, 1);
+    CHECK(routed.retries.retries_left() == 60);
+    routed.update({}, 1, 20);
+    CHECK(routed.retries.retries_left() == 3);
+}
+
 TEST_CASE_FIXTURE(pool_fixture,
                   "upstream pool: cold upstreams: paced by one entry only")
 {
