Entries of a partition reach a replica of the majority before they ask near ones again

Cause: after 1.5 s a replica that had failed counted as the best again when it was near, and a replica without a leader held its answer back for 0.6 s. Now failed replicas come last, the first failed first, and an entry that looks for a leader asks without hold. The choice is a class without sockets.

--- /dev/null
+++ b/source/verbenacove/process/discovery/replica_choice.cpp
@@ -0,0 +1,109 @@
+#include "verbenacove/process/discovery/replica_choice.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace verbenacove
+{
+
+namespace
+{
+
+/** One step beyond all that are known. */
+constexpr int farthest = static_cast<int>(network_distance::other_region) + 1;
+
+struct candidate
+{
+    socket_address address;
+    /** When it failed; the earliest time of all when it has not. */
+    monotonic_time failed{};
+    int order = 0;
+};
+
+} // namespace
+
+replica_choice::replica_choice(location self, quint64 seed)
+    : self_(std::move(self))
+    , random_(seed)
+{
+}
+
+std::optional<socket_address>
+replica_choice::choose(discovery_board const& board, monotonic_time now)
+{
+    std::vector<candidate> candidates;
+    auto const add = [&](socket_address const& address, int penalty)
+    {
+        auto const failed = has_failed(address, now) ? failures_.value(address)
+                                                     : monotonic_time{};
+        candidates.push_back(
+            {address, failed, distance_of(address, board) + penalty});
+    };
+    for (auto const& known : board.replicas().records())
+    {
+        // The replica that was read last may have been cut off from it.
+        add(known.content.address, known.is_silent ? farthest : 0);
+    }
+    for (auto const& seed : seeds_)
+    {
+        if (board.replicas().find(seed.text()) == nullptr)
+        {
+            add(seed, 0);
+        }
+    }
+    std::shuffle(candidates.begin(), candidates.end(), random_);
+    auto const best = std::min_element(
+        candidates.begin(), candidates.end(),
+        [](candidate const& a, candidate const& b)
+        { return std::tie(a.failed, a.order) < std::tie(b.failed, b.order); });
+    return best == candidates.end() ? std::nullopt
+                                    : std::optional(best->address);
+}
+
+bool replica_choice::has_nearer(socket_address const& current,
+                                discovery_board const& board,
+                                monotonic_time now) const
+{
+    auto const distance = distance_of(current, board);
+    for (auto const& known : board.replicas().records())
+    {
+        auto const& address = known.content.address;
+        bool const is_usable = !known.is_silent && !has_failed(address, now);
+        if (is_usable && distance_of(address, board) < distance)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
+void replica_choice::note_failure(socket_address const& replica,
+                                  monotonic_time now)
+{
+    failures_[replica] = now;
+    failures_.removeIf([now](auto const& item)
+                       { return elapsed(item.value(), now) > failure_memory; });
+}
+
+void replica_choice::note_answer(socket_address const& replica)
+{
+    failures_.remove(replica);
+}
+
+int replica_choice::distance_of(socket_address const& replica,
+                                discovery_board const& board) const
+{
+    auto const* known = board.replicas().find(replica.text());
+    return known == nullptr
+               ? farthest
+               : static_cast<int>(distance_between(self_, known->content));
+}
+
+bool replica_choice::has_failed(socket_address const& replica,
+                                monotonic_time now) const
+{
+    auto const found = failures_.constFind(replica);
+    return found != failures_.cend() && elapsed(*found, now) <= failure_memory;
+}
+
+} // namespace verbenacove
--- a/source/verbenacove/process/discovery/replica_link.cpp
+++ b/source/verbenacove/process/discovery/replica_link.cpp
@@ -1,7 +1,6 @@
 #include "verbenacove/process/discovery/replica_link.hpp"
 
 #include "verbenacove/core/cbor.hpp"
-#include "verbenacove/core/distance.hpp"
 #include "verbenacove/core/event_log.hpp"
 
 #include <QDateTime>
@@ -24,13 +23,10 @@
 /** How long a replica may take beyond that before another one is read. */
 constexpr milliseconds read_margin{500};
 constexpr milliseconds tell_timeout{500};
-/** A replica that failed is read again after so long at the earliest. */
-constexpr milliseconds failure_memory{1500};
-/** A nearer replica that failed is trusted again after so long. */
-constexpr milliseconds return_delay{6000};
-constexpr milliseconds pause_between_reads{150};
-/** One step beyond all that are known. */
-constexpr int farthest = static_cast<int>(network_distance::other_region) + 1;
+/** Bounds the questions of an entry that looks for a replica with a leader:
+    with a dozen replicas it has asked each within the time that a change may
+    take to be in force. */
+constexpr milliseconds pause_between_reads{100};
 
 qint64 no_stream()
 {
@@ -52,20 +48,22 @@
               [this](entry_presence const&) { has_changes_ = true; },
               [](replica_presence const&) {
               }})
-    , random_(QRandomGenerator::system()->generate64())
+    , choice_({settings_.self.region, settings_.self.zone},
+              QRandomGenerator::system()->generate64())
     , started_(QDateTime::currentMSecsSinceEpoch())
 {
 }
 
 void replica_link::start()
 {
+    choice_.set_seeds(settings_.seeds);
     tick_ = timers_.call_every(tick_interval, [this] { act(); });
     act();
 }
 
 void replica_link::set_seeds(std::vector<socket_address> seeds)
 {
-    settings_.seeds = std::move(seeds);
+    choice_.set_seeds(std::move(seeds));
 }
 
 void replica_link::set_phase(presence_phase phase)
@@ -77,9 +75,8 @@
     phase_ = phase;
     if (current_)
     {
-        client_of(*current_).client->call(
-            request(milliseconds(0)), tell_timeout,
-            [](std::optional<QCborMap> const&) {});
+        client_of(*current_).call(request(milliseconds(0)), tell_timeout,
+                                  [](std::optional<QCborMap> const&) {});
     }
 }
 
@@ -116,7 +113,7 @@
 
 void replica_link::read()
 {
-    if (!current_ || is_better_there())
+    if (!current_ || choice_.has_nearer(*current_, board_, clock_.now()))
     {
         choose_replica();
     }
@@ -126,19 +123,21 @@
     }
     is_reading_ = true;
     auto const number = ++read_number_;
-    auto question = request(hold);
+    // A replica without a leader would hold its answer back, too.
+    auto const held = was_current_ ? hold : milliseconds(0);
+    auto question = request(held);
     heard_crashes_.add_to(question);
     auto const told = add_crashes(question, own_, told_);
-    client_of(*current_).client->call(std::move(question), hold + read_margin,
-                                      [this, from = *current_, number, told](
-                                          std::optional<QCborMap> const& reply)
-                                      {
-                                          if (is_answered(reply))
-                                          {
-                                              told_ = std::max(told_, told);
-                                          }
-                                          take_news(from, number, reply);
-                                      });
+    client_of(*current_).call(std::move(question), held + read_margin,
+                              [this, from = *current_, number,
+                               told](std::optional<QCborMap> const& reply)
+                              {
+                                  if (is_answered(reply))
+                                  {
+                                      told_ = std::max(told_, told);
+                                  }
+                                  take_news(from, number, reply);
+                              });
 }
 
 void replica_link::take_news(socket_address const& from, quint64 number,
@@ -149,12 +148,9 @@
         return;
     }
     is_reading_ = false;
-    auto& asked = client_of(from);
     if (!is_answered(reply))
     {
-        asked.failed = clock_.now();
-        asked.has_failed = true;
-        leave_replica("no answer");
+        leave_replica(from, "no answer");
         read();
         return;
     }
@@ -163,7 +159,7 @@
     was_current_ = cbor_flag(*reply, "current");
     if (was_current_)
     {
-        asked.has_failed = false;
+        choice_.note_answer(from);
         has_changes_ = has_changes_ || !has_read_;
         has_read_ = true;
         take_routes(*reply);
@@ -174,9 +170,7 @@
     }
     if (!was_current_)
     {
-        asked.failed = clock_.now();
-        asked.has_failed = true;
-        leave_replica("hears of no leader");
+        leave_replica(from, "hears of no leader");
         next_read_ = clock_.now() + pause_between_reads;
         return;
     }
@@ -226,89 +220,34 @@
 
 // The choice of a replica.
 
-void replica_link::leave_replica(char const* reason)
+void replica_link::leave_replica(socket_address const& failed,
+                                 char const* reason)
 {
-    link_log.note("replica.lost",
-                  {{"replica", current_ ? current_->text() : QString()},
-                   {"reason", QLatin1String(reason)}});
+    choice_.note_failure(failed, clock_.now());
+    link_log.note("replica.lost", {{"replica", failed.text()},
+                                   {"reason", QLatin1String(reason)}});
     current_.reset();
 }
 
-int replica_link::distance_of(socket_address const& address) const
-{
-    auto const* known = board_.replicas().find(address.text());
-    return known == nullptr ? farthest
-                            : static_cast<int>(distance_between(
-                                  settings_.self, known->content));
-}
-
-bool replica_link::is_better_there() const
-{
-    auto const now = clock_.now();
-    auto const distance = distance_of(*current_);
-    for (auto const& known : board_.replicas().records())
-    {
-        auto const& address = known.content.address;
-        auto const tried = replicas_.value(address);
-        bool const is_trusted = !tried || !tried->has_failed ||
-                                elapsed(tried->failed, now) > return_delay;
-        if (is_trusted && !known.is_silent && distance_of(address) < distance)
-        {
-            return true;
-        }
-    }
-    return false;
-}
-
 void replica_link::choose_replica()
 {
-    struct candidate
-    {
-        socket_address address;
-        int order = 0;
-    };
-    auto const now = clock_.now();
-    std::vector<candidate> candidates;
-    auto const add = [&](socket_address const& address, int penalty)
-    {
-        auto const tried = replicas_.value(address);
-        bool const has_failed = tried && tried->has_failed &&
-                                elapsed(tried->failed, now) < failure_memory;
-        candidates.push_back({address, distance_of(address) + penalty +
-                                           (has_failed ? 2 * farthest : 0)});
-    };
-    for (auto const& known : board_.replicas().records())
-    {
-        add(known.content.address, known.is_silent ? farthest : 0);
-    }
-    for (auto const& seed : settings_.seeds)
-    {
-        if (board_.replicas().find(seed.text()) == nullptr)
-        {
-            add(seed, 0);
-        }
-    }
-    std::shuffle(candidates.begin(), candidates.end(), random_);
-    auto const best =
-        std::min_element(candidates.begin(), candidates.end(),
-                         [](candidate const& a, candidate const& b)
-                         { return a.order < b.order; });
-    if (best == candidates.end() || (current_ && best->address == *current_))
+    auto const chosen = choice_.choose(board_, clock_.now());
+    if (!chosen || chosen == current_)
     {
         return;
     }
-    current_ = best->address;
-    link_log.note("replica.chosen", {{"replica", current_->text()},
-                                     {"distance", distance_of(*current_)}});
+    current_ = chosen;
+    link_log.note("replica.chosen",
+                  {{"replica", current_->text()},
+                   {"distance", choice_.distance_of(*current_, board_)}});
 }
 
-replica_link::replica& replica_link::client_of(socket_address const& address)
+rpc_client& replica_link::client_of(socket_address const& address)
 {
-    auto& known = replicas_[address];
+    auto& known = clients_[address];
     if (!known)
     {
-        known = std::make_shared<replica>();
-        known->client = std::make_unique<rpc_client>(address);
+        known = std::make_shared<rpc_client>(address);
     }
     return *known;
 }
--- a/source/verbenacove/process/discovery/replica_link.hpp
+++ b/source/verbenacove/process/discovery/replica_link.hpp
@@ -4,6 +4,7 @@
 #include "verbenacove/connection/rpc_client.hpp"
 #include "verbenacove/process/discovery/crash_exchange.hpp"
 #include "verbenacove/process/discovery/discovery_board.hpp"
+#include "verbenacove/process/discovery/replica_choice.hpp"
 #include "verbenacove/version/route_configuration.hpp"
 
 #include <QHash>
@@ -11,7 +12,6 @@
 
 #include <functional>
 #include <memory>
-#include <random>
 #include <vector>
 
 namespace verbenacove
@@ -72,13 +72,6 @@
     discovery_board const& board() const { return board_; }
 
 private:
-    struct replica
-    {
-        std::unique_ptr<rpc_client> client;
-        monotonic_time failed{};
-        bool has_failed = false;
-    };
-
     void act();
     void read();
     QCborMap request(milliseconds hold);
@@ -86,22 +79,20 @@
                    std::optional<QCborMap> const& reply);
     void take_routes(QCborMap const& reply);
     void take_crashes(QCborMap const& reply);
-    void leave_replica(char const* reason);
+    void leave_replica(socket_address const& failed, char const* reason);
     void choose_replica();
-    int distance_of(socket_address const& address) const;
-    bool is_better_there() const;
-    replica& client_of(socket_address const& address);
+    rpc_client& client_of(socket_address const& address);
 
     replica_link_settings settings_;
     listener calls_;
     steady_clock_source clock_;
     timer_service timers_;
     discovery_board board_;
-    std::mt19937_64 random_;
+    replica_choice choice_;
     presence_phase phase_ = presence_phase::starting;
     incarnation started_;
     qint64 beats_ = 0;
-    QHash<socket_address, std::shared_ptr<replica>> replicas_;
+    QHash<socket_address, std::shared_ptr<rpc_client>> clients_;
     /** The replica that is read. */
     std::optional<socket_address> current_;
     board_position position_;
--- /dev/null
+++ b/tests/unit/replica_choice_test.cpp
@@ -0,0 +1,122 @@
+#include "verbenacove/process/discovery/replica_choice.hpp"
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+using namespace verbenacove;
+
+namespace
+{
+
+struct choice_fixture
+{
+    socket_address address(int number) const
+    {
+        return *parse_socket_address(
+            QStringLiteral("10.0.0.%1:7000").arg(number));
+    }
+
+    void add(int number, char const* region, char const* zone)
+    {
+        replica_presence record;
+        record.id = address(number).text();
+        record.started = incarnation(1);
+        record.sequence = 1;
+        record.phase = presence_phase::serving;
+        record.content = {address(number), zone_name(QString::fromLatin1(zone)),
+                          region_name(QString::fromLatin1(region))};
+        record.heard = clock.now();
+        board.take(std::move(record));
+    }
+
+    /** Four near replicas, and four in another region. */
+    void add_two_regions()
+    {
+        for (int number = 1; number <= 4; ++number)
+        {
+            add(number, "gauteng", number <= 2 ? "gauteng-a" : "gauteng-b");
+            add(number + 4, "wcape", "wcape-a");
+        }
+    }
+
+    manual_clock_source clock;
+    discovery_board board{1,
+                          silence_judge::self,
+                          clock,
+                          {[](upstream_presence const&) {},
+                           [](entry_presence const&) {},
+                           [](replica_presence const&) {
+                           }}};
+    replica_choice choice{{region_name(QStringLiteral("gauteng")),
+                           zone_name(QStringLiteral("gauteng-a"))},
+                          1};
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(choice_fixture,
+                  "replica choice: all answer: one of the own zone")
+{
+    add_two_regions();
+    auto const chosen = choice.choose(board, clock.now());
+    REQUIRE(chosen);
+    CHECK(choice.distance_of(*chosen, board) == 0);
+    CHECK(!choice.has_nearer(*chosen, board, clock.now()));
+    CHECK(choice.has_nearer(address(5), board, clock.now()));
+}
+
+TEST_CASE_FIXTURE(choice_fixture,
+                  "replica choice: near ones fail, each slowly: far ones are "
+                  "tried before any a second time")
+{
+    add_two_regions();
+    std::set<QString> near;
+    for (int attempt = 0; attempt < 4; ++attempt)
+    {
+        auto const chosen = choice.choose(board, clock.now());
+        REQUIRE(chosen);
+        CHECK(near.insert(chosen->text()).second);
+        clock.advance(milliseconds(750));
+        choice.note_failure(*chosen, clock.now());
+    }
+    auto const far = choice.choose(board, clock.now());
+    REQUIRE(far);
+    CHECK(choice.distance_of(*far, board) == 2);
+}
+
+TEST_CASE_FIXTURE(choice_fixture,
+                  "replica choice: all fail: the one that failed first")
+{
+    add_two_regions();
+    for (int number = 1; number <= 8; ++number)
+    {
+        choice.note_failure(address(number), clock.now());
+        clock.advance(milliseconds(100));
+    }
+    CHECK(choice.choose(board, clock.now()) == address(1));
+    choice.note_failure(address(1), clock.now());
+    CHECK(choice.choose(board, clock.now()) == address(2));
+}
+
+TEST_CASE_FIXTURE(
+    choice_fixture,
+    "replica choice: a near one failed: returned to after a while")
+{
+    add(1, "gauteng", "gauteng-a");
+    add(5, "wcape", "wcape-a");
+    choice.note_failure(address(1), clock.now());
+    CHECK(choice.choose(board, clock.now()) == address(5));
+    CHECK(!choice.has_nearer(address(5), board, clock.now()));
+    clock.advance(replica_choice::failure_memory + milliseconds(1));
+    CHECK(choice.has_nearer(address(5), board, clock.now()));
+    CHECK(choice.choose(board, clock.now()) == address(1));
+}
+
+TEST_CASE_FIXTURE(choice_fixture,
+                  "replica choice: no replica known: a seed, then none")
+{
+    CHECK(!choice.choose(board, clock.now()));
+    choice.set_seeds({address(9)});
+    CHECK(choice.choose(board, clock.now()) == address(9));
+}
