Count upstreams of nearly the same worth as alike, so that objects stay warm

Hypothesis: entries disagree on where an object goes by what each of them measures of speed and queues, too coarsely at a few requests a second for each of 200 upstreams; each further upstream of an object is a cold run there.

Tests: upstream pool, an upstream seems a little slower (fails with the former values), is far slower.

--- a/source/verbenacove/request/steering_settings.hpp
+++ b/source/verbenacove/request/steering_settings.hpp
@@ -23,9 +23,14 @@
         handled counts in the choice: handling it makes later requests faster,
         so that only a part is its own. */
     double unseen_share = 0.3;
-    /** How far apart two upstreams must be in worth for nearly all objects to
-        go to the better one; below, objects are spread over both. */
-    double object_spread = 0.2;
+    /** How much less worth than the best an upstream may be and still count
+        as good as it: what one entry measures of speed and queues is too
+        coarse to move an object from where others send it. */
+    double worth_tolerance = 0.3;
+    /** How far apart two upstreams must be in worth, beyond the tolerance, for
+        nearly all objects to go to the better one; below, objects are spread
+        over both. */
+    double object_spread = 0.4;
     /** How much more worth an upstream of another region must promise, on the
         average over all objects. */
     double leave_margin = 0.1;
--- a/source/verbenacove/request/upstream_pool.cpp
+++ b/source/verbenacove/request/upstream_pool.cpp
@@ -3,8 +3,8 @@
 #include "verbenacove/core/stable_hash.hpp"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
+#include <limits>
 
 namespace verbenacove
 {
@@ -201,12 +201,13 @@
         in_time_chance(counted_ms, query.objective_left, query.objective);
     double const at_all =
         in_time_chance(counted_ms, query.time_left, query.objective);
-    result.worth = in_time + settings_.late_worth * (at_all - in_time) -
-                   crossing_cost(result.distance) - queue / 1e5;
-    result.worth -= failure_penalty * standing.failure_share(now);
-    result.worth -= member.is_silent ? silence_penalty : 0;
-    result.preference =
-        result.worth + object_preference(query.affinity_key, member.id);
+    result.answer_worth =
+        in_time + settings_.late_worth * (at_all - in_time) - queue / 1e5;
+    result.answer_worth -= failure_penalty * standing.failure_share(now);
+    result.answer_worth -= member.is_silent ? silence_penalty : 0;
+    result.crossing_cost = crossing_cost(result.distance);
+    result.suitability = object_preference(query.affinity_key, member.id);
+    result.worth = result.answer_worth - result.crossing_cost;
     // The first request shows what a new upstream can do.
     bool const is_new = !standing.last_used() && is_cold(member, known, now);
     if (is_new && result.distance == network_distance::same_zone)
@@ -275,32 +276,50 @@
     return overflow_.value(now, capacity);
 }
 
+double upstream_pool::preference(candidate const& of, double best_worth) const
+{
+    double const loss = best_worth - of.answer_worth;
+    return of.suitability - of.crossing_cost -
+           std::max(0.0, loss - settings_.worth_tolerance);
+}
+
 upstream_pool::candidate const*
-upstream_pool::pick(std::vector<candidate> const& from, pool_query const& query,
-                    monotonic_time now)
+upstream_pool::best_of(std::vector<candidate> const& from, bool in_region) const
 {
-    std::array<candidate const*, distance_count> best{};
+    auto const is_there = [in_region](candidate const& each)
+    {
+        return (each.distance != network_distance::other_region) == in_region;
+    };
+    double best_worth = std::numeric_limits<double>::lowest();
     for (auto const& each : from)
     {
-        auto*& of_distance = best[static_cast<std::size_t>(each.distance)];
-        if (of_distance == nullptr || each.preference > of_distance->preference)
-        {
-            of_distance = &each;
-        }
+        best_worth = is_there(each) ? std::max(best_worth, each.answer_worth)
+                                    : best_worth;
     }
+    candidate const* best = nullptr;
+    for (auto const& each : from)
+    {
+        bool const is_better =
+            is_there(each) &&
+            (best == nullptr ||
+             preference(each, best_worth) > preference(*best, best_worth));
+        best = is_better ? &each : best;
+    }
+    return best;
+}
+
+upstream_pool::candidate const*
+upstream_pool::pick(std::vector<candidate> const& from, pool_query const& query,
+                    monotonic_time now)
+{
     // The same objects leave first at all entries, so that they meet again.
     double const order =
         query.affinity_key.isEmpty()
             ? std::uniform_real_distribution<double>(0, 1)(random_)
             : stable_fraction(query.affinity_key);
     double const margin = settings_.leave_margin * 2 * order;
-    auto const* near = best[0];
-    if (near == nullptr ||
-        (best[1] != nullptr && best[1]->preference > near->preference))
-    {
-        near = best[1];
-    }
-    auto const* const far = best[2];
+    auto const* const near = best_of(from, true);
+    auto const* const far = best_of(from, false);
     if (near == nullptr || far == nullptr)
     {
         return near == nullptr ? far : near;
--- a/source/verbenacove/request/upstream_pool.hpp
+++ b/source/verbenacove/request/upstream_pool.hpp
@@ -159,9 +159,6 @@
         monotonic_time last_listed{};
     };
 
-    /** In the zone, in the region, and beyond. */
-    static constexpr std::size_t distance_count = 3;
-
     struct candidate
     {
         pool_member const* member = nullptr;
@@ -171,10 +168,13 @@
         /** The same, had the upstream handled the object just before. */
         double shortest_ms = 0;
         bool has_free_slot = true;
-        /** What its answer is worth, less what crossing costs. */
+        /** What its answer is worth. */
+        double answer_worth = 0;
+        /** The same, less what crossing costs. */
         double worth = 0;
-        /** The worth, and how well the object suits the upstream. */
-        double preference = 0;
+        double crossing_cost = 0;
+        /** How well the object suits the upstream, whatever its load. */
+        double suitability = 0;
         network_distance distance = network_distance::same_zone;
     };
 
@@ -190,6 +190,9 @@
     double object_preference(QByteArray const& key, upstream_id const& id);
     double in_time_chance(double expected_ms, milliseconds left,
                           milliseconds scale) const;
+    double preference(candidate const& of, double best_worth) const;
+    candidate const* best_of(std::vector<candidate> const& from,
+                             bool in_region) const;
     candidate const* pick(std::vector<candidate> const& from,
                           pool_query const& query, monotonic_time now);
     double overflow(pool_query const& query, monotonic_time now);
--- a/tests/unit/steering_pool_test.cpp
+++ b/tests/unit/steering_pool_test.cpp
@@ -77,6 +77,37 @@
         return {here, there->member.id.value()};
     }
 
+    /** Lets the upstreams `a` and `b` answer requests without an object in
+        these times. */
+    void learn_durations(milliseconds of_a, milliseconds of_b)
+    {
+        pool.update(
+            {member("a", "wcape", "wcape-a"), member("b", "wcape", "wcape-a")},
+            1, 1);
+        for (int request = 0; request < 60; ++request)
+        {
+            auto const chosen = choose(query({}));
+            clock.advance(chosen == QStringLiteral("a") ? of_a : of_b);
+            pool.finish(last, {}, upstream_evidence::success, std::nullopt,
+                        1000);
+        }
+    }
+
+    /** Returns how many of 100 objects go elsewhere than at an entry that has
+        measured nothing. */
+    int moved_objects()
+    {
+        upstream_pool fresh(at_zone("wcape", "wcape-a"), clock, shift, 5);
+        fresh.update(pool.members(), 1, 1);
+        int moved = 0;
+        for (int key = 0; key < 100; ++key)
+        {
+            auto const [here, there] = choose_at_both(fresh, key);
+            moved += here == there ? 0 : 1;
+        }
+        return moved;
+    }
+
     manual_clock_source clock;
     region_shift_limit shift{1};
     upstream_pool pool{at_zone("wcape", "wcape-a"), clock, shift, 1};
@@ -122,6 +153,21 @@
     CHECK(met > 50);
 }
 
+TEST_CASE_FIXTURE(pool_fixture,
+                  "upstream pool: an upstream seems a little slower: objects "
+                  "stay where they were")
+{
+    learn_durations(milliseconds(250), milliseconds(310));
+    CHECK(moved_objects() == 0);
+}
+
+TEST_CASE_FIXTURE(pool_fixture,
+                  "upstream pool: an upstream is far slower: it loses objects")
+{
+    learn_durations(milliseconds(200), milliseconds(2000));
+    CHECK(moved_objects() > 10);
+}
+
 TEST_CASE_FIXTURE(pool_fixture,
                   "upstream pool: room in the zone: the zone is not left")
 {
