Wait for an answer while its bytes arrive; entries do not ask dead replicas without end

Cause: an entry that turns to another replica gets all its tables, and with 474 upstreams and 350 routes these are over 150 KB, 0.6 s on a link of 2 Mbit/s. When no replica answers, the next is asked after 100 ms in place of at once, for ever.

--- a/source/verbenacove/connection/rpc_client.cpp
+++ b/source/verbenacove/connection/rpc_client.cpp
@@ -19,7 +19,7 @@
 
 rpc_client::~rpc_client() = default;
 
-void rpc_client::call(QCborMap request, milliseconds timeout, callback done)
+void rpc_client::call(QCborMap request, patience limits, callback done)
 {
     if (pending_.size() >= maximum_pending_calls)
     {
@@ -30,13 +30,29 @@
     auto const id = next_id_++;
     auto waiting = std::make_shared<pending_call>();
     waiting->done = std::move(done);
-    waiting->received_bytes = socket_->received_bytes();
-    waiting->timeout = timers_.call_after(timeout, [this, id] { expire(id); });
+    waiting->limits = limits;
+    waiting->started = clock_.now();
+    wait(id, *waiting);
     pending_.insert(id, std::move(waiting));
     request[id_key] = id;
     socket_->send(request);
 }
 
+void rpc_client::wait(qint64 id, pending_call& waiting)
+{
+    waiting.received_bytes = socket_->received_bytes();
+    waiting.timeout =
+        timers_.call_after(waiting.limits.silence, [this, id] { expire(id); });
+}
+
+bool rpc_client::may_wait_on(pending_call const& waiting) const
+{
+    bool const was_silent =
+        !socket_ || socket_->received_bytes() == waiting.received_bytes;
+    return !was_silent &&
+           elapsed(waiting.started, clock_.now()) < waiting.limits.longest;
+}
+
 void rpc_client::ensure_connected()
 {
     if (socket_)
@@ -71,11 +87,17 @@
 
 void rpc_client::expire(qint64 id)
 {
-    auto const waiting = pending_.take(id);
+    auto const waiting = pending_.value(id);
     if (!waiting)
     {
         return;
     }
+    if (may_wait_on(*waiting))
+    {
+        wait(id, *waiting);
+        return;
+    }
+    pending_.remove(id);
     bool const was_silent =
         socket_ && socket_->received_bytes() == waiting->received_bytes;
     if (was_silent)
--- a/source/verbenacove/connection/rpc_client.hpp
+++ b/source/verbenacove/connection/rpc_client.hpp
@@ -28,6 +28,15 @@
     /** Gets the reply, or nothing after a time-out or a lost connection. */
     using callback = std::function<void(std::optional<QCborMap>)>;
 
+    /** How long a reply may take. */
+    struct patience
+    {
+        /** Without a byte from the other side, connecting included. */
+        milliseconds silence;
+        /** In all, while bytes arrive. */
+        milliseconds longest;
+    };
+
     /** The most calls that may wait for their replies; one more fails. */
     static constexpr int maximum_pending_calls = 4096;
 
@@ -41,7 +50,14 @@
 
         @param timeout  how long to wait for the reply, connecting included
     */
-    void call(QCborMap request, milliseconds timeout, callback done);
+    void call(QCborMap request, milliseconds timeout, callback done)
+    {
+        call(std::move(request), patience{timeout, timeout}, std::move(done));
+    }
+
+    /** As above, for replies that a narrow link may carry for longer than
+        silence is borne. */
+    void call(QCborMap request, patience limits, callback done);
 
     /** Returns the address that is called. */
     socket_address const& address() const { return address_; }
@@ -52,16 +68,21 @@
         callback done;
         timer_service::subscription timeout;
         qint64 received_bytes = 0;
+        patience limits;
+        monotonic_time started;
     };
 
     void ensure_connected();
     void take_reply(QCborMap const& reply);
+    void wait(qint64 id, pending_call& waiting);
     void expire(qint64 id);
+    bool may_wait_on(pending_call const& waiting) const;
     void end_connection(qint64 number);
     void fail_all();
     void fail_later(callback done);
 
     socket_address address_;
+    steady_clock_source clock_;
     timer_service timers_;
     std::unique_ptr<frame_socket> socket_;
     QHash<qint64, std::shared_ptr<pending_call>> pending_;
--- a/source/verbenacove/process/discovery/replica_link.cpp
+++ b/source/verbenacove/process/discovery/replica_link.cpp
@@ -20,8 +20,11 @@
 constexpr milliseconds tick_interval{100};
 /** How long a replica without news holds the answer back. */
 constexpr milliseconds hold{600};
-/** How long a replica may take beyond that before another one is read. */
+/** How long a replica may be silent beyond that before another one is read. */
 constexpr milliseconds read_margin{500};
+/** How long the tables of a replica that was not read before may take on a
+    link of 2 Mbit/s: 2.5 MB, for some ten thousand upstreams. */
+constexpr milliseconds longest_read{10000};
 constexpr milliseconds tell_timeout{500};
 /** Bounds the questions of an entry that looks for a replica with a leader:
     with a dozen replicas it has asked each within the time that a change may
@@ -128,7 +131,8 @@
     auto question = request(held);
     heard_crashes_.add_to(question);
     auto const told = add_crashes(question, own_, told_);
-    client_of(*current_).call(std::move(question), held + read_margin,
+    client_of(*current_).call(std::move(question),
+                              {hold + read_margin, longest_read},
                               [this, from = *current_, number,
                                told](std::optional<QCborMap> const& reply)
                               {
@@ -151,7 +155,7 @@
     if (!is_answered(reply))
     {
         leave_replica(from, "no answer");
-        read();
+        pause_or_read();
         return;
     }
     position_ = board_.merge(*reply);
@@ -177,6 +181,18 @@
     read();
 }
 
+// Another replica is asked at once, but not one after the other without end
+// while all are down.
+void replica_link::pause_or_read()
+{
+    if (std::exchange(was_current_, false))
+    {
+        read();
+        return;
+    }
+    next_read_ = clock_.now() + pause_between_reads;
+}
+
 void replica_link::take_crashes(QCborMap const& reply)
 {
     auto news = crashes_in(reply);
--- a/source/verbenacove/process/discovery/replica_link.hpp
+++ b/source/verbenacove/process/discovery/replica_link.hpp
@@ -77,6 +77,7 @@
     QCborMap request(milliseconds hold);
     void take_news(socket_address const& from, quint64 number,
                    std::optional<QCborMap> const& reply);
+    void pause_or_read();
     void take_routes(QCborMap const& reply);
     void take_crashes(QCborMap const& reply);
     void leave_replica(socket_address const& failed, char const* reason);
