Do not forgive failures within the tolerance of worth

The tolerance now holds for the time of an answer alone. Test: upstream pool, an upstream fails a few requests (failed before).

--- a/source/verbenacove/request/steering_settings.hpp
+++ b/source/verbenacove/request/steering_settings.hpp
@@ -23,9 +23,10 @@
         handled counts in the choice: handling it makes later requests faster,
         so that only a part is its own. */
     double unseen_share = 0.3;
-    /** How much less worth than the best an upstream may be and still count
-        as good as it: what one entry measures of speed and queues is too
-        coarse to move an object from where others send it. */
+    /** How much less worth than the best an upstream's answer may be, by its
+        time alone, and still count as good as it: what one entry measures of
+        speed and queues is too coarse to move an object from where others send
+        it. Failures and crossings are not forgiven. */
     double worth_tolerance = 0.3;
     /** How far apart two upstreams must be in worth, beyond the tolerance, for
         nearly all objects to go to the better one; below, objects are spread
--- a/source/verbenacove/request/upstream_pool.cpp
+++ b/source/verbenacove/request/upstream_pool.cpp
@@ -203,11 +203,11 @@
         in_time_chance(counted_ms, query.time_left, query.objective);
     result.answer_worth =
         in_time + settings_.late_worth * (at_all - in_time) - queue / 1e5;
-    result.answer_worth -= failure_penalty * standing.failure_share(now);
-    result.answer_worth -= member.is_silent ? silence_penalty : 0;
-    result.crossing_cost = crossing_cost(result.distance);
+    result.cost = crossing_cost(result.distance) +
+                  failure_penalty * standing.failure_share(now) +
+                  (member.is_silent ? silence_penalty : 0);
     result.suitability = object_preference(query.affinity_key, member.id);
-    result.worth = result.answer_worth - result.crossing_cost;
+    result.worth = result.answer_worth - result.cost;
     // The first request shows what a new upstream can do.
     bool const is_new = !standing.last_used() && is_cold(member, known, now);
     if (is_new && result.distance == network_distance::same_zone)
@@ -279,7 +279,7 @@
 double upstream_pool::preference(candidate const& of, double best_worth) const
 {
     double const loss = best_worth - of.answer_worth;
-    return of.suitability - of.crossing_cost -
+    return of.suitability - of.cost -
            std::max(0.0, loss - settings_.worth_tolerance);
 }
 
--- a/source/verbenacove/request/upstream_pool.hpp
+++ b/source/verbenacove/request/upstream_pool.hpp
@@ -168,11 +168,12 @@
         /** The same, had the upstream handled the object just before. */
         double shortest_ms = 0;
         bool has_free_slot = true;
-        /** What its answer is worth. */
+        /** What its answer is worth, by the time that it should take. */
         double answer_worth = 0;
-        /** The same, less what crossing costs. */
+        /** What crossing costs, and the risk that there is no answer. */
+        double cost = 0;
+        /** The worth of the answer less the cost. */
         double worth = 0;
-        double crossing_cost = 0;
         /** How well the object suits the upstream, whatever its load. */
         double suitability = 0;
         network_distance distance = network_distance::same_zone;
--- a/tests/unit/steering_pool_test.cpp
+++ b/tests/unit/steering_pool_test.cpp
@@ -161,6 +161,22 @@
     CHECK(moved_objects() == 0);
 }
 
+TEST_CASE_FIXTURE(pool_fixture,
+                  "upstream pool: an upstream fails a few requests: it loses "
+                  "objects")
+{
+    learn_durations(milliseconds(250), milliseconds(250));
+    int failures = 0;
+    while (failures < 2)
+    {
+        bool const is_b = choose(query({})) == QStringLiteral("b");
+        failures += is_b ? 1 : 0;
+        finish(is_b ? upstream_evidence::failure : upstream_evidence::nothing,
+               milliseconds(5));
+    }
+    CHECK(moved_objects() > 10);
+}
+
 TEST_CASE_FIXTURE(pool_fixture,
                   "upstream pool: an upstream is far slower: it loses objects")
 {
