--- a/source/verbenacove/request/upstream_pool.hpp
+++ b/source/verbenacove/request/upstream_pool.hpp
@@ -88,10 +88,11 @@
 
 /** Chooses the upstream for each attempt of one service's requests.
 
-    The choice is the upstream whose answer is worth most: the chance that it
-    is in time, by the upstream's queue, its speed and whether it has handled
-    the request's object of late, less what crossing zones and regions costs.
-    All calls come from one thread.
+    An answer's worth is the chance that it is in time, by the upstream's queue,
+    its speed and whether it has handled the request's object of late. Among
+    upstreams of nearly the same worth a hash of the object decides, so that
+    all entries send it to the same one, less what crossing zones and regions
+    and failing costs. All calls come from one thread.
 */
 class upstream_pool
 {
