Log what separates a slow link from a slow process in front of the configuration

Now: loop_lag_ms and waited_ms in replica.lost, routes.applied with the time in the queue to the traffic thread, the version in request.ended, the reason in request.attempt, lookup.changed with the number of entries returned to a zone, and a gauge of serving entries at each replica.

--- a/source/verbenacove/process/discovery/replica_link.cpp
+++ b/source/verbenacove/process/discovery/replica_link.cpp
@@ -58,6 +58,7 @@
     , selector_({settings_.self.region, settings_.self.zone},
                 QRandomGenerator::system()->generate64())
     , started_(QDateTime::currentMSecsSinceEpoch())
+    , lag_(tick_interval)
 {
 }
 
@@ -90,6 +91,7 @@
 
 void replica_link::handle_tick()
 {
+    lag_.record_tick(clock_.now());
     membership_.expire();
     if (has_changes_)
     {
@@ -130,6 +132,7 @@
         return;
     }
     is_reading_ = true;
+    read_started_ = clock_.now();
     auto const number = ++read_number_;
     // A replica without a leader would delay its response, too, so an immediate
     // one is requested.
@@ -246,9 +249,14 @@
 void replica_link::leave_replica(socket_address const& failed,
                                  char const* reason)
 {
-    selector_.record_failure(failed, clock_.now());
+    auto const now = clock_.now();
+    selector_.record_failure(failed, now);
+    auto const waited = elapsed(read_started_, now);
+    auto const lag = lag_.take_maximum();
     link_log.note("replica.lost", {{"replica", failed.text()},
-                                   {"reason", QLatin1String(reason)}});
+                                   {"reason", QLatin1String(reason)},
+                                   {"waited_ms", qint64{waited.count()}},
+                                   {"loop_lag_ms", qint64{lag.count()}}});
     current_.reset();
 }
 
--- a/source/verbenacove/process/discovery/replica_link.hpp
+++ b/source/verbenacove/process/discovery/replica_link.hpp
@@ -2,6 +2,7 @@
 #define VERBENACOVE_PROCESS_DISCOVERY_REPLICA_LINK_HPP
 
 #include "verbenacove/connection/rpc_client.hpp"
+#include "verbenacove/core/loop_lag.hpp"
 #include "verbenacove/process/discovery/crash_exchange.hpp"
 #include "verbenacove/process/discovery/membership_view.hpp"
 #include "verbenacove/process/discovery/replica_selector.hpp"
@@ -116,6 +117,9 @@
         false after a read without response. */
     bool was_replica_current_ = true;
     monotonic_time next_read_{};
+    monotonic_time read_started_{};
+    /** Lag of the control thread since the last logged read. */
+    loop_lag lag_;
     qint64 routes_revision_ = -1;
     route_configuration_ptr routes_;
     QSet<zone_name> evacuated_;
--- a/source/verbenacove/process/metrics.cpp
+++ b/source/verbenacove/process/metrics.cpp
@@ -123,6 +123,8 @@
                        "Claims whose requests are under way."))
     , log_bytes_(
           add("verbenacove_control_log_bytes", "The size of the log's file."))
+    , serving_entries_(add("verbenacove_control_serving_entries",
+                           "Entries that look-ups can return."))
 {
 }
 
@@ -137,6 +139,7 @@
     claims_.Set(static_cast<double>(now.claims));
     open_claims_.Set(static_cast<double>(now.open_claims));
     log_bytes_.Set(static_cast<double>(now.log_bytes));
+    serving_entries_.Set(static_cast<double>(now.serving_entries));
     return metrics_text(registry_);
 }
 
--- a/source/verbenacove/process/metrics.hpp
+++ b/source/verbenacove/process/metrics.hpp
@@ -80,6 +80,8 @@
         qint64 claims = 0;
         qint64 open_claims = 0;
         qint64 log_bytes = 0;
+        /** Entries that look-ups can return. */
+        qint64 serving_entries = 0;
     };
 
     control_metrics();
@@ -102,6 +104,7 @@
     prometheus::Gauge& claims_;
     prometheus::Gauge& open_claims_;
     prometheus::Gauge& log_bytes_;
+    prometheus::Gauge& serving_entries_;
 };
 
 } // namespace verbenacove
--- /dev/null
+++ b/source/verbenacove/process/routing/entry_directory.cpp
@@ -0,0 +1,68 @@
+#include "verbenacove/process/routing/entry_directory.hpp"
+
+#include "verbenacove/core/event_log.hpp"
+
+namespace verbenacove
+{
+
+namespace
+{
+
+event_log const directory_log{"directory"};
+
+/** Callers name their zone, so the number of zones needs a bound. */
+constexpr qsizetype maximum_logged_zones = 256;
+
+} // namespace
+
+entry_directory::entry_directory(membership_view const& membership)
+    : membership_(membership)
+{
+}
+
+std::vector<entry_view> entry_directory::find(location const& caller,
+                                              std::size_t maximum_count)
+{
+    auto const serving = serving_entries();
+    auto result = nearest_entries(caller, serving, maximum_count);
+    log_change(caller, serving.size(), result.size());
+    return result;
+}
+
+std::vector<entry_view> entry_directory::serving_entries() const
+{
+    std::vector<entry_view> result;
+    for (auto const& entry : membership_.entries().records())
+    {
+        if (entry.phase != member_phase::serving || entry.is_silent)
+        {
+            continue;
+        }
+        entry_view view;
+        view.id = entry_id(entry.id);
+        view.address = entry.content.address;
+        view.region = entry.content.region;
+        view.zone = entry.content.zone;
+        result.push_back(view);
+    }
+    return result;
+}
+
+void entry_directory::log_change(location const& caller, std::size_t serving,
+                                 std::size_t returned)
+{
+    auto const known = returned_.constFind(caller.zone);
+    bool const is_known = known != returned_.constEnd();
+    if ((is_known && *known == returned) ||
+        (!is_known && returned_.size() >= maximum_logged_zones))
+    {
+        return;
+    }
+    returned_.insert(caller.zone, returned);
+    directory_log.note("lookup.changed",
+                       {{"zone", caller.zone.value()},
+                        {"returned", static_cast<qint64>(returned)},
+                        {"serving", static_cast<qint64>(serving)}});
+}
+
+} // namespace verbenacove
--- /dev/null
+++ b/source/verbenacove/process/routing/entry_directory.hpp
@@ -0,0 +1,49 @@
+#ifndef VERBENACOVE_PROCESS_ROUTING_ENTRY_DIRECTORY_HPP
+#define VERBENACOVE_PROCESS_ROUTING_ENTRY_DIRECTORY_HPP
+
+#include "verbenacove/process/discovery/membership_view.hpp"
+#include "verbenacove/request/entry_lookup.hpp"
+
+#include <QHash>
+
+#include <vector>
+
+namespace verbenacove
+{
+
+/** Answers callers' look-ups from a replica's membership view.
+
+    Logs how many entries the callers of a zone are sent to whenever that number
+    changes. Must be used from one thread only.
+*/
+class entry_directory
+{
+public:
+    /** The view must outlive the directory. */
+    explicit entry_directory(membership_view const& membership);
+
+    /** Returns the entries that a caller should use; empty if none is known.
+
+        @param maximum_count  the maximum number of entries to return
+
+        @see nearest_entries
+    */
+    std::vector<entry_view> find(location const& caller,
+                                 std::size_t maximum_count);
+
+    /** Returns the entries that a look-up can return: those that are serving
+        and not silent. */
+    std::vector<entry_view> serving_entries() const;
+
+private:
+    void log_change(location const& caller, std::size_t serving,
+                    std::size_t returned);
+
+    membership_view const& membership_;
+    /** Number of entries in the last response to each zone. */
+    QHash<zone_name, std::size_t> returned_;
+};
+
+} // namespace verbenacove
+
+#endif
--- a/source/verbenacove/process/routing/replica_process.cpp
+++ b/source/verbenacove/process/routing/replica_process.cpp
@@ -152,6 +152,7 @@
         discovery_settings{{settings_.listen, settings_.zone, settings_.region},
                            settings_.seeds},
         *server_);
+    directory_ = std::make_unique<entry_directory>(discovery_->membership());
     routes_ = std::make_unique<route_service>(
         *server_, [this] { discovery_->routes_changed(); });
     if (!server_->start())
@@ -262,25 +263,6 @@
         });
 }
 
-std::vector<entry_view> replica_process::serving_entries() const
-{
-    std::vector<entry_view> result;
-    for (auto const& entry : discovery_->membership().entries().records())
-    {
-        if (entry.phase != member_phase::serving || entry.is_silent)
-        {
-            continue;
-        }
-        entry_view view;
-        view.id = entry_id(entry.id);
-        view.address = entry.content.address;
-        view.region = entry.content.region;
-        view.zone = entry.content.zone;
-        result.push_back(view);
-    }
-    return result;
-}
-
 QByteArray replica_process::metrics_body()
 {
     auto const& node = server_->node();
@@ -292,6 +274,8 @@
     state.applied_index = node.applied_index().value();
     state.config_version = server_->state().routes().current()->version.value();
     state.log_bytes = storage_->log_bytes();
+    state.serving_entries =
+        static_cast<qint64>(directory_->serving_entries().size());
     return metrics_.text(state);
 }
 
--- a/source/verbenacove/process/routing/replica_process.hpp
+++ b/source/verbenacove/process/routing/replica_process.hpp
@@ -5,7 +5,7 @@
 #include "verbenacove/process/discovery/discovery_service.hpp"
 #include "verbenacove/process/metrics.hpp"
 #include "verbenacove/process/route_service.hpp"
-#include "verbenacove/request/lookup_ranking.hpp"
+#include "verbenacove/process/routing/entry_directory.hpp"
 
 #include <functional>
 #include <memory>
@@ -92,12 +92,9 @@
 
     discovery_service& discovery() { return *discovery_; }
     route_service& routes() { return *routes_; }
+    entry_directory& directory() { return *directory_; }
     replica_settings const& settings() const { return settings_; }
 
-    /** Returns the entries that a look-up can return: those that are serving
-        and not silent. */
-    std::vector<entry_view> serving_entries() const;
-
 private:
     QString open_storage();
     QString open_endpoints(handlers request_handlers);
@@ -113,6 +110,7 @@
     std::unique_ptr<control_server> server_;
     std::unique_ptr<discovery_service> discovery_;
     std::unique_ptr<route_service> routes_;
+    std::unique_ptr<entry_directory> directory_;
     std::unique_ptr<http_server> control_endpoint_;
     std::unique_ptr<http_server> directory_endpoint_;
     std::unique_ptr<http_server> metrics_endpoint_;
--- a/source/verbenacove/process/routing/route_entry_process.cpp
+++ b/source/verbenacove/process/routing/route_entry_process.cpp
@@ -122,6 +122,7 @@
     auto view = std::make_shared<routing_view>();
     view->routes = link_.routes();
     view->is_ready = is_ready_ && !is_stopping_;
+    view->published_at = clock_.now();
     count_entries(*view);
     if (view->routes)
     {
--- a/source/verbenacove/process/routing/route_traffic.cpp
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -86,6 +86,10 @@
     view_ = std::move(view);
     if (has_new_routes && view_->routes)
     {
+        auto const age = elapsed(view_->published_at, clock_.now());
+        entry_log.note("routes.applied",
+                       {{"version", view_->routes->version.value()},
+                        {"queued_ms", qint64{age.count()}}});
         apply_limits();
         split_chooser_.keep_only(*view_->routes);
     }
@@ -192,8 +196,8 @@
         return;
     }
     auto const service = split_chooser_.choose(*route);
-    routed_request::start(services(), exchange, std::move(metadata), *route,
-                          pool(service));
+    routed_request::start(services(), exchange, std::move(metadata),
+                          {*route, view_->routes->version, pool(service)});
 }
 
 void route_traffic::refuse(exchange_ptr const& exchange,
--- a/source/verbenacove/process/routing/routing_view.hpp
+++ b/source/verbenacove/process/routing/routing_view.hpp
@@ -30,6 +30,8 @@
     int region_entries = 1;
     /** Whether this entry accepts callers. */
     bool is_ready = false;
+    /** The time at which the control thread published the view. */
+    monotonic_time published_at{};
 };
 
 /** A reference to a view that can be shared between threads. */
--- a/source/verbenacove/request/routed_request.cpp
+++ b/source/verbenacove/request/routed_request.cpp
@@ -51,24 +51,25 @@
 
 void routed_request::start(routed_request_services const& services,
                            std::shared_ptr<http_exchange> exchange,
-                           request_metadata metadata, route_record route,
-                           std::shared_ptr<routed_pool> pool)
+                           request_metadata metadata,
+                           request_destination destination)
 {
     std::shared_ptr<routed_request> const request(
         new routed_request(services, std::move(exchange), std::move(metadata),
-                           std::move(route), std::move(pool)));
+                           std::move(destination)));
     request->begin();
 }
 
 routed_request::routed_request(routed_request_services const& services,
                                std::shared_ptr<http_exchange> exchange,
-                               request_metadata metadata, route_record route,
-                               std::shared_ptr<routed_pool> pool)
+                               request_metadata metadata,
+                               request_destination destination)
     : services_(services)
     , exchange_(std::move(exchange))
     , metadata_(std::move(metadata))
-    , route_(std::move(route))
-    , pool_(std::move(pool))
+    , route_(std::move(destination.route))
+    , version_(destination.version)
+    , pool_(std::move(destination.pool))
     , arrival_time_(services_.clock.now())
 {
     auto const& request = exchange_->request();
@@ -234,7 +235,7 @@
     bool const has_failed = result.response.status >= lowest_server_error;
     end_attempt(has_failed ? upstream_outcome::failure
                            : upstream_outcome::success,
-                metadata.load, result.response.body.size());
+                metadata.load, result.response.body.size(), {});
     may_have_run_ = true;
     if (has_failed && can_retry(execution::may_have_run))
     {
@@ -250,7 +251,7 @@
     bool const is_misdirected = result.response.status == misdirected_status;
     end_attempt(is_misdirected ? upstream_outcome::misdirected
                                : upstream_outcome::full,
-                metadata.load);
+                metadata.load, 0, QStringLiteral("not executed"));
     if (can_retry(execution::not_run))
     {
         try_next();
@@ -269,7 +270,7 @@
 {
     bool const was_sent = may_have_been_sent(result.end);
     bool const has_timed_out = result.end == attempt_end::timed_out_after_send;
-    end_attempt(outcome, std::nullopt);
+    end_attempt(outcome, std::nullopt, 0, result.reason);
     may_have_run_ = may_have_run_ || was_sent;
     if (can_retry(was_sent ? execution::may_have_run : execution::not_received))
     {
@@ -287,7 +288,7 @@
 
 void routed_request::end_attempt(upstream_outcome outcome,
                                  std::optional<upstream_load> const& load,
-                                 qint64 response_bytes)
+                                 qint64 response_bytes, QString const& reason)
 {
     auto const choice = std::exchange(choice_, std::nullopt);
     if (auto const number = std::exchange(quarantine_attempt_, std::nullopt))
@@ -309,6 +310,7 @@
          {"key", QString::fromUtf8(metadata_.affinity_key)},
          {"zone", choice->member.zone.value()},
          {"evidence", static_cast<int>(outcome)},
+         {"reason", reason},
          {"work", static_cast<qint64>(choice->recency.value())},
          {"expected_ms", qint64{choice->expected.count()}},
          {"load", load ? load->running + load->waiting : -1},
@@ -346,7 +348,8 @@
     }
     if (choice_)
     {
-        end_attempt(upstream_outcome::inconclusive, std::nullopt);
+        end_attempt(upstream_outcome::inconclusive, std::nullopt, 0,
+                    QStringLiteral("the caller left"));
     }
     request_log.note("request.left",
                      {{"request", QString::fromLatin1(metadata_.id)},
@@ -383,6 +386,7 @@
                      {{"request", QString::fromLatin1(metadata_.id)},
                       {"route", route_.name},
                       {"service", pool_->service.value()},
+                      {"version", version_.value()},
                       {"status", response.status},
                       {"reason", QLatin1String(reason)},
                       {"verdict", QString::fromLatin1(verdict_word(verdict))},
--- a/source/verbenacove/request/routed_request.hpp
+++ b/source/verbenacove/request/routed_request.hpp
@@ -50,6 +50,16 @@
     int sample_one_in = 0;
 };
 
+/** Destination of a request, as decided when it arrived. */
+struct request_destination
+{
+    route_record route;
+    /** Version of the configuration that the route is from. */
+    route_version version;
+    /** Upstreams of the service that the route's split selected. */
+    std::shared_ptr<routed_pool> pool;
+};
+
 /** Handles one caller's request on a route, from its arrival to the response.
 
     Sends the request to one upstream after another until one responds or the
@@ -62,14 +72,11 @@
 {
 public:
     /** Starts handling a request; the object keeps itself alive until it has
-        responded or the caller has disconnected.
-
-        @param pool  upstreams of the service that the route's split selected
-    */
+        responded or the caller has disconnected. */
     static void start(routed_request_services const& services,
                       std::shared_ptr<http_exchange> exchange,
-                      request_metadata metadata, route_record route,
-                      std::shared_ptr<routed_pool> pool);
+                      request_metadata metadata,
+                      request_destination destination);
 
 private:
     /** Whether an upstream may have run the request in an attempt whose
@@ -86,8 +93,7 @@
 
     routed_request(routed_request_services const& services,
                    std::shared_ptr<http_exchange> exchange,
-                   request_metadata metadata, route_record route,
-                   std::shared_ptr<routed_pool> pool);
+                   request_metadata metadata, request_destination destination);
 
     void begin();
     void try_next();
@@ -100,9 +106,10 @@
     void handle_not_executed(attempt_result const& result,
                              response_metadata const& metadata);
     void handle_failure(attempt_result const& result, upstream_outcome outcome);
+    /** @param reason  why there is no response to use; empty if there is */
     void end_attempt(upstream_outcome outcome,
                      std::optional<upstream_load> const& load,
-                     qint64 response_bytes = 0);
+                     qint64 response_bytes, QString const& reason);
     /** Returns whether another attempt may follow; if it needs the retry
         budget, also takes it from there. */
     bool can_retry(execution last_attempt);
@@ -117,6 +124,7 @@
     std::shared_ptr<http_exchange> exchange_;
     request_metadata metadata_;
     route_record route_;
+    route_version version_;
     std::shared_ptr<routed_pool> pool_;
     request_fingerprint fingerprint_;
     monotonic_time arrival_time_{};
