Answer no look-up before a replica knows the serving entries

Cause: after the replicas lost power, each named the entries that it had heard of so far. The first entries of a zone got all callers of that zone (12 requests/s before, 116 attempts/s after), their link of 2 Mbit/s filled up, and none of the reads of ten healthy replicas came through within their 1.1 s. It stayed so for 8 s, long after look-ups had stopped naming the entry.

Fix: a replica answers look-ups once 1.5 s have passed since the first entry reported, the time an entry needs to find another replica after a read that hangs, or once it has merged the whole view of a replica that had settled. Until then callers keep the entries that they have. A replica that lost all entries settles anew.

--- a/source/verbenacove/process/discovery/discovery_service.cpp
+++ b/source/verbenacove/process/discovery/discovery_service.cpp
@@ -176,6 +176,7 @@
     auto response = membership_.updates_since(reader.position, is_replica);
     response[QLatin1String("status")] = QLatin1String("ok");
     response[QLatin1String("current")] = is_current();
+    response[QLatin1String("settled")] = settling_.is_settled();
     auto const& routes = server_.state().routes();
     bool const has_older_routes =
         cbor_number(reader.request, "routes", -1) < routes.revision();
@@ -236,6 +237,7 @@
         record_own_heartbeat();
     }
     membership_.expire();
+    update_settling();
     add_sources();
     for (auto item = sources_.begin(); item != sources_.end(); ++item)
     {
@@ -332,12 +334,40 @@
         return;
     }
     from->last_response = now;
+    auto const previous_view = from->position.view_id;
     from->position = membership_.merge(*reply);
+    bool const is_whole_view = from->position.view_id != previous_view;
+    if (is_whole_view && cbor_flag(*reply, "settled"))
+    {
+        settling_.merge_settled_view(live_entries());
+    }
     from->crashes.apply_response(from->position.view_id, parse_crashes(*reply));
     merge_crashes(*reply);
     read(address, *from);
 }
 
+std::size_t discovery_service::live_entries() const
+{
+    auto const& entries = membership_.entries().records();
+    return static_cast<std::size_t>(std::count_if(
+        entries.begin(), entries.end(),
+        [](entry_member const& entry)
+        { return entry.phase == member_phase::serving && !entry.is_silent; }));
+}
+
+void discovery_service::update_settling()
+{
+    bool const was_settled = settling_.is_settled();
+    auto const live = live_entries();
+    settling_.update(live, clock_.now());
+    if (settling_.is_settled() != was_settled)
+    {
+        discovery_log.note("view.settled",
+                           {{"settled", settling_.is_settled()},
+                            {"entries", static_cast<qint64>(live)}});
+    }
+}
+
 void discovery_service::merge_crashes(QCborMap const& message)
 {
     auto const crashes = parse_crashes(message);
--- a/source/verbenacove/process/discovery/discovery_service.hpp
+++ b/source/verbenacove/process/discovery/discovery_service.hpp
@@ -4,6 +4,7 @@
 #include "verbenacove/process/control_server.hpp"
 #include "verbenacove/process/discovery/crash_exchange.hpp"
 #include "verbenacove/process/discovery/membership_view.hpp"
+#include "verbenacove/process/discovery/view_settling.hpp"
 
 #include <QHash>
 
@@ -85,6 +86,10 @@
 
     membership_view const& membership() const { return membership_; }
 
+    /** Returns whether the view of the entries is complete enough to answer
+        look-ups. */
+    bool has_settled_view() const { return settling_.is_settled(); }
+
 private:
     using reply_function = control_server::reply_function;
 
@@ -126,6 +131,8 @@
     void handle_response(socket_address const& address,
                          std::optional<QCborMap> const& reply);
     void merge_crashes(QCborMap const& message);
+    std::size_t live_entries() const;
+    void update_settling();
     /** Sends an upstream's record to all voting replicas and reports whether a
         majority of them has recorded it. */
     void push(upstream_member const& record, acknowledge_callback done);
@@ -138,6 +145,7 @@
     steady_clock_source clock_;
     timer_service timers_;
     membership_view membership_;
+    view_settling settling_;
     /** Requests that crash upstreams, as reported by entries; relayed to other
         entries and replicas. */
     quarantine known_crashes_{clock_};
--- /dev/null
+++ b/source/verbenacove/process/discovery/view_settling.hpp
@@ -0,0 +1,63 @@
+#ifndef VERBENACOVE_PROCESS_DISCOVERY_VIEW_SETTLING_HPP
+#define VERBENACOVE_PROCESS_DISCOVERY_VIEW_SETTLING_HPP
+
+#include "verbenacove/core/clock.hpp"
+
+#include <optional>
+
+namespace verbenacove
+{
+
+/** Decides whether a replica's view of the entries is complete enough to answer
+    look-ups.
+
+    After a restart, or when it was cut off from all entries, a replica hears of
+    the entries one by one. A look-up answered from such a view would send all
+    callers to the few entries that came first. The view settles once each
+    serving entry has had time to report, or when the view of another replica
+    that had settled was merged.
+*/
+class view_settling
+{
+public:
+    /** Time in which each serving entry reports, from the first report on.
+        Covers an entry whose read of an unreachable replica has to time out
+        before it reads another one. */
+    static constexpr milliseconds settling_time{1500};
+
+    /** Updates the state; must be called a few times per second.
+
+        @param live_entries  number of entries that are serving and not silent
+    */
+    void update(std::size_t live_entries, monotonic_time now)
+    {
+        if (live_entries == 0)
+        {
+            first_report_.reset();
+            is_settled_ = false;
+            return;
+        }
+        first_report_ = first_report_.value_or(now);
+        is_settled_ =
+            is_settled_ || elapsed(*first_report_, now) >= settling_time;
+    }
+
+    /** Records that the view of a replica that had settled was merged.
+
+        @param live_entries  number of live entries in this view after that
+    */
+    void merge_settled_view(std::size_t live_entries)
+    {
+        is_settled_ = is_settled_ || live_entries > 0;
+    }
+
+    bool is_settled() const { return is_settled_; }
+
+private:
+    std::optional<monotonic_time> first_report_;
+    bool is_settled_ = false;
+};
+
+} // namespace verbenacove
+
+#endif
--- a/source/verbenacove/process/routing/entry_directory.cpp
+++ b/source/verbenacove/process/routing/entry_directory.cpp
@@ -15,8 +15,8 @@
 
 } // namespace
 
-entry_directory::entry_directory(membership_view const& membership)
-    : membership_(membership)
+entry_directory::entry_directory(discovery_service const& discovery)
+    : discovery_(discovery)
 {
 }
 
@@ -24,7 +24,9 @@
                                               std::size_t maximum_count)
 {
     auto const serving = serving_entries();
-    auto result = nearest_entries(caller, serving, maximum_count);
+    auto const result = discovery_.has_settled_view()
+                            ? nearest_entries(caller, serving, maximum_count)
+                            : std::vector<entry_view>{};
     log_change(caller, serving.size(), result.size());
     return result;
 }
@@ -32,7 +34,7 @@
 std::vector<entry_view> entry_directory::serving_entries() const
 {
     std::vector<entry_view> result;
-    for (auto const& entry : membership_.entries().records())
+    for (auto const& entry : discovery_.membership().entries().records())
     {
         if (entry.phase != member_phase::serving || entry.is_silent)
         {
--- a/source/verbenacove/process/routing/entry_directory.hpp
+++ b/source/verbenacove/process/routing/entry_directory.hpp
@@ -1,7 +1,7 @@
 #ifndef VERBENACOVE_PROCESS_ROUTING_ENTRY_DIRECTORY_HPP
 #define VERBENACOVE_PROCESS_ROUTING_ENTRY_DIRECTORY_HPP
 
-#include "verbenacove/process/discovery/membership_view.hpp"
+#include "verbenacove/process/discovery/discovery_service.hpp"
 #include "verbenacove/request/entry_lookup.hpp"
 
 #include <QHash>
@@ -11,7 +11,8 @@
 namespace verbenacove
 {
 
-/** Answers callers' look-ups from a replica's membership view.
+/** Answers callers' look-ups from a replica's membership view, once that view
+    has settled.
 
     Logs how many entries the callers of a zone are sent to whenever that number
     changes. Must be used from one thread only.
@@ -19,14 +20,16 @@
 class entry_directory
 {
 public:
-    /** The view must outlive the directory. */
-    explicit entry_directory(membership_view const& membership);
+    /** The service must outlive the directory. */
+    explicit entry_directory(discovery_service const& discovery);
 
-    /** Returns the entries that a caller should use; empty if none is known.
+    /** Returns the entries that a caller should use; empty if none is known
+        or the view has not settled. A caller that gets none keeps those that
+        it got before.
 
         @param maximum_count  the maximum number of entries to return
 
-        @see nearest_entries
+        @see nearest_entries, view_settling
     */
     std::vector<entry_view> find(location const& caller,
                                  std::size_t maximum_count);
@@ -39,7 +42,7 @@
     void log_change(location const& caller, std::size_t serving,
                     std::size_t returned);
 
-    membership_view const& membership_;
+    discovery_service const& discovery_;
     /** Number of entries in the last response to each zone. */
     QHash<zone_name, std::size_t> returned_;
 };
--- a/source/verbenacove/process/routing/replica_process.cpp
+++ b/source/verbenacove/process/routing/replica_process.cpp
@@ -152,7 +152,7 @@
         discovery_settings{{settings_.listen, settings_.zone, settings_.region},
                            settings_.seeds},
         *server_);
-    directory_ = std::make_unique<entry_directory>(discovery_->membership());
+    directory_ = std::make_unique<entry_directory>(*discovery_);
     routes_ = std::make_unique<route_service>(
         *server_, [this] { discovery_->routes_changed(); });
     if (!server_->start())
