Spread a zone's callers over the region when most of its entries are missing

Now a zone with less than half of the average counts as short, and its callers get the entries of the region as well.

Test: one of 12 entries is left in a zone; the code before returned 1 entry, now 12.

--- a/source/verbenacove/request/entry_lookup.hpp
+++ b/source/verbenacove/request/entry_lookup.hpp
@@ -12,7 +12,10 @@
 
     These are the entries of the caller's zone if there are any, else those of
     its region, else all. Callers pick among the returned entries at random, so
-    entries that are farther away are not returned. The given order is kept.
+    entries that are farther away are not returned, unless most of the zone's
+    entries are missing: when it has less than half of a zone's average, the
+    callers of the zone would overload them, and those of its region are
+    returned as well. The given order is kept.
 
     @param entries        the entries that are known to serve
     @param maximum_count  the maximum number of entries to return
--- /dev/null
+++ b/tests/unit/entry_lookup_test.cpp
@@ -0,0 +1,66 @@
+#include "verbenacove/request/entry_lookup.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace verbenacove;
+
+namespace
+{
+
+constexpr std::size_t maximum_count = 64;
+
+struct entry_lookup_fixture
+{
+    void add(char const* zone, char const* region, int count)
+    {
+        for (int i = 0; i < count; ++i)
+        {
+            entry_view entry;
+            entry.id = entry_id(QString::number(entries.size()));
+            entry.zone = zone_name(QString::fromLatin1(zone));
+            entry.region = region_name(QString::fromLatin1(region));
+            entries.push_back(entry);
+        }
+    }
+
+    std::size_t found(char const* zone = "wcape-a") const
+    {
+        location const caller{region_name(QStringLiteral("wcape")),
+                              zone_name(QString::fromLatin1(zone))};
+        return nearest_entries(caller, entries, maximum_count).size();
+    }
+
+    std::vector<entry_view> entries;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(entry_lookup_fixture,
+                  "entry look-up: all zones are whole: entries of the zone")
+{
+    add("wcape-a", "wcape", 2);
+    add("wcape-b", "wcape", 2);
+    add("ecape-a", "ecape", 2);
+    CHECK(found() == 2);
+}
+
+TEST_CASE_FIXTURE(entry_lookup_fixture,
+                  "entry look-up: one entry of a zone is left: callers are "
+                  "spread over the region")
+{
+    add("wcape-a", "wcape", 1);
+    add("wcape-b", "wcape", 11);
+    add("ecape-a", "ecape", 12);
+    CHECK(found() == 12);
+    CHECK(found("wcape-b") == 11);
+}
+
+TEST_CASE_FIXTURE(entry_lookup_fixture,
+                  "entry look-up: half of a zone's entries are left: entries "
+                  "of the zone")
+{
+    add("wcape-a", "wcape", 1);
+    add("wcape-b", "wcape", 2);
+    add("ecape-a", "ecape", 2);
+    CHECK(found() == 1);
+}
