Read the rate limit that an upstream names, and log it

It is decoded in platform/ into a rate or "unreadable", and request.attempt says what the response named.

--- a/source/verbenacove/core/ids.hpp
+++ b/source/verbenacove/core/ids.hpp
@@ -46,6 +46,9 @@
 /** A number of requests that an upstream can run at the same time. */
 using slot_count = strong_type<struct slot_count_tag, int>;
 
+/** A rate of requests. */
+using requests_per_second = strong_type<struct requests_per_second_tag, double>;
+
 /** A rate over a link, in megabits per second. */
 using megabits_per_second = strong_type<struct megabits_tag, double>;
 
--- a/source/verbenacove/request/route_header_codec.hpp
+++ b/source/verbenacove/request/route_header_codec.hpp
@@ -48,6 +48,11 @@
     /** Remaining cold-start time, during which the upstream can handle only few
         requests; sent in responses to probes. */
     std::optional<milliseconds> cold_start_remaining;
+    /** Highest rate of requests that the upstream accepts from all entries
+        together, until it names another one or none; absent if not sent. */
+    std::optional<requests_per_second> rate_limit;
+    /** True if the upstream sent a rate limit that cannot be read. */
+    bool is_rate_limit_unreadable = false;
 };
 
 /** Reads and writes the steering headers that callers, entries and upstreams
--- a/source/verbenacove/request/routed_request.cpp
+++ b/source/verbenacove/request/routed_request.cpp
@@ -235,7 +235,7 @@
     bool const has_failed = result.response.status >= lowest_server_error;
     end_attempt(has_failed ? upstream_outcome::failure
                            : upstream_outcome::success,
-                metadata.load, result.response.body.size(), {});
+                {metadata, result.response.body.size(), {}});
     may_have_run_ = true;
     if (has_failed && can_retry(execution::may_have_run))
     {
@@ -251,7 +251,7 @@
     bool const is_misdirected = result.response.status == misdirected_status;
     end_attempt(is_misdirected ? upstream_outcome::misdirected
                                : upstream_outcome::full,
-                metadata.load, 0, QStringLiteral("not executed"));
+                {metadata, 0, QStringLiteral("not executed")});
     if (can_retry(execution::not_run))
     {
         try_next();
@@ -270,7 +270,7 @@
 {
     bool const was_sent = may_have_been_sent(result.end);
     bool const has_timed_out = result.end == attempt_end::timed_out_after_send;
-    end_attempt(outcome, std::nullopt, 0, result.reason);
+    end_attempt(outcome, {{}, 0, result.reason});
     may_have_run_ = may_have_run_ || was_sent;
     if (can_retry(was_sent ? execution::may_have_run : execution::not_received))
     {
@@ -287,8 +287,7 @@
 }
 
 void routed_request::end_attempt(upstream_outcome outcome,
-                                 std::optional<upstream_load> const& load,
-                                 qint64 response_bytes, QString const& reason)
+                                 attempt_report const& report)
 {
     auto const choice = std::exchange(choice_, std::nullopt);
     if (auto const number = std::exchange(quarantine_attempt_, std::nullopt))
@@ -300,9 +299,12 @@
             : services_.request_quarantine.ended(*number);
     }
     attempt_span_.end();
+    auto const& load = report.response.load;
+    auto const& named_limit = report.response.rate_limit;
     pool_->upstreams.finish(
         *choice, route_.has_affinity ? metadata_.affinity_key : QByteArray(),
-        outcome, load, exchange_->request().body.size() + response_bytes);
+        outcome, load,
+        exchange_->request().body.size() + report.response_bytes);
     request_log.note(
         "request.attempt",
         {{"request", QString::fromLatin1(metadata_.id)},
@@ -310,10 +312,11 @@
          {"key", QString::fromUtf8(metadata_.affinity_key)},
          {"zone", choice->member.zone.value()},
          {"evidence", static_cast<int>(outcome)},
-         {"reason", reason},
+         {"reason", report.reason},
          {"work", static_cast<qint64>(choice->recency.value())},
          {"expected_ms", qint64{choice->expected.count()}},
          {"load", load ? load->running + load->waiting : -1},
+         {"named_limit", named_limit ? named_limit->value() : -1},
          {"took_ms",
           qint64{elapsed(choice->started, services_.clock.now()).count()}}});
 }
@@ -348,8 +351,8 @@
     }
     if (choice_)
     {
-        end_attempt(upstream_outcome::inconclusive, std::nullopt, 0,
-                    QStringLiteral("the caller left"));
+        end_attempt(upstream_outcome::inconclusive,
+                    {{}, 0, QStringLiteral("the caller left")});
     }
     request_log.note("request.left",
                      {{"request", QString::fromLatin1(metadata_.id)},
--- a/source/verbenacove/request/routed_request.hpp
+++ b/source/verbenacove/request/routed_request.hpp
@@ -91,6 +91,16 @@
         may_have_run
     };
 
+    /** What an attempt has shown. */
+    struct attempt_report
+    {
+        /** Steering information in the response, if it is the upstream's. */
+        response_metadata response = {};
+        qint64 response_bytes = 0;
+        /** Why there is no response to pass on; empty if there is. */
+        QString reason = {};
+    };
+
     routed_request(routed_request_services const& services,
                    std::shared_ptr<http_exchange> exchange,
                    request_metadata metadata, request_destination destination);
@@ -106,10 +116,7 @@
     void handle_not_executed(attempt_result const& result,
                              response_metadata const& metadata);
     void handle_failure(attempt_result const& result, upstream_outcome outcome);
-    /** @param reason  why there is no response to use; empty if there is */
-    void end_attempt(upstream_outcome outcome,
-                     std::optional<upstream_load> const& load,
-                     qint64 response_bytes, QString const& reason);
+    void end_attempt(upstream_outcome outcome, attempt_report const& report);
     /** Returns whether another attempt may follow; if it needs the retry
         budget, also takes it from there. */
     bool can_retry(execution last_attempt);
--- a/tests/platform/platform_documents_test.cpp
+++ b/tests/platform/platform_documents_test.cpp
@@ -247,3 +247,27 @@
     CHECK_FALSE(dialect.read_response(answer).load);
     CHECK_FALSE(dialect.read_response(answer).is_not_executed);
 }
+
+TEST_CASE("platform dialect: rate limit: decoded, absent or unreadable")
+{
+    platform_dialect const dialect;
+    http_response answer;
+    CHECK_FALSE(dialect.read_response(answer).rate_limit);
+    CHECK_FALSE(dialect.read_response(answer).is_rate_limit_unreadable);
+    for (char const* const value : {"2.5", " 2.5 ", "25e-1"})
+    {
+        answer.headers = {{"server-limit", value}};
+        CHECK(dialect.read_response(answer).rate_limit ==
+              requests_per_second(2.5));
+    }
+    answer.headers = {{"Server-Limit", "0"}};
+    CHECK(dialect.read_response(answer).rate_limit == requests_per_second(0));
+    answer.headers = {{"Server-Limit", "1e300"}};
+    CHECK(dialect.read_response(answer).rate_limit->value() <= 1e6);
+    for (char const* const value : {"", "-1", "nan", "ten", "1,5", "2 per s"})
+    {
+        answer.headers = {{"Server-Limit", value}};
+        CHECK_FALSE(dialect.read_response(answer).rate_limit);
+        CHECK(dialect.read_response(answer).is_rate_limit_unreadable);
+    }
+}
