Keep to the rate limit that an upstream names, all entries together

Cause: nothing obeyed the limit. The class of fault: a bound of the whole system that no part of the system owns.

Evidence: named_limit says 4.2 to 8.8/s from 6.0 s on, the eleven entries went on with 8 to 18/s to each upstream.

Fix: an entry that hears another limit than the known one records it for that incarnation and reports it to its replica with its next read; replicas pass it on with the membership deltas, and learn the limits of an entry again after a restart. The limit is divided among as many of the upstream's nearest entries as get at least one request per second each, chosen by rendezvous hashing, so that no messages are needed to agree on the shares; the others send nothing. Each has a token bucket that starts empty. Only a response to a request that was sent after the limit was applied may change or lift it: an earlier one may have been overtaken. Capacity for the overflow between regions counts the limit, and a request for which only limited upstreams are left is refused at once.

Weighed: each entry alone, which needs at least one request for each of 11 to 79 entries where the rule allows 11 in 4 s at a limit of 1/s; one owner, which leaves most of a larger limit unused since objects arrive everywhere.

The test failed before (`CHECK( 160 <= 17 )` requests in 4 s) and passes now.

--- a/source/verbenacove/process/discovery/discovery_service.cpp
+++ b/source/verbenacove/process/discovery/discovery_service.cpp
@@ -2,6 +2,7 @@
 
 #include "verbenacove/core/cbor.hpp"
 #include "verbenacove/core/event_log.hpp"
+#include "verbenacove/process/discovery/rate_limit_reporter.hpp"
 
 #include <QDateTime>
 #include <QRandomGenerator>
@@ -56,8 +57,10 @@
                    [this](entry_member const& record)
                    { handle_entry_change(record); },
                    [this](replica_member const& record)
+                   { handle_replica_change(record); },
+                   [this](rate_limit_record const&)
                    {
-                       handle_replica_change(record);
+                       schedule_responses();
                    }})
     , started_(QDateTime::currentMSecsSinceEpoch())
     , created_(clock_.now())
@@ -142,6 +145,7 @@
         membership_.apply_heartbeat(std::move(entry));
     }
     merge_crashes(request);
+    rate_limit_reporter::apply(request, membership_, now);
     auto const hold = std::clamp(milliseconds(cbor_number(request, "hold")),
                                  milliseconds(0), maximum_hold);
     waiting_reader const reader{
--- a/source/verbenacove/process/discovery/member_content.cpp
+++ b/source/verbenacove/process/discovery/member_content.cpp
@@ -126,6 +126,16 @@
     return located_to_cbor(record, now);
 }
 
+QCborMap to_cbor(rate_limit_record const& record, monotonic_time now)
+{
+    auto result = header_to_cbor(record, now);
+    if (record.content.rate)
+    {
+        result[QLatin1String("rate")] = record.content.rate->value();
+    }
+    return result;
+}
+
 bool from_cbor(QCborMap const& map, monotonic_time now, upstream_member& record)
 {
     auto& content = record.content;
@@ -148,6 +158,21 @@
     return located_from_cbor(map, now, record);
 }
 
+bool from_cbor(QCborMap const& map, monotonic_time now,
+               rate_limit_record& record)
+{
+    auto const rate = map.value(QLatin1String("rate"));
+    record.content.rate.reset();
+    if (rate.isDouble() || rate.isInteger())
+    {
+        record.content.rate = requests_per_second(rate.toDouble());
+    }
+    bool const is_rate =
+        rate.isUndefined() ||
+        (record.content.rate.has_value() && record.content.rate->value() >= 0);
+    return is_rate && header_from_cbor(map, now, record);
+}
+
 QString phase_name(member_phase phase)
 {
     static std::array<char const*, 4> const words{"starting", "serving",
--- a/source/verbenacove/process/discovery/member_content.hpp
+++ b/source/verbenacove/process/discovery/member_content.hpp
@@ -58,15 +58,31 @@
     bool is_equivalent(replica_content const& other) const;
 };
 
+/** The rate limit that an incarnation of an upstream has named in a
+    response. */
+struct rate_limit_content
+{
+    /** Absent if it no longer names a limit. */
+    std::optional<requests_per_second> rate;
+
+    bool is_equivalent(rate_limit_content const& other) const
+    {
+        return rate == other.rate;
+    }
+};
+
 using upstream_member = member_record<upstream_content>;
 using entry_member = member_record<entry_content>;
 using replica_member = member_record<replica_content>;
+/** Has the id and incarnation of the upstream. */
+using rate_limit_record = member_record<rate_limit_content>;
 
 /** Returns a record as CBOR. Times are written as durations relative to `now`,
     since the clocks of processes differ. */
 QCborMap to_cbor(upstream_member const& record, monotonic_time now);
 QCborMap to_cbor(entry_member const& record, monotonic_time now);
 QCborMap to_cbor(replica_member const& record, monotonic_time now);
+QCborMap to_cbor(rate_limit_record const& record, monotonic_time now);
 
 /** Reads a record from CBOR.
 
@@ -76,6 +92,8 @@
                upstream_member& record);
 bool from_cbor(QCborMap const& map, monotonic_time now, entry_member& record);
 bool from_cbor(QCborMap const& map, monotonic_time now, replica_member& record);
+bool from_cbor(QCborMap const& map, monotonic_time now,
+               rate_limit_record& record);
 
 /** Returns the name of a phase, for logs. */
 QString phase_name(member_phase phase);
--- a/source/verbenacove/process/discovery/membership_table.hpp
+++ b/source/verbenacove/process/discovery/membership_table.hpp
@@ -185,6 +185,15 @@
         return result;
     }
 
+    /** Removes the records for which a predicate is true; readers are not
+        told. */
+    template <class Predicate>
+    void remove_if(Predicate const& predicate)
+    {
+        records_.removeIf([&predicate](auto const& item)
+                          { return predicate(item.value()); });
+    }
+
     /** Returns a record, or null when the process is unknown. */
     record const* find(QString const& id) const
     {
--- a/source/verbenacove/process/discovery/membership_view.cpp
+++ b/source/verbenacove/process/discovery/membership_view.cpp
@@ -21,6 +21,9 @@
     timeout of one year disables detection in the other views. */
 constexpr membership_timeouts remote_detection_timeouts{
     milliseconds(std::chrono::hours(24 * 365)), milliseconds(180000)};
+/** Time after which the rate limit of an upstream that is not known, or of an
+    earlier incarnation, is removed. */
+constexpr milliseconds rate_limit_retention{60000};
 /** Time since the first delta of a newly read remote view after which the
     records that it has not contained are marked as silent: that view does not
     track them. */
@@ -136,7 +139,8 @@
             {QLatin1String("r"), position.replicas},
             {QLatin1String("ub"), position.upstream_heartbeats},
             {QLatin1String("eb"), position.entry_heartbeats},
-            {QLatin1String("rb"), position.replica_heartbeats}};
+            {QLatin1String("rb"), position.replica_heartbeats},
+            {QLatin1String("l"), position.rate_limits}};
 }
 
 sync_position parse_sync_position(QCborMap const& map)
@@ -144,7 +148,7 @@
     return {cbor_number(map, "stream"), cbor_number(map, "u"),
             cbor_number(map, "e"),      cbor_number(map, "r"),
             cbor_number(map, "ub"),     cbor_number(map, "eb"),
-            cbor_number(map, "rb")};
+            cbor_number(map, "rb"),     cbor_number(map, "l")};
 }
 
 membership_view::membership_view(qint64 view_id, failure_detector detector,
@@ -156,6 +160,7 @@
     , upstreams_(timeouts_for(detector, upstream_timeouts))
     , entries_(timeouts_for(detector, process_timeouts))
     , replicas_(timeouts_for(detector, process_timeouts))
+    , rate_limits_(remote_detection_timeouts)
 {
 }
 
@@ -223,6 +228,18 @@
     return change;
 }
 
+update_result membership_view::apply_rate_limit(rate_limit_record update)
+{
+    auto const id = update.id;
+    auto const change = rate_limits_.merge(
+        std::move(update), update_origin::relayed, clock_.now());
+    if (change == update_result::changed)
+    {
+        calls_.rate_limit(*rate_limits_.find(id));
+    }
+    return change;
+}
+
 update_result membership_view::apply_heartbeat(entry_member update)
 {
     auto const id = update.id;
@@ -257,10 +274,13 @@
          to_cbor(sync_position{
              view_id_, upstreams_.revision(), entries_.revision(),
              replicas_.revision(), upstreams_.direct_heartbeats(),
-             entries_.direct_heartbeats(), replicas_.direct_heartbeats()})}};
+             entries_.direct_heartbeats(), replicas_.direct_heartbeats(),
+             rate_limits_.revision()})}};
     add(delta, "upstreams", changes_to_cbor(upstreams_, from.upstreams, now));
     add(delta, "entries", changes_to_cbor(entries_, from.entries, now));
     add(delta, "replicas", changes_to_cbor(replicas_, from.replicas, now));
+    add(delta, "rate_limits",
+        changes_to_cbor(rate_limits_, from.rate_limits, now));
     if (with_heartbeats)
     {
         add(delta, "upstream_beats",
@@ -278,7 +298,8 @@
     return position.view_id != view_id_ ||
            position.upstreams < upstreams_.revision() ||
            position.entries < entries_.revision() ||
-           position.replicas < replicas_.revision();
+           position.replicas < replicas_.revision() ||
+           position.rate_limits < rate_limits_.revision();
 }
 
 sync_position membership_view::merge(QCborMap const& delta)
@@ -306,6 +327,8 @@
               calls_.entry);
     merge_all(replicas_, cbor_array(delta, "replicas"), origin, source_, now,
               calls_.replica);
+    merge_all(rate_limits_, cbor_array(delta, "rate_limits"),
+              update_origin::relayed, source_, now, calls_.rate_limit);
     merge_heartbeats(delta);
     return next;
 }
@@ -336,6 +359,20 @@
     notify(upstreams_.expire(now), calls_.upstream);
     notify(entries_.expire(now), calls_.entry);
     notify(replicas_.expire(now), calls_.replica);
+    remove_obsolete_rate_limits(now);
+}
+
+void membership_view::remove_obsolete_rate_limits(monotonic_time now)
+{
+    rate_limits_.remove_if(
+        [this, now](rate_limit_record const& limit)
+        {
+            auto const* upstream = upstreams_.find(limit.id);
+            bool const is_current =
+                upstream != nullptr && upstream->started <= limit.started;
+            return !is_current &&
+                   elapsed(limit.last_heartbeat, now) > rate_limit_retention;
+        });
 }
 
 } // namespace verbenacove
--- a/source/verbenacove/process/discovery/membership_view.hpp
+++ b/source/verbenacove/process/discovery/membership_view.hpp
@@ -33,13 +33,15 @@
     qint64 upstream_heartbeats = 0;
     qint64 entry_heartbeats = 0;
     qint64 replica_heartbeats = 0;
+    qint64 rate_limits = 0;
 };
 
 /** Converts a position to CBOR and back. */
 QCborMap to_cbor(sync_position const& position);
 sync_position parse_sync_position(QCborMap const& map);
 
-/** Holds the upstreams, entries and replicas that a process tracks.
+/** Holds the upstreams, entries and replicas that a process tracks, and the
+    rate limits that upstreams have named.
 
     Provides the deltas that synchronise the views of other processes with it.
 
@@ -54,6 +56,9 @@
         std::function<void(upstream_member const&)> upstream;
         std::function<void(entry_member const&)> entry;
         std::function<void(replica_member const&)> replica;
+        std::function<void(rate_limit_record const&)> rate_limit =
+            [](rate_limit_record const&) {
+            };
     };
 
     /** Creates an empty view.
@@ -72,6 +77,9 @@
     update_result apply_heartbeat(entry_member update);
     update_result apply_heartbeat(replica_member update);
 
+    /** Applies a rate limit that an upstream has named to an entry. */
+    update_result apply_rate_limit(rate_limit_record update);
+
     /** Applies an upstream's record that was relayed by another replica. */
     update_result apply_relayed(upstream_member update);
 
@@ -107,11 +115,16 @@
     {
         return replicas_;
     }
+    membership_table<rate_limit_content> const& rate_limits() const
+    {
+        return rate_limits_;
+    }
 
 private:
     update_result apply_upstream(upstream_member update, update_origin origin);
     bool mark_replaced_gone(upstream_member const& update);
     void merge_heartbeats(QCborMap const& delta);
+    void remove_obsolete_rate_limits(monotonic_time now);
 
     qint64 view_id_;
     failure_detector detector_;
@@ -124,6 +137,7 @@
     membership_table<upstream_content> upstreams_;
     membership_table<entry_content> entries_;
     membership_table<replica_content> replicas_;
+    membership_table<rate_limit_content> rate_limits_;
 };
 
 } // namespace verbenacove
--- a/source/verbenacove/process/discovery/replica_link.cpp
+++ b/source/verbenacove/process/discovery/replica_link.cpp
@@ -53,8 +53,12 @@
     , membership_(no_view_id(), failure_detector::source, clock_,
                   {[this](upstream_member const&) { has_changes_ = true; },
                    [this](entry_member const&) { has_changes_ = true; },
-                   [](replica_member const&) {
+                   [](replica_member const&) {},
+                   [this](rate_limit_record const&)
+                   {
+                       has_changes_ = true;
                    }})
+    , rate_limits_(settings_.name, membership_, clock_)
     , selector_({settings_.self.region, settings_.self.zone},
                 QRandomGenerator::system()->generate64())
     , started_(QDateTime::currentMSecsSinceEpoch())
@@ -89,6 +93,15 @@
     }
 }
 
+void replica_link::report_rate_limit(rate_limit_report const& report)
+{
+    if (rate_limits_.record(report))
+    {
+        has_changes_ = false;
+        calls_.changed();
+    }
+}
+
 void replica_link::handle_tick()
 {
     lag_.record_tick(clock_.now());
@@ -141,6 +154,7 @@
     received_crashes_.add_to(message);
     auto const sent_crashes =
         add_crashes(message, own_crashes_, confirmed_crashes_);
+    rate_limits_.add_to(message, position_.view_id);
     client_of(*current_).call(
         std::move(message), {hold + read_margin, maximum_read_duration},
         [this, from = *current_, number,
@@ -149,6 +163,10 @@
             if (is_successful(reply))
             {
                 confirmed_crashes_ = std::max(confirmed_crashes_, sent_crashes);
+                if (number == read_number_)
+                {
+                    rate_limits_.confirm();
+                }
             }
             handle_response(from, number, reply);
         });
--- a/source/verbenacove/process/discovery/replica_link.hpp
+++ b/source/verbenacove/process/discovery/replica_link.hpp
@@ -5,6 +5,7 @@
 #include "verbenacove/core/loop_lag.hpp"
 #include "verbenacove/process/discovery/crash_exchange.hpp"
 #include "verbenacove/process/discovery/membership_view.hpp"
+#include "verbenacove/process/discovery/rate_limit_reporter.hpp"
 #include "verbenacove/process/discovery/replica_selector.hpp"
 #include "verbenacove/version/route_configuration.hpp"
 
@@ -64,6 +65,10 @@
         own_crashes_.merge_update(crashes);
     }
 
+    /** Applies the rate limit that an upstream has named to this entry, and
+        reports it to the other entries. */
+    void report_rate_limit(rate_limit_report const& report);
+
     /** Replaces the seed addresses. */
     void set_seeds(std::vector<socket_address> seeds);
 
@@ -96,6 +101,7 @@
     steady_clock_source clock_;
     timer_service timers_;
     membership_view membership_;
+    rate_limit_reporter rate_limits_;
     replica_selector selector_;
     member_phase phase_ = member_phase::starting;
     incarnation started_;
--- a/source/verbenacove/process/routing/route_entry_process.cpp
+++ b/source/verbenacove/process/routing/route_entry_process.cpp
@@ -1,13 +1,10 @@
 #include "verbenacove/process/routing/route_entry_process.hpp"
 
-#include "verbenacove/core/distance.hpp"
 #include "verbenacove/core/event_log.hpp"
-#include "verbenacove/core/stable_hash.hpp"
 
 #include <QMetaObject>
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace verbenacove
@@ -33,6 +30,12 @@
     The rest is reserved for an entry that has not yet learned that another
     entry warms the upstream. */
 constexpr double usable_warmup_fraction = 0.8;
+/** The smallest rate, in requests per second, that an entry gets of an
+    upstream's rate limit, unless the limit itself is smaller. */
+constexpr double smallest_rate_share = 1;
+/** A lower rate limit, in requests per second, is treated as this one: without
+    any request nobody would learn that the limit has ended. */
+constexpr double slowest_rate_limit = 0.1;
 
 } // namespace
 
@@ -78,13 +81,16 @@
         {
             traffic_ = std::make_unique<route_traffic>(
                 settings_, header_codec_,
-                [this](quarantine_update const& reports)
-                {
-                    QMetaObject::invokeMethod(
-                        &control_context_,
-                        [this, reports] { link_.report_crashes(reports); },
-                        Qt::QueuedConnection);
-                });
+                route_traffic::listener{
+                    [this](quarantine_update const& reports) {
+                        call_on_control([this, reports]
+                                        { link_.report_crashes(reports); });
+                    },
+                    [this](rate_limit_report const& report)
+                    {
+                        call_on_control([this, report]
+                                        { link_.report_rate_limit(report); });
+                    }});
             error = traffic_->start();
         },
         Qt::BlockingQueuedConnection);
@@ -126,9 +132,12 @@
     count_entries(*view);
     if (view->routes)
     {
+        entry_ranking const ranking(settings_.name,
+                                    link_.membership().entries());
         for (auto const& service : view->routes->services)
         {
-            view->members.insert(service.name, usable_members(service.name));
+            view->members.insert(service.name,
+                                 usable_members(service.name, ranking));
         }
     }
     call_on_traffic([this, view = routing_view_ptr(std::move(view))]
@@ -152,7 +161,8 @@
 }
 
 std::vector<pool_member>
-route_entry_process::usable_members(service_name const& service) const
+route_entry_process::usable_members(service_name const& service,
+                                    entry_ranking const& ranking) const
 {
     std::vector<pool_member> result;
     auto const& service_configuration =
@@ -165,15 +175,16 @@
             !link_.evacuated().contains(upstream.content.zone);
         if (is_usable)
         {
-            result.push_back(make_member(upstream, service_configuration));
+            result.push_back(
+                make_member(upstream, service_configuration, ranking));
         }
     }
     return result;
 }
 
-pool_member
-route_entry_process::make_member(upstream_member const& upstream,
-                                 routed_service const& service) const
+pool_member route_entry_process::make_member(upstream_member const& upstream,
+                                             routed_service const& service,
+                                             entry_ranking const& ranking) const
 {
     pool_member member;
     member.id = upstream_id(upstream.id);
@@ -186,41 +197,45 @@
     member.cold_until = std::max(
         upstream.content.cold_until,
         reopened_zones_.cold_until(upstream.content.zone, service.cold_start));
-    // Ranking the entries is expensive and only needed for cold upstreams.
-    bool const is_cold = member.cold_until > clock_.now();
-    member.cold_rate = is_cold && is_assigned_to_warm(upstream)
+    // The warm-up rate holds for all entries together, so only one of them
+    // warms an upstream.
+    bool const is_assigned_to_warm =
+        member.cold_until > clock_.now() &&
+        ranking.is_among_first(1, member.id, location_of(upstream));
+    member.cold_rate = is_assigned_to_warm
                            ? service.warmup_per_second * usable_warmup_fraction
                            : 0;
+    member.rate_limit = rate_limit_of(upstream, ranking);
     member.health_path = service.health_path;
     return member;
 }
 
-// The warm-up rate limits all entries together, so only one entry warms an
-// upstream: of the nearest entries, the one with the lowest hash.
-bool route_entry_process::is_assigned_to_warm(
-    upstream_member const& upstream) const
+// The limit holds for all entries together. It is divided among few of them, so
+// that each of these gets whole requests often enough to notice a change.
+std::optional<rate_limit_share>
+route_entry_process::rate_limit_of(upstream_member const& upstream,
+                                   entry_ranking const& ranking) const
 {
-    location const upstream_location{region_of(upstream.content.zone),
-                                     upstream.content.zone};
-    QString best;
-    std::pair best_rank{network_distance::other_region,
-                        std::numeric_limits<quint64>::max()};
-    for (auto const& entry : link_.membership().entries().records())
+    auto const* known = link_.membership().rate_limits().find(upstream.id);
+    if (known == nullptr || known->started != upstream.started ||
+        !known->content.rate)
     {
-        if (entry.is_silent || entry.phase != member_phase::serving)
-        {
-            continue;
-        }
-        std::pair const rank{
-            distance_between(upstream_location, entry.content),
-            stable_hash(upstream.id.toUtf8(), entry.id.toUtf8())};
-        if (rank < best_rank)
-        {
-            best_rank = rank;
-            best = entry.id;
-        }
+        return std::nullopt;
     }
-    return best == settings_.name.value();
+    auto const whole = *known->content.rate;
+    auto const shares = std::clamp(
+        static_cast<std::size_t>(whole.value() / smallest_rate_share),
+        std::size_t{1}, std::max(std::size_t{1}, ranking.size()));
+    bool const has_share = ranking.is_among_first(
+        shares, upstream_id(upstream.id), location_of(upstream));
+    auto const share = std::max(whole.value(), slowest_rate_limit) /
+                       static_cast<double>(shares);
+    return rate_limit_share{whole, requests_per_second(has_share ? share : 0)};
+}
+
+location route_entry_process::location_of(upstream_member const& upstream) const
+{
+    return {region_of(upstream.content.zone), upstream.content.zone};
 }
 
 region_name route_entry_process::region_of(zone_name const& zone) const
@@ -273,6 +288,12 @@
         });
 }
 
+void route_entry_process::call_on_control(std::function<void()> call)
+{
+    QMetaObject::invokeMethod(&control_context_, std::move(call),
+                              Qt::QueuedConnection);
+}
+
 void route_entry_process::call_on_traffic(std::function<void()> call)
 {
     QMetaObject::invokeMethod(traffic_context_.get(), std::move(call),
--- a/source/verbenacove/process/routing/route_entry_process.hpp
+++ b/source/verbenacove/process/routing/route_entry_process.hpp
@@ -2,6 +2,7 @@
 #define VERBENACOVE_PROCESS_ROUTING_ROUTE_ENTRY_PROCESS_HPP
 
 #include "verbenacove/process/discovery/replica_link.hpp"
+#include "verbenacove/process/routing/entry_ranking.hpp"
 #include "verbenacove/process/routing/reopened_zones.hpp"
 #include "verbenacove/process/routing/route_traffic.hpp"
 
@@ -57,15 +58,22 @@
     void publish();
     /** Sets the numbers of entries in the view. */
     void count_entries(routing_view& view) const;
-    std::vector<pool_member> usable_members(service_name const& service) const;
+    std::vector<pool_member> usable_members(service_name const& service,
+                                            entry_ranking const& ranking) const;
     pool_member make_member(upstream_member const& upstream,
-                            routed_service const& service) const;
-    /** Returns whether this entry is the one that may send requests to an
-        upstream while it is cold. */
-    bool is_assigned_to_warm(upstream_member const& upstream) const;
+                            routed_service const& service,
+                            entry_ranking const& ranking) const;
+    /** Returns this entry's share of the rate limit that an upstream has
+        named, if any. */
+    std::optional<rate_limit_share>
+    rate_limit_of(upstream_member const& upstream,
+                  entry_ranking const& ranking) const;
+    location location_of(upstream_member const& upstream) const;
     region_name region_of(zone_name const& zone) const;
     /** Polls until no request is in flight or the deadline has passed. */
     void finish_stop();
+    /** Runs a function on the control thread without waiting for it. */
+    void call_on_control(std::function<void()> call);
     /** Runs a function on the traffic thread without waiting for it. */
     void call_on_traffic(std::function<void()> call);
 
--- a/source/verbenacove/process/routing/route_traffic.cpp
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -36,11 +36,11 @@
 
 route_traffic::route_traffic(route_entry_settings settings,
                              route_header_codec const& header_codec,
-                             crash_callback on_crash)
+                             listener calls)
     : settings_(std::move(settings))
     , header_codec_(header_codec)
     , request_quarantine_(clock_)
-    , on_crash_(std::move(on_crash))
+    , calls_(std::move(calls))
     , region_shift_(settings_.steering.maximum_region_shift)
     , caller_endpoint_(settings_.limits, [this](exchange_ptr const& exchange)
                        { handle_request(exchange); })
@@ -134,7 +134,7 @@
               QString::fromLatin1(record.fingerprint.value().toHex())},
              {"upstreams", qint64(record.crashes.size())}});
     }
-    on_crash_(reports);
+    calls_.crashes(reports);
 }
 
 void route_traffic::apply_limits()
@@ -169,6 +169,7 @@
             request_quarantine_,
             [this](routed_request_result const& result)
             { record_result(result); },
+            calls_.rate_limit,
             settings_.trace_one_in};
 }
 
@@ -291,6 +292,10 @@
     bool const is_healthy = result.end == attempt_end::answered &&
                             result.response.status == 200 &&
                             metadata.responder == member.id;
+    if (metadata.responder == member.id)
+    {
+        observe_rate_limit(*target, member, result, metadata);
+    }
     if (result.end == attempt_end::connect_failed)
     {
         request_quarantine_.upstream_gone(member.id, member.started);
@@ -305,4 +310,17 @@
                                           cold_start_remaining);
 }
 
+void route_traffic::observe_rate_limit(routed_pool const& target,
+                                       pool_member const& member,
+                                       attempt_result const& result,
+                                       response_metadata const& metadata) const
+{
+    auto const sent = clock_.now() - result.duration;
+    if (auto const report =
+            target.upstreams.observe_rate_limit(member, sent, metadata))
+    {
+        calls_.rate_limit(*report);
+    }
+}
+
 } // namespace verbenacove
--- a/source/verbenacove/process/routing/route_traffic.hpp
+++ b/source/verbenacove/process/routing/route_traffic.hpp
@@ -26,18 +26,23 @@
 class route_traffic
 {
 public:
-    /** Called with this entry's new reports of requests that crash
-        upstreams. */
-    using crash_callback = std::function<void(quarantine_update const&)>;
+    /** Receives what the traffic shows; called on the traffic thread. */
+    struct listener
+    {
+        /** Called with this entry's new reports of requests that crash
+            upstreams. */
+        std::function<void(quarantine_update const&)> crashes;
+        /** Called when an upstream names another rate limit than the known
+            one. */
+        std::function<void(rate_limit_report const&)> rate_limit;
+    };
 
     /** Creates the endpoints without opening them.
 
         @param header_codec  must outlive this object
-        @param on_crash      called on the traffic thread
     */
     route_traffic(route_entry_settings settings,
-                  route_header_codec const& header_codec,
-                  crash_callback on_crash);
+                  route_header_codec const& header_codec, listener calls);
     route_traffic(route_traffic const&) = delete;
     route_traffic& operator=(route_traffic const&) = delete;
 
@@ -85,6 +90,11 @@
     void handle_probe_response(std::shared_ptr<routed_pool> const& target,
                                pool_member const& member,
                                attempt_result const& result);
+    /** Reports the rate limit in a response to a probe. */
+    void observe_rate_limit(routed_pool const& target,
+                            pool_member const& member,
+                            attempt_result const& result,
+                            response_metadata const& metadata) const;
     void update_pool(service_name const& service,
                      std::vector<pool_member> members);
     void report_crashes();
@@ -98,7 +108,7 @@
     timer_service::subscription crash_report_timer_;
     entry_metrics metrics_;
     quarantine request_quarantine_;
-    crash_callback on_crash_;
+    listener calls_;
     quarantine_cursor reported_crashes_{0};
     region_shift_limit region_shift_;
     split_chooser split_chooser_;
--- a/source/verbenacove/request/routed_request.cpp
+++ b/source/verbenacove/request/routed_request.cpp
@@ -3,6 +3,7 @@
 #include "verbenacove/core/event_log.hpp"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace verbenacove
@@ -29,6 +30,9 @@
 /** Retry delay sent when a quarantined request is refused; longer, because the
     request must not be resent soon. */
 constexpr milliseconds quarantine_delay{1000};
+/** Retry delay sent when the upstreams accept no higher rate of requests; the
+    shortage lasts for seconds, and early retries would add to it. */
+constexpr milliseconds rate_limit_delay{500};
 
 constexpr int bad_gateway = 502;
 constexpr int unavailable = 503;
@@ -41,6 +45,37 @@
     return status >= 200 && status < 300;
 }
 
+/** Returns the retry delay that a refusal for this reason asks for. */
+milliseconds retry_delay_after(char const* reason)
+{
+    struct reason_delay
+    {
+        char const* reason;
+        milliseconds delay;
+    };
+    static constexpr std::array<reason_delay, 2> delays{
+        {{"quarantined", quarantine_delay},
+         {"rate limited", rate_limit_delay}}};
+    auto const found =
+        std::find_if(delays.begin(), delays.end(),
+                     [reason](reason_delay const& each)
+                     { return qstrcmp(each.reason, reason) == 0; });
+    return found == delays.end() ? retry_delay : found->delay;
+}
+
+char const* reason_of(pool_shortage shortage)
+{
+    switch (shortage)
+    {
+    case pool_shortage::no_time:
+        return "overloaded";
+    case pool_shortage::rate_limited:
+        return "rate limited";
+    default:
+        return "no upstream";
+    }
+}
+
 QByteArray target_of(http_request const& request)
 {
     return request.query.isEmpty() ? request.path
@@ -134,7 +169,9 @@
 void routed_request::wait_for_upstream(pool_shortage shortage)
 {
     auto const waited = elapsed(arrival_time_, services_.clock.now());
+    // Tokens of a rate limit come far apart, so waiting would rarely help.
     bool const can_wait = shortage != pool_shortage::no_time &&
+                          shortage != pool_shortage::rate_limited &&
                           waited < route_.objective / upstream_wait_divisor;
     if (can_wait && tried_upstreams_.empty())
     {
@@ -148,8 +185,7 @@
         respond_may_have_run(bad_gateway, "no other upstream");
         return;
     }
-    respond_not_run(shortage == pool_shortage::no_time ? "overloaded"
-                                                       : "no upstream");
+    respond_not_run(reason_of(shortage));
 }
 
 void routed_request::send_to(pool_choice choice)
@@ -233,6 +269,7 @@
                                      response_metadata const& metadata)
 {
     bool const has_failed = result.response.status >= lowest_server_error;
+    observe_rate_limit(metadata);
     end_attempt(has_failed ? upstream_outcome::failure
                            : upstream_outcome::success,
                 {metadata, result.response.body.size(), {}});
@@ -249,6 +286,10 @@
                                          response_metadata const& metadata)
 {
     bool const is_misdirected = result.response.status == misdirected_status;
+    if (!is_misdirected)
+    {
+        observe_rate_limit(metadata);
+    }
     end_attempt(is_misdirected ? upstream_outcome::misdirected
                                : upstream_outcome::full,
                 {metadata, 0, QStringLiteral("not executed")});
@@ -286,6 +327,16 @@
     respond_not_run("unreachable");
 }
 
+void routed_request::observe_rate_limit(response_metadata const& metadata)
+{
+    auto const report = pool_->upstreams.observe_rate_limit(
+        choice_->member, choice_->started, metadata);
+    if (report)
+    {
+        services_.on_rate_limit(*report);
+    }
+}
+
 void routed_request::end_attempt(upstream_outcome outcome,
                                  attempt_report const& report)
 {
@@ -301,6 +352,7 @@
     attempt_span_.end();
     auto const& load = report.response.load;
     auto const& named_limit = report.response.rate_limit;
+    auto const& rate_limit = choice->member.rate_limit;
     pool_->upstreams.finish(
         *choice, route_.has_affinity ? metadata_.affinity_key : QByteArray(),
         outcome, load,
@@ -317,6 +369,7 @@
          {"expected_ms", qint64{choice->expected.count()}},
          {"load", load ? load->running + load->waiting : -1},
          {"named_limit", named_limit ? named_limit->value() : -1},
+         {"rate_share", rate_limit ? rate_limit->share.value() : -1},
          {"took_ms",
           qint64{elapsed(choice->started, services_.clock.now()).count()}}});
 }
@@ -364,9 +417,8 @@
 {
     auto response =
         not_run_response(unavailable, "not-run", "No upstream ran it.");
-    bool const is_quarantined = qstrcmp(reason, "quarantined") == 0;
-    services_.header_codec.set_retry_after(
-        response.headers, is_quarantined ? quarantine_delay : retry_delay);
+    services_.header_codec.set_retry_after(response.headers,
+                                           retry_delay_after(reason));
     respond(std::move(response), run_verdict::not_run, reason);
 }
 
--- a/source/verbenacove/request/routed_request.hpp
+++ b/source/verbenacove/request/routed_request.hpp
@@ -45,6 +45,8 @@
     /** Called with the result of each request that gets a response, to update
         metrics. */
     std::function<void(routed_request_result const&)> on_result;
+    /** Called when an upstream names another rate limit than the known one. */
+    std::function<void(rate_limit_report const&)> on_rate_limit;
     /** Sampling rate for requests that arrive without a trace context: one
         in this many is traced; 0 traces none. */
     int sample_one_in = 0;
@@ -116,6 +118,7 @@
     void handle_not_executed(attempt_result const& result,
                              response_metadata const& metadata);
     void handle_failure(attempt_result const& result, upstream_outcome outcome);
+    void observe_rate_limit(response_metadata const& metadata);
     void end_attempt(upstream_outcome outcome, attempt_report const& report);
     /** Returns whether another attempt may follow; if it needs the retry
         budget, also takes it from there. */
--- a/source/verbenacove/request/upstream_pool.cpp
+++ b/source/verbenacove/request/upstream_pool.cpp
@@ -30,6 +30,7 @@
 /** The weight of the random preference of requests without an object, relative
     to the preference of an object. */
 constexpr double jitter_share = 0.1;
+constexpr double one_second_ms = 1000;
 
 /** Maps an object to a number from 0 to 1, the same at all entries. */
 double stable_fraction(QByteArray const& key)
@@ -74,6 +75,7 @@
             tracked.monitor = std::make_shared<upstream_monitor>();
         }
         tracked.last_listed = now;
+        apply_rate_limit(member, tracked, now);
     }
     states_.removeIf(
         [now](auto const& item) {
@@ -82,6 +84,41 @@
     return ended;
 }
 
+void upstream_pool::apply_rate_limit(pool_member const& member, state& tracked,
+                                     monotonic_time now)
+{
+    auto const whole = member.rate_limit
+                           ? std::optional(member.rate_limit->whole)
+                           : std::nullopt;
+    if (tracked.rate_limit != whole)
+    {
+        tracked.rate_limit = whole;
+        tracked.rate_limit_since = now;
+    }
+    if (member.rate_limit)
+    {
+        tracked.bucket.set_rate(member.rate_limit->share, now);
+    }
+}
+
+bool upstream_pool::is_rate_limited(pool_member const& member,
+                                    state const& tracked, monotonic_time now)
+{
+    return member.rate_limit && !tracked.bucket.has_token(now);
+}
+
+int upstream_pool::usable_slots(pool_member const& member,
+                                double mean_processing_ms)
+{
+    if (!member.rate_limit)
+    {
+        return member.slots.value();
+    }
+    auto const busy =
+        member.rate_limit->whole.value() * mean_processing_ms / one_second_ms;
+    return std::min(member.slots.value(), static_cast<int>(std::ceil(busy)));
+}
+
 bool upstream_pool::is_allowed(pool_member const& member,
                                pool_query const& query) const
 {
@@ -241,6 +278,7 @@
     overflow_.count(now);
     std::vector<candidate> candidates;
     shortage = pool_shortage::none_known;
+    bool is_any_rate_limited = false;
     for (auto const& member : members_)
     {
         if (!is_allowed(member, query))
@@ -253,11 +291,19 @@
             shortage = pool_shortage::none_usable;
             continue;
         }
+        if (is_rate_limited(member, tracked, now))
+        {
+            is_any_rate_limited = true;
+            continue;
+        }
         candidates.push_back(assess(member, tracked, query, now));
     }
     auto const* const chosen = select(candidates, query, now);
     if (chosen == nullptr)
     {
+        shortage = is_any_rate_limited && shortage == pool_shortage::none_known
+                       ? pool_shortage::rate_limited
+                       : shortage;
         return std::nullopt;
     }
     // An upstream with a free slot is tried however little time is left.
@@ -287,7 +333,9 @@
         bool const has_capacity =
             !is_cold(member, tracked, now) && !tracked.monitor->is_ejected(now);
         bool const is_local = member.region == settings_.region;
-        int const slots = has_capacity ? member.slots.value() : 0;
+        int const slots =
+            has_capacity ? usable_slots(member, capacity.mean_processing_ms)
+                         : 0;
         capacity.all_slots += slots;
         capacity.slots += is_local ? slots : 0;
     }
@@ -366,6 +414,10 @@
         tracked.next_cold =
             now + std::chrono::duration_cast<monotonic_time::duration>(pause);
     }
+    if (chosen.member->rate_limit)
+    {
+        tracked.bucket.take(now);
+    }
     tracked.monitor->start(now);
     shift_.count(now, chosen.distance == network_distance::other_region);
     pool_choice result;
@@ -411,6 +463,26 @@
     }
 }
 
+std::optional<rate_limit_report>
+upstream_pool::observe_rate_limit(pool_member const& member,
+                                  monotonic_time sent,
+                                  response_metadata const& metadata) const
+{
+    auto const tracked = states_.constFind(member.id);
+    bool const is_known =
+        tracked != states_.cend() && tracked->started == member.started;
+    if (!is_known || metadata.is_rate_limit_unreadable ||
+        metadata.rate_limit == tracked->rate_limit)
+    {
+        return std::nullopt;
+    }
+    if (tracked->rate_limit && sent < tracked->rate_limit_since)
+    {
+        return std::nullopt;
+    }
+    return rate_limit_report{member.id, member.started, metadata.rate_limit};
+}
+
 std::vector<pool_member> upstream_pool::start_due_probes()
 {
     auto const now = clock_.now();
--- a/source/verbenacove/request/upstream_pool.hpp
+++ b/source/verbenacove/request/upstream_pool.hpp
@@ -6,6 +6,8 @@
 #include "verbenacove/core/ids.hpp"
 #include "verbenacove/core/socket_address.hpp"
 #include "verbenacove/request/overflow_share.hpp"
+#include "verbenacove/request/rate_bucket.hpp"
+#include "verbenacove/request/rate_limit.hpp"
 #include "verbenacove/request/region_shift_limit.hpp"
 #include "verbenacove/request/request_history.hpp"
 #include "verbenacove/request/steering_settings.hpp"
@@ -40,6 +42,8 @@
     double cold_rate = 0;
     /** The path that health probes request. */
     QString health_path;
+    /** Set while it names a rate limit. */
+    std::optional<rate_limit_share> rate_limit = std::nullopt;
 };
 
 /** The requirements of a request for the choice of an upstream. */
@@ -88,6 +92,9 @@
     none_known,
     /** Upstreams are known, but ejected, in recovery or still cold. */
     none_usable,
+    /** Upstreams are known, but this entry's share of the rate that they
+        accept is used up. */
+    rate_limited,
     /** No upstream is expected to respond before the deadline. */
     no_time
 };
@@ -151,6 +158,18 @@
                 upstream_outcome outcome,
                 std::optional<upstream_load> const& load, qint64 bytes);
 
+    /** Compares the rate limit in an upstream's response with the known one.
+
+        A response may change a known limit only if its request was sent after
+        that limit was applied here: an earlier one may have been overtaken.
+
+        @param sent  the time at which the request was sent
+        @return the limit to apply, if it differs
+    */
+    std::optional<rate_limit_report>
+    observe_rate_limit(pool_member const& member, monotonic_time sent,
+                       response_metadata const& metadata) const;
+
     /** Returns the upstreams whose connection was lost and whose health should
         be probed now, before a request is sent to them. Counts the probes as
         started. */
@@ -179,6 +198,11 @@
         /** The earliest time of the next request while it is cold. */
         monotonic_time next_cold{};
         monotonic_time last_listed{};
+        /** The rate limit that it names, and since when it is applied. */
+        std::optional<requests_per_second> rate_limit;
+        monotonic_time rate_limit_since{};
+        /** This entry's share of the rate limit. */
+        rate_bucket bucket;
     };
 
     /** An upstream that may be chosen, with its rating for a request. */
@@ -209,6 +233,14 @@
                         monotonic_time now);
     bool is_usable(pool_member const& member, state const& tracked,
                    monotonic_time now) const;
+    static bool is_rate_limited(pool_member const& member, state const& tracked,
+                                monotonic_time now);
+    static void apply_rate_limit(pool_member const& member, state& tracked,
+                                 monotonic_time now);
+    /** Returns how many requests the upstream can process at the same time,
+        with its rate limit. */
+    static int usable_slots(pool_member const& member,
+                            double mean_processing_ms);
     candidate assess(pool_member const& member, state& tracked,
                      pool_query const& query, monotonic_time now);
     double crossing_cost(network_distance distance) const;
--- a/tests/platform/platform_upstream.hpp
+++ b/tests/platform/platform_upstream.hpp
@@ -14,6 +14,7 @@
 #include <atomic>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace verbenacove::support
 {
@@ -122,6 +123,16 @@
         return result;
     }
 
+    /** Names this rate limit in all answers; none if negative. */
+    std::atomic<double> rate_limit{-1};
+
+    /** Returns the time of each request that arrived. */
+    std::vector<std::chrono::steady_clock::time_point> arrivals() const
+    {
+        QMutexLocker const lock(&mutex_);
+        return arrivals_;
+    }
+
     /** Makes the next answers come without ending, and the connection break. */
     std::atomic<bool> loses_answers{false};
 
@@ -157,6 +168,7 @@
         {
             QMutexLocker const lock(&mutex_);
             ++runs_[id];
+            arrivals_.push_back(std::chrono::steady_clock::now());
         }
         if (request.path.endsWith(crasher))
         {
@@ -173,11 +185,17 @@
             exchange->respond({200, {{"Verbenacove-Request-Id", "x"}}, "?"});
             return;
         }
-        exchange->respond({200,
-                           {{"Verbenacove-Request-Id", id},
-                            {"Verbenacove-Response-Signature", "s-" + id},
-                            {"Verbenacove-Backend-Load", "1,0,4"}},
-                           "graded " + request.path + ' ' + request.body});
+        http_response response{200,
+                               {{"Verbenacove-Request-Id", id},
+                                {"Verbenacove-Response-Signature", "s-" + id},
+                                {"Verbenacove-Backend-Load", "1,0,4"}},
+                               "graded " + request.path + ' ' + request.body};
+        if (rate_limit >= 0)
+        {
+            response.headers.push_back(
+                {"Server-Limit", QByteArray::number(rate_limit)});
+        }
+        exchange->respond(response);
     }
 
     QString id_;
@@ -188,6 +206,7 @@
     std::atomic<int> crashes_ = 0;
     mutable QMutex mutex_;
     std::map<QByteArray, int> runs_;
+    std::vector<std::chrono::steady_clock::time_point> arrivals_;
     QThread thread_;
     QObject context_;
     std::unique_ptr<http_server> server_;
