Tell a response's request before believing what it says

What other operators saw: a faulty upstream wrote an earlier refusal once more; callers were told "not run" for requests that had run, or such a request ran at a second upstream.

It could happen here, on any connection: a refusal was acted on before its request id was compared.

Fix: an attempt is handed a predicate that says, when the head of a response is there, whether it belongs to the request. If not, the attempt ends as one that may have run, and its connection closes, so that the response that was due cannot meet the next request. A refusal without any id counts on a fresh connection only, where no earlier request was.

--- a/source/verbenacove/connection/upstream_answer.hpp
+++ b/source/verbenacove/connection/upstream_answer.hpp
@@ -27,6 +27,12 @@
     /** Takes bytes of the body; false when they are over the bound. */
     bool take_body(QByteArrayView bytes);
 
+    /** Returns true when the status and all headers have come. */
+    bool is_header_done() const { return is_header_done_; }
+
+    /** Returns the status and the headers so far. */
+    http_response const& head() const { return response_; }
+
     /** Returns true when a byte of an answer has come. */
     bool has_begun() const;
 
--- a/source/verbenacove/connection/upstream_attempt.cpp
+++ b/source/verbenacove/connection/upstream_attempt.cpp
@@ -244,10 +244,28 @@
     auto const length = size * count;
     self.last_progress_ = std::chrono::steady_clock::now();
     bool const is_taken =
-        self.answer_.take_header_line({bytes, static_cast<qsizetype>(length)});
+        self.take_header_line({bytes, static_cast<qsizetype>(length)});
     return is_taken ? length : 0;
 }
 
+bool upstream_attempt::take_header_line(QByteArrayView line)
+{
+    bool const was_done = answer_.is_header_done();
+    if (!answer_.take_header_line(line))
+    {
+        return false;
+    }
+    if (was_done || !answer_.is_header_done() || !request_.is_own_response)
+    {
+        return true;
+    }
+    auto const age = opened_socket_ == upstream_sockets::none
+                         ? connection_age::reused
+                         : connection_age::fresh;
+    is_foreign_response_ = !request_.is_own_response(answer_.head(), age);
+    return !is_foreign_response_;
+}
+
 size_t upstream_attempt::take_body(char* bytes, size_t size, size_t count,
                                    void* attempt)
 {
@@ -288,6 +306,10 @@
     {
         return attempt_end::oversized;
     }
+    if (is_foreign_response_)
+    {
+        return attempt_end::foreign_response;
+    }
     bool const is_whole = code == CURLE_OK && answer_.fault().isEmpty();
     return is_whole ? attempt_end::answered : attempt_end::failed_after_send;
 }
@@ -298,6 +320,10 @@
     {
         return QStringLiteral("The answer is over the bound.");
     }
+    if (is_foreign_response_)
+    {
+        return QStringLiteral("The response belongs to another request.");
+    }
     switch (held_back_)
     {
     case hold_back::none:
--- a/source/verbenacove/connection/upstream_attempt.hpp
+++ b/source/verbenacove/connection/upstream_attempt.hpp
@@ -84,6 +84,7 @@
     void set_headers();
     void append_header_line(QByteArray const& line);
     hold_back check_before_send(int local_port);
+    bool take_header_line(QByteArrayView line);
     attempt_end end_of(CURLcode code) const;
     QString reason_of(CURLcode code) const;
 
@@ -98,6 +99,7 @@
     upstream_sockets::descriptor opened_socket_ = upstream_sockets::none;
     hold_back held_back_ = hold_back::none;
     bool is_sent_ = false;
+    bool is_foreign_response_ = false;
     monotonic_time last_progress_;
 };
 
--- a/source/verbenacove/connection/upstream_client.hpp
+++ b/source/verbenacove/connection/upstream_client.hpp
@@ -31,12 +31,21 @@
     cancelled_before_send,
     cancelled_after_send,
     /** The answer was over the bound. */
-    oversized
+    oversized,
+    /** The response belongs to another request. */
+    foreign_response
 };
 
 /** Returns true when the upstream may have seen the request. */
 bool may_have_been_sent(attempt_end end);
 
+/** Whether a connection has carried an earlier request. */
+enum class connection_age
+{
+    fresh,
+    reused
+};
+
 /** One request to one upstream. */
 struct attempt_request
 {
@@ -60,6 +69,12 @@
     bool may_reuse_connection = false;
     /** The bound for an answer that has begun and then stands still. */
     milliseconds stall_timeout{5000};
+    /** Returns whether a response belongs to this request, by its status and
+        headers. One that does not ends the attempt and its connection: a
+        faulty upstream may repeat an earlier response. All are accepted when
+        not set. */
+    std::function<bool(http_response const& head, connection_age)>
+        is_own_response = {};
 };
 
 /** What became of an attempt. */
--- a/source/verbenacove/request/routed_request.cpp
+++ b/source/verbenacove/request/routed_request.cpp
@@ -220,9 +220,27 @@
     attempt.stall_timeout = attempt.time_left;
     attempt.maximum_response_bytes = maximum_response_size;
     attempt.may_reuse_connection = route_.is_idempotent;
+    attempt.is_own_response =
+        [this](http_response const& head, connection_age age)
+    {
+        return is_own_response(head, age);
+    };
     return attempt;
 }
 
+// An upstream that could not read the request may refuse it without its id. On
+// a fresh connection nothing else can be meant.
+bool routed_request::is_own_response(http_response const& head,
+                                     connection_age age) const
+{
+    auto const metadata = services_.header_codec.read_response(head);
+    bool const is_refusal =
+        metadata.is_not_executed || head.status == misdirected_status;
+    bool const may_lack_id = is_refusal && age == connection_age::fresh;
+    return metadata.request_id == metadata_.id ||
+           (may_lack_id && metadata.request_id.isEmpty());
+}
+
 void routed_request::handle_result(attempt_result result)
 {
     running_attempt_.reset();
@@ -233,11 +251,11 @@
     }
     if (result.end != attempt_end::answered)
     {
-        // A timeout does not indicate a crashed process; a broken connection
-        // may.
-        bool const has_timed_out =
-            result.end == attempt_end::timed_out_after_send;
-        handle_failure(result, has_timed_out
+        // Only a broken connection may indicate a crashed process.
+        bool const is_connection_intact =
+            result.end == attempt_end::timed_out_after_send ||
+            result.end == attempt_end::foreign_response;
+        handle_failure(result, is_connection_intact
                                    ? upstream_outcome::failure
                                    : upstream_outcome::connection_lost);
         return;
@@ -246,8 +264,7 @@
     bool const is_refusal = metadata.is_not_executed ||
                             result.response.status == misdirected_status;
     bool const is_invalid =
-        metadata.request_id != metadata_.id ||
-        (is_success(result.response.status) && metadata.signature.isEmpty());
+        is_success(result.response.status) && metadata.signature.isEmpty();
     if (is_refusal)
     {
         handle_not_executed(result, metadata);
@@ -255,8 +272,7 @@
     else if (is_invalid)
     {
         result.end = attempt_end::failed_after_send;
-        result.reason =
-            QStringLiteral("The response does not match the request.");
+        result.reason = QStringLiteral("The response has no signature.");
         handle_failure(result, upstream_outcome::failure);
     }
     else
--- a/tests/platform/platform_path_test.cpp
+++ b/tests/platform/platform_path_test.cpp
@@ -98,6 +98,24 @@
     }
 }
 
+TEST_CASE_FIXTURE(platform_fixture,
+                  "platform: a refusal of an earlier request comes again: no "
+                  "request is called not run, none runs twice")
+{
+    put_until_accepted(3, "unsafe", "r0");
+    REQUIRE(serves(0));
+    first.repeats_refusal = true;
+    second.repeats_refusal = true;
+    for (int i = 0; i < 6; ++i)
+    {
+        auto const id = "repeated-" + QByteArray::number(i);
+        auto const answer = call(0, id, "POST");
+        int const runs = first.runs(id) + second.runs(id);
+        CHECK(runs <= 1);
+        CHECK(answer.status == (runs == 1 ? 502 : 503));
+    }
+}
+
 TEST_CASE_FIXTURE(
     platform_fixture,
     "platform: a request crashes two upstreams: no entry sends it")
--- a/tests/platform/platform_upstream.hpp
+++ b/tests/platform/platform_upstream.hpp
@@ -136,6 +136,10 @@
     /** Makes the next answers come without ending, and the connection break. */
     std::atomic<bool> loses_answers{false};
 
+    /** Makes it run requests and answer each with the refusal of an earlier
+        one. */
+    std::atomic<bool> repeats_refusal{false};
+
     /** What a request's path ends with that crashes it. */
     static constexpr char crasher[] = "/crasher";
 
@@ -185,6 +189,14 @@
             exchange->respond({200, {{"Verbenacove-Request-Id", "x"}}, "?"});
             return;
         }
+        if (repeats_refusal)
+        {
+            exchange->respond({503,
+                               {{"Verbenacove-Request-Id", "earlier"},
+                                {"Verbenacove-Not-Executed", "1"}},
+                               {}});
+            return;
+        }
         http_response response{200,
                                {{"Verbenacove-Request-Id", id},
                                 {"Verbenacove-Response-Signature", "s-" + id},
