Test heads that are cut off and bytes without end from an upstream

Reports of other operators: a response cut off in its head reached callers as a whole 200; bytes that are no response may come until the caller closes. Neither happens here: a head without its empty line fails the attempt, and heads, bodies, interim responses, chunk extensions and trailers without end end it by their bound or the attempt's time, with the connection closed. Four more cuts and eight endless responses as tests; they pass on the code before as well.

--- a/tests/unit/upstream_client_test.cpp
+++ b/tests/unit/upstream_client_test.cpp
@@ -178,6 +178,10 @@
         "HTTP/1.1 20",
         ok,
         ok + "Content-Length: 4\r\n",
+        ok + "Content-Length: 0\r\n",
+        ok + "Content-Length: 0",
+        ok + "Content-Length: 0\r\n\r",
+        "HTTP/1.1 204 No Content\r\nX-A: b\r\nX",
         ok + "Content-Length: 4\r\n\r\n",
         ok + "Content-Length: 4\r\n\r\ndon",
         ok + "Transfer-Encoding: chunked\r\n\r\n",
@@ -329,6 +333,76 @@
     }
 }
 
+TEST_CASE_FIXTURE(client_fixture, "upstream client: an earlier request's "
+                                  "answer comes first: not taken, connection "
+                                  "closed")
+{
+    bool is_closed = false;
+    raw_upstream upstream(
+        [&](QTcpSocket& socket, QByteArray const&)
+        {
+            QObject::connect(&socket, &QTcpSocket::disconnected,
+                             [&is_closed] { is_closed = true; });
+            socket.write("HTTP/1.1 503 Full\r\nX-Id: earlier\r\n"
+                         "Content-Length: 0\r\n\r\n");
+        });
+    auto request = get_from(upstream.address());
+    request.is_own_response = [](http_response const& head, connection_age)
+    {
+        return find_http_header(head.headers, "X-Id") == "own";
+    };
+    auto const result = run_attempt(client, request);
+    CHECK(result.end == attempt_end::foreign_response);
+    CHECK(may_have_been_sent(result.end));
+    CHECK(wait_for([&] { return is_closed; }));
+    CHECK(upstream.requests == 1);
+}
+
+TEST_CASE_FIXTURE(client_fixture, "upstream client: bytes without end: the "
+                                  "attempt ends and the connection closes")
+{
+    struct endless_answer
+    {
+        QByteArray begin;
+        QByteArray repeated;
+    };
+    QByteArray const ok = "HTTP/1.1 200 OK\r\n";
+    QByteArray const chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+    std::vector<endless_answer> const answers{
+        {"", "a"},
+        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {ok, "X-A: b\r\n"},
+        {ok + "X-A: ", "a"},
+        {ok + "\r\n", "a"},
+        {chunked, "5\r\naaaaa\r\n"},
+        {chunked + "5;", "a"},
+        {chunked + "0\r\n", "X-T: a\r\n"},
+    };
+    for (auto const& answer : answers)
+    {
+        CAPTURE((answer.begin + answer.repeated).toStdString());
+        bool is_closed = false;
+        auto const block = answer.repeated.repeated(4096);
+        raw_upstream upstream(
+            [&](QTcpSocket& socket, QByteArray const&)
+            {
+                QObject::connect(&socket, &QTcpSocket::disconnected,
+                                 [&is_closed] { is_closed = true; });
+                QObject::connect(&socket, &QTcpSocket::bytesWritten,
+                                 [&socket, block] { socket.write(block); });
+                socket.write(answer.begin + block);
+            });
+        auto request = get_from(upstream.address());
+        request.time_left = milliseconds(1000);
+        auto const result = run_attempt(client, request);
+        CHECK(result.end != attempt_end::answered);
+        CHECK(may_have_been_sent(result.end));
+        CHECK(result.response.body.isEmpty());
+        CHECK(result.duration < milliseconds(2000));
+        CHECK(wait_for([&] { return is_closed; }));
+    }
+}
+
 TEST_CASE_FIXTURE(client_fixture, "upstream client: no listener: not sent")
 {
     QTcpServer server;
