Pause an upstream for as long as its refusal asks

Now the entry sends it no request and no probe until that time is over, at most 60 s; zero, a date or an unreadable value mean no pause. Each entry obeys what it was told itself. A new incarnation starts clean. Capacity for the overflow between regions leaves paused upstreams out.

--- a/source/verbenacove/request/route_header_codec.hpp
+++ b/source/verbenacove/request/route_header_codec.hpp
@@ -53,6 +53,9 @@
     std::optional<requests_per_second> rate_limit;
     /** True if the upstream sent a rate limit that cannot be read. */
     bool is_rate_limit_unreadable = false;
+    /** Time for which an upstream that refused a request wants no further ones
+        from this entry; absent if not sent, or if it cannot be read. */
+    std::optional<milliseconds> pause;
 };
 
 /** Reads and writes the steering headers that callers, entries and upstreams
--- a/source/verbenacove/request/routed_request.cpp
+++ b/source/verbenacove/request/routed_request.cpp
@@ -305,6 +305,7 @@
     if (!is_misdirected)
     {
         observe_rate_limit(metadata);
+        pause_upstream(metadata);
     }
     end_attempt(is_misdirected ? upstream_outcome::misdirected
                                : upstream_outcome::full,
@@ -353,6 +354,17 @@
     }
 }
 
+void routed_request::pause_upstream(response_metadata const& metadata)
+{
+    if (metadata.pause && metadata.pause->count() > 0)
+    {
+        pool_->upstreams.pause(choice_->member, *metadata.pause);
+        request_log.note("upstream.paused",
+                         {{"upstream", choice_->member.id.value()},
+                          {"pause_ms", qint64{metadata.pause->count()}}});
+    }
+}
+
 void routed_request::end_attempt(upstream_outcome outcome,
                                  attempt_report const& report)
 {
--- a/source/verbenacove/request/routed_request.hpp
+++ b/source/verbenacove/request/routed_request.hpp
@@ -120,6 +120,7 @@
                              response_metadata const& metadata);
     void handle_failure(attempt_result const& result, upstream_outcome outcome);
     void observe_rate_limit(response_metadata const& metadata);
+    void pause_upstream(response_metadata const& metadata);
     void end_attempt(upstream_outcome outcome, attempt_report const& report);
     /** Returns whether another attempt may follow; if it needs the retry
         budget, also takes it from there. */
--- a/source/verbenacove/request/upstream_pool.cpp
+++ b/source/verbenacove/request/upstream_pool.cpp
@@ -30,7 +30,6 @@
 /** The weight of the random preference of requests without an object, relative
     to the preference of an object. */
 constexpr double jitter_share = 0.1;
-constexpr double one_second_ms = 1000;
 
 /** Maps an object to a number from 0 to 1, the same at all entries. */
 double stable_fraction(QByteArray const& key)
@@ -84,41 +83,6 @@
     return ended;
 }
 
-void upstream_pool::apply_rate_limit(pool_member const& member, state& tracked,
-                                     monotonic_time now)
-{
-    auto const whole = member.rate_limit
-                           ? std::optional(member.rate_limit->whole)
-                           : std::nullopt;
-    if (tracked.rate_limit != whole)
-    {
-        tracked.rate_limit = whole;
-        tracked.rate_limit_since = now;
-    }
-    if (member.rate_limit)
-    {
-        tracked.bucket.set_rate(member.rate_limit->share, now);
-    }
-}
-
-bool upstream_pool::is_rate_limited(pool_member const& member,
-                                    state const& tracked, monotonic_time now)
-{
-    return member.rate_limit && !tracked.bucket.has_token(now);
-}
-
-int upstream_pool::usable_slots(pool_member const& member,
-                                double mean_processing_ms)
-{
-    if (!member.rate_limit)
-    {
-        return member.slots.value();
-    }
-    auto const busy =
-        member.rate_limit->whole.value() * mean_processing_ms / one_second_ms;
-    return std::min(member.slots.value(), static_cast<int>(std::ceil(busy)));
-}
-
 bool upstream_pool::is_allowed(pool_member const& member,
                                pool_query const& query) const
 {
@@ -140,7 +104,7 @@
 bool upstream_pool::is_usable(pool_member const& member, state const& tracked,
                               monotonic_time now) const
 {
-    if (tracked.monitor->is_ejected(now))
+    if (tracked.monitor->is_ejected(now) || now < tracked.paused_until)
     {
         return false;
     }
@@ -330,8 +294,9 @@
     for (auto const& member : members_)
     {
         auto const& tracked = states_[member.id];
-        bool const has_capacity =
-            !is_cold(member, tracked, now) && !tracked.monitor->is_ejected(now);
+        bool const has_capacity = !is_cold(member, tracked, now) &&
+                                  !tracked.monitor->is_ejected(now) &&
+                                  now >= tracked.paused_until;
         bool const is_local = member.region == settings_.region;
         int const slots =
             has_capacity ? usable_slots(member, capacity.mean_processing_ms)
@@ -463,33 +428,15 @@
     }
 }
 
-std::optional<rate_limit_report>
-upstream_pool::observe_rate_limit(pool_member const& member,
-                                  monotonic_time sent,
-                                  response_metadata const& metadata) const
-{
-    auto const tracked = states_.constFind(member.id);
-    bool const is_known =
-        tracked != states_.cend() && tracked->started == member.started;
-    if (!is_known || metadata.is_rate_limit_unreadable ||
-        metadata.rate_limit == tracked->rate_limit)
-    {
-        return std::nullopt;
-    }
-    if (tracked->rate_limit && sent < tracked->rate_limit_since)
-    {
-        return std::nullopt;
-    }
-    return rate_limit_report{member.id, member.started, metadata.rate_limit};
-}
-
 std::vector<pool_member> upstream_pool::start_due_probes()
 {
     auto const now = clock_.now();
     std::vector<pool_member> result;
     for (auto const& member : members_)
     {
-        if (states_[member.id].monitor->start_due_probe(now))
+        auto const& tracked = states_[member.id];
+        if (now >= tracked.paused_until &&
+            tracked.monitor->start_due_probe(now))
         {
             result.push_back(member);
         }
--- a/source/verbenacove/request/upstream_pool.hpp
+++ b/source/verbenacove/request/upstream_pool.hpp
@@ -170,6 +170,10 @@
     observe_rate_limit(pool_member const& member, monotonic_time sent,
                        response_metadata const& metadata) const;
 
+    /** Sends an upstream nothing for the time that its refusal asks for. Other
+        entries are not affected: the upstream asks each of them by itself. */
+    void pause(pool_member const& member, milliseconds duration);
+
     /** Returns the upstreams whose connection was lost and whose health should
         be probed now, before a request is sent to them. Counts the probes as
         started. */
@@ -203,6 +207,8 @@
         monotonic_time rate_limit_since{};
         /** This entry's share of the rate limit. */
         rate_bucket bucket;
+        /** The end of the time for which it wants no requests. */
+        monotonic_time paused_until{};
     };
 
     /** An upstream that may be chosen, with its rating for a request. */
--- a/tests/platform/platform_documents_test.cpp
+++ b/tests/platform/platform_documents_test.cpp
@@ -271,3 +271,23 @@
         CHECK(dialect.read_response(answer).is_rate_limit_unreadable);
     }
 }
+
+TEST_CASE("platform dialect: pause of an upstream: decoded, bounded or ignored")
+{
+    platform_dialect const dialect;
+    auto const pause_of = [&dialect](char const* value)
+    {
+        http_response answer;
+        answer.headers = {{"Retry-After", value}};
+        return dialect.read_response(answer).pause;
+    };
+    CHECK(pause_of("2") == milliseconds(2000));
+    CHECK(pause_of("0.25") == milliseconds(250));
+    CHECK(pause_of("0") == milliseconds(0));
+    CHECK(pause_of("1e9") == milliseconds(60000));
+    for (char const* const value :
+         {"", "-1", "nan", "soon", "1;2", "Sat, 05 Dec 2026 00:00:00 GMT"})
+    {
+        CHECK_FALSE(pause_of(value));
+    }
+}
--- a/tests/unit/steering_pool_test.cpp
+++ b/tests/unit/steering_pool_test.cpp
@@ -365,6 +365,42 @@
     CHECK(sent == 5);
 }
 
+TEST_CASE_FIXTURE(pool_fixture,
+                  "upstream pool: a refusal asks for a pause: nothing is sent "
+                  "until it ends, also no probe")
+{
+    pool.update({member("a", "wcape", "wcape-a")}, 1, 1);
+    REQUIRE(choose(query("key")) == QStringLiteral("a"));
+    finish(upstream_outcome::full, milliseconds(10));
+    pool.pause(last.member, milliseconds(3000));
+    pool.pause(last.member, milliseconds(1000));
+    for (int tick = 0; tick < 29; ++tick)
+    {
+        clock.advance(milliseconds(100));
+        CHECK(choose(query("key")) == QStringLiteral("none"));
+        CHECK(pool.start_due_probes().empty());
+    }
+    clock.advance(milliseconds(100));
+    CHECK(choose(query("key")) == QStringLiteral("a"));
+}
+
+TEST_CASE_FIXTURE(pool_fixture,
+                  "upstream pool: a new incarnation after a pause: it gets "
+                  "requests at once")
+{
+    auto upstream = member("a", "wcape", "wcape-a");
+    pool.update({upstream}, 1, 1);
+    REQUIRE(choose(query("key")) == QStringLiteral("a"));
+    auto const former = last.member;
+    pool.pause(former, milliseconds(3000));
+    upstream.started = incarnation(2);
+    pool.update({upstream}, 1, 1);
+    CHECK(choose(query("key")) == QStringLiteral("a"));
+    finish(upstream_outcome::success, milliseconds(10));
+    pool.pause(former, milliseconds(3000));
+    CHECK(choose(query("key")) == QStringLiteral("a"));
+}
+
 TEST_CASE_FIXTURE(pool_fixture,
                   "upstream pool: no response possible in time: none is chosen")
 {
