Send nothing more to an upstream that says it leaves

Until now an entry learned it from a replica only. Now the response, also one to a probe, marks the incarnation as leaving; no later membership update brings it back, a new incarnation starts clean.

--- a/source/verbenacove/process/routing/route_traffic.cpp
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -294,7 +294,7 @@
                             metadata.responder == member.id;
     if (metadata.responder == member.id)
     {
-        observe_rate_limit(*target, member, result, metadata);
+        apply_signals(*target, member, result, metadata);
     }
     if (result.end == attempt_end::connect_failed)
     {
@@ -310,11 +310,15 @@
                                           cold_start_remaining);
 }
 
-void route_traffic::observe_rate_limit(routed_pool const& target,
-                                       pool_member const& member,
-                                       attempt_result const& result,
-                                       response_metadata const& metadata) const
+void route_traffic::apply_signals(routed_pool& target,
+                                  pool_member const& member,
+                                  attempt_result const& result,
+                                  response_metadata const& metadata) const
 {
+    if (metadata.is_leaving)
+    {
+        target.upstreams.mark_leaving(member);
+    }
     auto const sent = clock_.now() - result.duration;
     if (auto const report =
             target.upstreams.observe_rate_limit(member, sent, metadata))
--- a/source/verbenacove/process/routing/route_traffic.hpp
+++ b/source/verbenacove/process/routing/route_traffic.hpp
@@ -90,11 +90,10 @@
     void handle_probe_response(std::shared_ptr<routed_pool> const& target,
                                pool_member const& member,
                                attempt_result const& result);
-    /** Reports the rate limit in a response to a probe. */
-    void observe_rate_limit(routed_pool const& target,
-                            pool_member const& member,
-                            attempt_result const& result,
-                            response_metadata const& metadata) const;
+    /** Applies what an upstream asks for in its response to a probe. */
+    void apply_signals(routed_pool& target, pool_member const& member,
+                       attempt_result const& result,
+                       response_metadata const& metadata) const;
     void update_pool(service_name const& service,
                      std::vector<pool_member> members);
     void report_crashes();
--- a/source/verbenacove/request/route_header_codec.hpp
+++ b/source/verbenacove/request/route_header_codec.hpp
@@ -56,6 +56,8 @@
     /** Time for which an upstream that refused a request wants no further ones
         from this entry; absent if not sent, or if it cannot be read. */
     std::optional<milliseconds> pause;
+    /** True if the upstream is about to end and wants no further requests. */
+    bool is_leaving = false;
 };
 
 /** Reads and writes the steering headers that callers, entries and upstreams
--- a/source/verbenacove/request/routed_request.cpp
+++ b/source/verbenacove/request/routed_request.cpp
@@ -285,7 +285,7 @@
                                      response_metadata const& metadata)
 {
     bool const has_failed = result.response.status >= lowest_server_error;
-    observe_rate_limit(metadata);
+    apply_signals(metadata);
     end_attempt(has_failed ? upstream_outcome::failure
                            : upstream_outcome::success,
                 {metadata, result.response.body.size(), {}});
@@ -304,8 +304,11 @@
     bool const is_misdirected = result.response.status == misdirected_status;
     if (!is_misdirected)
     {
-        observe_rate_limit(metadata);
-        pause_upstream(metadata);
+        apply_signals(metadata);
+    }
+    if (!is_misdirected && metadata.pause.value_or(milliseconds(0)).count() > 0)
+    {
+        pause_upstream(*metadata.pause);
     }
     end_attempt(is_misdirected ? upstream_outcome::misdirected
                                : upstream_outcome::full,
@@ -344,7 +347,7 @@
     respond_not_run("unreachable");
 }
 
-void routed_request::observe_rate_limit(response_metadata const& metadata)
+void routed_request::apply_signals(response_metadata const& metadata)
 {
     auto const report = pool_->upstreams.observe_rate_limit(
         choice_->member, choice_->started, metadata);
@@ -352,17 +355,19 @@
     {
         services_.on_rate_limit(*report);
     }
+    if (metadata.is_leaving && pool_->upstreams.mark_leaving(choice_->member))
+    {
+        request_log.note("upstream.leaving",
+                         {{"upstream", choice_->member.id.value()}});
+    }
 }
 
-void routed_request::pause_upstream(response_metadata const& metadata)
+void routed_request::pause_upstream(milliseconds duration)
 {
-    if (metadata.pause && metadata.pause->count() > 0)
-    {
-        pool_->upstreams.pause(choice_->member, *metadata.pause);
-        request_log.note("upstream.paused",
-                         {{"upstream", choice_->member.id.value()},
-                          {"pause_ms", qint64{metadata.pause->count()}}});
-    }
+    pool_->upstreams.pause(choice_->member, duration);
+    request_log.note("upstream.paused",
+                     {{"upstream", choice_->member.id.value()},
+                      {"pause_ms", qint64{duration.count()}}});
 }
 
 void routed_request::end_attempt(upstream_outcome outcome,
--- a/source/verbenacove/request/routed_request.hpp
+++ b/source/verbenacove/request/routed_request.hpp
@@ -119,8 +119,9 @@
     void handle_not_executed(attempt_result const& result,
                              response_metadata const& metadata);
     void handle_failure(attempt_result const& result, upstream_outcome outcome);
-    void observe_rate_limit(response_metadata const& metadata);
-    void pause_upstream(response_metadata const& metadata);
+    /** Applies what an upstream asks for in its response. */
+    void apply_signals(response_metadata const& metadata);
+    void pause_upstream(milliseconds duration);
     void end_attempt(upstream_outcome outcome, attempt_report const& report);
     /** Returns whether another attempt may follow; if it needs the retry
         budget, also takes it from there. */
--- a/source/verbenacove/request/upstream_pool.cpp
+++ b/source/verbenacove/request/upstream_pool.cpp
@@ -104,7 +104,7 @@
 bool upstream_pool::is_usable(pool_member const& member, state const& tracked,
                               monotonic_time now) const
 {
-    if (tracked.monitor->is_ejected(now) || now < tracked.paused_until)
+    if (tracked.monitor->is_ejected(now) || wants_nothing(tracked, now))
     {
         return false;
     }
@@ -296,7 +296,7 @@
         auto const& tracked = states_[member.id];
         bool const has_capacity = !is_cold(member, tracked, now) &&
                                   !tracked.monitor->is_ejected(now) &&
-                                  now >= tracked.paused_until;
+                                  !wants_nothing(tracked, now);
         bool const is_local = member.region == settings_.region;
         int const slots =
             has_capacity ? usable_slots(member, capacity.mean_processing_ms)
@@ -435,7 +435,7 @@
     for (auto const& member : members_)
     {
         auto const& tracked = states_[member.id];
-        if (now >= tracked.paused_until &&
+        if (!wants_nothing(tracked, now) &&
             tracked.monitor->start_due_probe(now))
         {
             result.push_back(member);
--- a/source/verbenacove/request/upstream_pool.hpp
+++ b/source/verbenacove/request/upstream_pool.hpp
@@ -174,6 +174,12 @@
         entries are not affected: the upstream asks each of them by itself. */
     void pause(pool_member const& member, milliseconds duration);
 
+    /** Sends an incarnation that is about to end nothing more.
+
+        @return whether that was not known before
+    */
+    bool mark_leaving(pool_member const& member);
+
     /** Returns the upstreams whose connection was lost and whose health should
         be probed now, before a request is sent to them. Counts the probes as
         started. */
@@ -209,6 +215,7 @@
         rate_bucket bucket;
         /** The end of the time for which it wants no requests. */
         monotonic_time paused_until{};
+        bool is_leaving = false;
     };
 
     /** An upstream that may be chosen, with its rating for a request. */
@@ -239,6 +246,11 @@
                         monotonic_time now);
     bool is_usable(pool_member const& member, state const& tracked,
                    monotonic_time now) const;
+    /** Returns whether the upstream itself has said that it wants nothing. */
+    static bool wants_nothing(state const& tracked, monotonic_time now)
+    {
+        return tracked.is_leaving || now < tracked.paused_until;
+    }
     static bool is_rate_limited(pool_member const& member, state const& tracked,
                                 monotonic_time now);
     static void apply_rate_limit(pool_member const& member, state& tracked,
--- a/source/verbenacove/request/upstream_pool_limits.cpp
+++ b/source/verbenacove/request/upstream_pool_limits.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace verbenacove
 {
@@ -13,7 +14,7 @@
 
 } // namespace
 
-// What upstreams ask for in their responses: rate limits and pauses.
+// What upstreams ask for in their responses.
 
 void upstream_pool::apply_rate_limit(pool_member const& member, state& tracked,
                                      monotonic_time now)
@@ -80,4 +81,12 @@
     }
 }
 
+bool upstream_pool::mark_leaving(pool_member const& member)
+{
+    auto const tracked = states_.find(member.id);
+    bool const is_known =
+        tracked != states_.end() && tracked->started == member.started;
+    return is_known && !std::exchange(tracked->is_leaving, true);
+}
+
 } // namespace verbenacove
--- a/tests/platform/platform_documents_test.cpp
+++ b/tests/platform/platform_documents_test.cpp
@@ -272,6 +272,17 @@
     }
 }
 
+TEST_CASE("platform dialect: an upstream that leaves: decoded")
+{
+    platform_dialect const dialect;
+    http_response answer;
+    CHECK_FALSE(dialect.read_response(answer).is_leaving);
+    answer.headers = {{"Server-Leaving", "0"}};
+    CHECK_FALSE(dialect.read_response(answer).is_leaving);
+    answer.headers = {{"server-leaving", " 1 "}};
+    CHECK(dialect.read_response(answer).is_leaving);
+}
+
 TEST_CASE("platform dialect: pause of an upstream: decoded, bounded or ignored")
 {
     platform_dialect const dialect;
--- a/tests/platform/platform_upstream.hpp
+++ b/tests/platform/platform_upstream.hpp
@@ -136,6 +136,13 @@
     /** Makes the next answers come without ending, and the connection break. */
     std::atomic<bool> loses_answers{false};
 
+    /** Says in all answers that it leaves. */
+    std::atomic<bool> says_leaving{false};
+
+    /** Refuses requests and asks for a pause of so many seconds; none if
+        zero. */
+    std::atomic<int> refusal_pause_s{0};
+
     /** Makes it run requests and answer each with the refusal of an earlier
         one. */
     std::atomic<bool> repeats_refusal{false};
@@ -189,6 +196,16 @@
             exchange->respond({200, {{"Verbenacove-Request-Id", "x"}}, "?"});
             return;
         }
+        if (refusal_pause_s > 0)
+        {
+            exchange->respond(
+                {503,
+                 {{"Verbenacove-Request-Id", id},
+                  {"Verbenacove-Not-Executed", "1"},
+                  {"Retry-After", QByteArray::number(refusal_pause_s)}},
+                 {}});
+            return;
+        }
         if (repeats_refusal)
         {
             exchange->respond({503,
@@ -202,6 +219,10 @@
                                 {"Verbenacove-Response-Signature", "s-" + id},
                                 {"Verbenacove-Backend-Load", "1,0,4"}},
                                "graded " + request.path + ' ' + request.body};
+        if (says_leaving)
+        {
+            response.headers.push_back({"Server-Leaving", "1"});
+        }
         if (rate_limit >= 0)
         {
             response.headers.push_back(
--- a/tests/unit/steering_pool_test.cpp
+++ b/tests/unit/steering_pool_test.cpp
@@ -401,6 +401,25 @@
     CHECK(choose(query("key")) == QStringLiteral("a"));
 }
 
+TEST_CASE_FIXTURE(pool_fixture,
+                  "upstream pool: an upstream says that it leaves: nothing is "
+                  "sent, also when it is listed again")
+{
+    auto upstream = member("a", "wcape", "wcape-a");
+    pool.update({upstream}, 1, 1);
+    REQUIRE(choose(query("key")) == QStringLiteral("a"));
+    CHECK(pool.mark_leaving(last.member));
+    CHECK_FALSE(pool.mark_leaving(last.member));
+    finish(upstream_outcome::success, milliseconds(10));
+    CHECK(choose(query("key")) == QStringLiteral("none"));
+    pool.update({}, 1, 1);
+    pool.update({upstream}, 1, 1);
+    CHECK(choose(query("key")) == QStringLiteral("none"));
+    upstream.started = incarnation(2);
+    pool.update({upstream}, 1, 1);
+    CHECK(choose(query("key")) == QStringLiteral("a"));
+}
+
 TEST_CASE_FIXTURE(pool_fixture,
                   "upstream pool: no response possible in time: none is chosen")
 {
