--- a/tests/unit/entry_lookup_test.cpp
+++ b/tests/unit/entry_lookup_test.cpp
@@ -64,3 +64,23 @@
     add("ecape-a", "ecape", 2);
     CHECK(found() == 1);
 }
+
+TEST_CASE(
+    "entry look-up: no entry in the zone: entries of the region are returned")
+{
+    entry_view near;
+    near.id = entry_id(QStringLiteral("near"));
+    near.zone = zone_name(QStringLiteral("wcape-b"));
+    near.region = region_name(QStringLiteral("wcape"));
+    entry_view far = near;
+    far.id = entry_id(QStringLiteral("far"));
+    far.region = region_name(QStringLiteral("ecape"));
+    far.zone = zone_name(QStringLiteral("ecape-a"));
+    location const caller{region_name(QStringLiteral("wcape")),
+                          zone_name(QStringLiteral("wcape-a"))};
+    auto const found = nearest_entries(caller, {far, near}, 64);
+    REQUIRE(found.size() == 1);
+    CHECK(found[0].id == near.id);
+    CHECK(nearest_entries(caller, {far}, 64).size() == 1);
+    CHECK(nearest_entries(caller, {}, 64).empty());
+}
