Answer a searching entry briefly when a replica has no leader

Cause: an entry whose replica loses its leader asks the others one after the other. Each one without a leader first sent its whole membership view, 0.1 to 0.4 s over the entry's link of 2 Mbit/s, and the entry paused 0.1 to 0.2 s after each.

Change: a searching entry asks for a brief response, which leaves out the view if the replica has no leader. It still reads one view every 2 s, so that it hears of upstreams while no replica has a leader. It pauses once all replicas were asked, no longer after each.

--- a/source/verbenacove/process/discovery/discovery_service.cpp
+++ b/source/verbenacove/process/discovery/discovery_service.cpp
@@ -177,7 +177,12 @@
 void discovery_service::respond(waiting_reader const& reader)
 {
     bool const is_replica = cbor_flag(reader.request, "replica");
-    auto response = membership_.updates_since(reader.position, is_replica);
+    // An entry that looks for a replica with a leader would receive the view of
+    // each one without over its narrow link.
+    bool const is_brief = cbor_flag(reader.request, "brief") && !is_current();
+    auto response =
+        is_brief ? QCborMap()
+                 : membership_.updates_since(reader.position, is_replica);
     response[QLatin1String("status")] = QLatin1String("ok");
     response[QLatin1String("current")] = is_current();
     response[QLatin1String("settled")] = settling_.is_settled();
--- a/source/verbenacove/process/discovery/replica_link.cpp
+++ b/source/verbenacove/process/discovery/replica_link.cpp
@@ -29,10 +29,12 @@
     2 Mbit/s. */
 constexpr milliseconds maximum_read_duration{10000};
 constexpr milliseconds phase_report_timeout{500};
-/** Limits the request rate of an entry that looks for a replica with a leader.
-    With a dozen replicas it still queries each of them within the time allowed
-    for a change to become active. */
-constexpr milliseconds pause_between_reads{100};
+/** Pause of an entry that has asked all replicas and found none with a leader.
+    Limits its request rate while there is none. */
+constexpr milliseconds pause_between_rounds{300};
+/** Interval at which an entry that finds no replica with a leader still reads
+    the membership view of one without. */
+constexpr milliseconds leaderless_view_interval{2000};
 
 // The view of an entry is not read by others, so it needs no identifier.
 qint64 no_view_id()
@@ -151,6 +153,9 @@
     // one is requested.
     auto const requested_hold = was_replica_current_ ? hold : milliseconds(0);
     auto message = make_request(requested_hold);
+    message[QLatin1String("brief")] =
+        !was_replica_current_ &&
+        elapsed(last_view_, read_started_) < leaderless_view_interval;
     received_crashes_.add_to(message);
     auto const sent_crashes =
         add_crashes(message, own_crashes_, confirmed_crashes_);
@@ -183,10 +188,14 @@
     if (!is_successful(reply))
     {
         leave_replica(from, "no response");
-        pause_or_read();
+        continue_search();
         return;
     }
-    position_ = membership_.merge(*reply);
+    if (reply->contains(QLatin1String("next")))
+    {
+        position_ = membership_.merge(*reply);
+        last_view_ = clock_.now();
+    }
     report_received_crashes(*reply);
     was_replica_current_ = cbor_flag(*reply, "current");
     if (was_replica_current_)
@@ -194,6 +203,7 @@
         selector_.record_success(from);
         has_changes_ = has_changes_ || !has_synchronised_;
         has_synchronised_ = true;
+        failed_reads_ = 0;
         apply_routes(*reply);
     }
     if (std::exchange(has_changes_, false))
@@ -203,22 +213,22 @@
     if (!was_replica_current_)
     {
         leave_replica(from, "no contact with a leader");
-        next_read_ = clock_.now() + pause_between_reads;
+        continue_search();
         return;
     }
     read();
 }
 
-// Reads another replica immediately after a first failure. Pauses between
-// further attempts, to avoid a busy loop while all replicas are down.
-void replica_link::pause_or_read()
+void replica_link::continue_search()
 {
-    if (std::exchange(was_replica_current_, false))
+    was_replica_current_ = false;
+    ++failed_reads_;
+    if (failed_reads_ % selector_.candidate_count(membership_) == 0)
     {
-        read();
+        next_read_ = clock_.now() + pause_between_rounds;
         return;
     }
-    next_read_ = clock_.now() + pause_between_reads;
+    read();
 }
 
 void replica_link::report_received_crashes(QCborMap const& reply)
--- a/source/verbenacove/process/discovery/replica_link.hpp
+++ b/source/verbenacove/process/discovery/replica_link.hpp
@@ -89,7 +89,8 @@
     QCborMap make_request(milliseconds hold_time);
     void handle_response(socket_address const& from, quint64 number,
                          std::optional<QCborMap> const& reply);
-    void pause_or_read();
+    /** Reads the next replica, or pauses when all have been tried. */
+    void continue_search();
     void apply_routes(QCborMap const& reply);
     void report_received_crashes(QCborMap const& reply);
     void leave_replica(socket_address const& failed, char const* reason);
@@ -122,7 +123,11 @@
     /** Whether the replica that was read last had contact with a leader; also
         false after a read without response. */
     bool was_replica_current_ = true;
+    /** Number of reads since a replica with a leader was read last. */
+    std::size_t failed_reads_ = 0;
     monotonic_time next_read_{};
+    /** Time at which a membership view, or changes of one, were read last. */
+    monotonic_time last_view_{};
     monotonic_time read_started_{};
     /** Lag of the control thread since the last logged read. */
     loop_lag lag_;
--- a/source/verbenacove/process/discovery/replica_selector.cpp
+++ b/source/verbenacove/process/discovery/replica_selector.cpp
@@ -66,6 +66,18 @@
                                     : std::optional(best->address);
 }
 
+std::size_t
+replica_selector::candidate_count(membership_view const& membership) const
+{
+    auto const& known = membership.replicas();
+    auto const unlisted_seeds =
+        std::count_if(seeds_.begin(), seeds_.end(),
+                      [&known](socket_address const& seed)
+                      { return known.find(seed.text()) == nullptr; });
+    return static_cast<std::size_t>(
+        std::max(qint64{1}, qint64{known.records().size()} + unlisted_seeds));
+}
+
 bool replica_selector::has_nearer(socket_address const& current,
                                   membership_view const& membership,
                                   monotonic_time now) const
--- a/source/verbenacove/process/discovery/replica_selector.hpp
+++ b/source/verbenacove/process/discovery/replica_selector.hpp
@@ -47,6 +47,10 @@
     std::optional<socket_address> choose(membership_view const& membership,
                                          monotonic_time now);
 
+    /** Returns the number of replicas among which `choose` selects, at least
+        one. */
+    std::size_t candidate_count(membership_view const& membership) const;
+
     /** Returns whether a usable replica is nearer than the current one. */
     bool has_nearer(socket_address const& current,
                     membership_view const& membership,
