Send heartbeats beside large replication messages

Cause: a leader sends a peer one message at a time, with a fixed timeout of 500 ms. An entry of 417 KB takes longer between regions. Until it is given up the peer gets no heartbeat, so the leader misses its majority ("No majority answers; stepping down", 1.3 s after the order) and the followers elect anew. The next leader sends the same entry. Class: a timeout that does not depend on the size of what it waits for, and liveness messages queued behind data.

Change: messages over 32 KiB go by a connection of their own, with a timeout that grows with their size; empty appends go on beside them.

Test: "raft: an entry that takes longer to send than an election: committed under the same leader" failed before: not committed in 4 s, another term.

--- a/source/verbenacove/process/raft_node.hpp
+++ b/source/verbenacove/process/raft_node.hpp
@@ -35,7 +35,11 @@
     /** A follower that hears nothing for this long, to twice as long, asks
         for votes; a leader without a majority for this long steps down. */
     milliseconds election_timeout{600};
+    /** Time in which a small message is answered. */
     milliseconds call_timeout{500};
+    /** Rate at which a large message is expected to be transferred at least,
+        in bytes per second; added to `call_timeout`. */
+    qint64 minimum_bulk_rate = 256 * 1024;
     /** A log larger than this is replaced by a snapshot, in bytes. */
     qint64 snapshot_after_bytes = 32 * 1024 * 1024;
     int maximum_batch_entries = 512;
@@ -70,6 +74,14 @@
     /** Sends a message; calls back once, never from within this call. */
     virtual void send(socket_address const& to, QCborMap message,
                       milliseconds timeout, callback done) = 0;
+
+    /** Like `send`, for a message that takes long to transfer: messages of
+        `send` do not wait for it, and it may arrive after later ones. */
+    virtual void send_bulk(socket_address const& to, QCborMap message,
+                           milliseconds timeout, callback done)
+    {
+        send(to, std::move(message), timeout, std::move(done));
+    }
 };
 
 /** One replica of the log: elects a leader, replicates commands, applies
@@ -195,6 +207,10 @@
         raft_member member;
         bool is_voter = false;
         bool is_waiting = false;
+        /** The message in flight is a large one; heartbeats are sent beside
+            it. */
+        bool is_waiting_for_bulk = false;
+        bool is_waiting_for_heartbeat = false;
         /** The last message was lost or not taken; the next waits. */
         bool is_failing = false;
         log_index next;
@@ -245,9 +261,20 @@
     void replicate();
     void replicate_to(replica_id const& id);
     void send_entries(peer_progress& peer);
+    /** Sends a message without entries while a large one is in flight, so that
+        the leader and the follower still hear of each other. */
+    void send_heartbeat(peer_progress& peer);
+    /** Sends entries or a part of a snapshot.
+
+        @param bytes  size of what the message carries
+    */
+    void send_content(peer_progress& peer, QCborMap message, qint64 bytes,
+                      raft_transport::callback done);
     void send_snapshot(peer_progress& peer);
     void take_append_reply(replica_id const& id, monotonic_time sent,
                            std::optional<QCborMap> const& reply);
+    void take_heartbeat_reply(replica_id const& id, monotonic_time sent,
+                              std::optional<QCborMap> const& reply);
     void take_snapshot_reply(replica_id const& id, monotonic_time sent,
                              std::optional<QCborMap> const& reply);
     bool take_reply_header(peer_progress& peer, monotonic_time sent,
--- a/source/verbenacove/process/raft_node_detail.hpp
+++ b/source/verbenacove/process/raft_node_detail.hpp
@@ -18,6 +18,8 @@
 constexpr milliseconds name_in_use_for{5000};
 constexpr milliseconds compaction_interval{1000};
 constexpr int hand_over_timeouts = 2;
+/** A larger message may take longer than a heartbeat may be late. */
+constexpr qint64 maximum_small_message_bytes = 32 * 1024;
 
 inline QString named(raft_member const& member)
 {
--- a/source/verbenacove/process/raft_replication.cpp
+++ b/source/verbenacove/process/raft_replication.cpp
@@ -70,11 +70,16 @@
 void raft_node::replicate_to(replica_id const& id)
 {
     auto const found = peers_.find(id);
-    if (found == peers_.end() || found->second.is_waiting)
+    if (found == peers_.end())
     {
         return;
     }
     auto& peer = found->second;
+    if (peer.is_waiting)
+    {
+        send_heartbeat(peer);
+        return;
+    }
     auto const now = clock_.now();
     bool const has_news =
         peer.next <= storage_.last_index() || peer.snapshot != nullptr;
@@ -122,16 +127,59 @@
     }
     message[QLatin1String("entries")] = entries;
     std::weak_ptr<bool> const alive = is_alive_;
-    transport_.send(
-        peer.member.address, std::move(message), settings_.call_timeout,
-        [this, alive, id = peer.member.identity, sent = clock_.now(),
-         sent_term = term()](std::optional<QCborMap> const& answer)
-        {
-            if (!alive.expired() && term() == sent_term)
-            {
-                take_append_reply(id, sent, answer);
-            }
-        });
+    send_content(peer, std::move(message), bytes,
+                 [this, alive, id = peer.member.identity, sent = clock_.now(),
+                  sent_term = term()](std::optional<QCborMap> const& answer)
+                 {
+                     if (!alive.expired() && term() == sent_term)
+                     {
+                         take_append_reply(id, sent, answer);
+                     }
+                 });
+}
+
+void raft_node::send_content(peer_progress& peer, QCborMap message,
+                             qint64 bytes, raft_transport::callback done)
+{
+    peer.is_waiting_for_bulk = bytes > maximum_small_message_bytes;
+    if (!peer.is_waiting_for_bulk)
+    {
+        transport_.send(peer.member.address, std::move(message),
+                        settings_.call_timeout, std::move(done));
+        return;
+    }
+    milliseconds const transfer(bytes * 1000 / settings_.minimum_bulk_rate);
+    transport_.send_bulk(peer.member.address, std::move(message),
+                         settings_.call_timeout + transfer, std::move(done));
+}
+
+void raft_node::send_heartbeat(peer_progress& peer)
+{
+    auto const now = clock_.now();
+    bool const is_due = elapsed(peer.last_sent, now) >= settings_.heartbeat;
+    if (!peer.is_waiting_for_bulk || peer.is_waiting_for_heartbeat || !is_due)
+    {
+        return;
+    }
+    peer.last_sent = now;
+    peer.is_waiting_for_heartbeat = true;
+    auto message = message_to(peer.member, "raft.append");
+    message[QLatin1String("previous_index")] = peer.match.value();
+    message[QLatin1String("previous_term")] =
+        storage_.term_at(peer.match).value_or(log_term(0)).value();
+    message[QLatin1String("commit")] = commit_index_.value();
+    message[QLatin1String("entries")] = QCborArray();
+    std::weak_ptr<bool> const alive = is_alive_;
+    transport_.send(peer.member.address, std::move(message),
+                    settings_.call_timeout,
+                    [this, alive, id = peer.member.identity, sent = now,
+                     sent_term = term()](std::optional<QCborMap> const& answer)
+                    {
+                        if (!alive.expired() && term() == sent_term)
+                        {
+                            take_heartbeat_reply(id, sent, answer);
+                        }
+                    });
 }
 
 void raft_node::send_snapshot(peer_progress& peer)
@@ -150,25 +198,26 @@
     message[QLatin1String("members")] = to_cbor(snapshot.members);
     message[QLatin1String("offset")] = peer.snapshot_offset;
     message[QLatin1String("size")] = snapshot.state.size();
-    message[QLatin1String("bytes")] = snapshot.state.mid(
-        peer.snapshot_offset, settings_.snapshot_chunk_bytes);
+    auto const chunk = snapshot.state.mid(peer.snapshot_offset,
+                                          settings_.snapshot_chunk_bytes);
+    message[QLatin1String("bytes")] = chunk;
     std::weak_ptr<bool> const alive = is_alive_;
-    transport_.send(
-        peer.member.address, std::move(message), settings_.call_timeout * 4,
-        [this, alive, id = peer.member.identity, sent = clock_.now(),
-         sent_term = term()](std::optional<QCborMap> const& answer)
-        {
-            if (!alive.expired() && term() == sent_term)
-            {
-                take_snapshot_reply(id, sent, answer);
-            }
-        });
+    send_content(peer, std::move(message), chunk.size(),
+                 [this, alive, id = peer.member.identity, sent = clock_.now(),
+                  sent_term = term()](std::optional<QCborMap> const& answer)
+                 {
+                     if (!alive.expired() && term() == sent_term)
+                     {
+                         take_snapshot_reply(id, sent, answer);
+                     }
+                 });
 }
 
 bool raft_node::take_reply_header(peer_progress& peer, monotonic_time sent,
                                   std::optional<QCborMap> const& answer)
 {
     peer.is_waiting = false;
+    peer.is_waiting_for_bulk = false;
     peer.is_failing = !answer.has_value();
     if (!answer || answer->contains(QLatin1String("other_identity")) ||
         adopt_term(log_term(cbor_number(*answer, "term"))))
@@ -208,6 +257,25 @@
     replicate_to(id);
 }
 
+void raft_node::take_heartbeat_reply(replica_id const& id, monotonic_time sent,
+                                     std::optional<QCborMap> const& answer)
+{
+    auto const found = peers_.find(id);
+    if (!is_leader() || found == peers_.end())
+    {
+        return;
+    }
+    auto& peer = found->second;
+    peer.is_waiting_for_heartbeat = false;
+    if (!answer || answer->contains(QLatin1String("other_identity")) ||
+        adopt_term(log_term(cbor_number(*answer, "term"))))
+    {
+        return;
+    }
+    peer.acknowledged = std::max(peer.acknowledged, sent);
+    answer_confirmations();
+}
+
 void raft_node::take_snapshot_reply(replica_id const& id, monotonic_time sent,
                                     std::optional<QCborMap> const& answer)
 {
--- a/source/verbenacove/process/raft_rpc_transport.hpp
+++ b/source/verbenacove/process/raft_rpc_transport.hpp
@@ -11,15 +11,24 @@
 namespace verbenacove
 {
 
-/** Carries a replica's messages by one rpc_client for each other replica. */
+/** Carries a replica's messages by two connections to each other replica, one
+    of them for large messages. */
 class raft_rpc_transport : public raft_transport
 {
 public:
     void send(socket_address const& to, QCborMap message, milliseconds timeout,
               callback done) override;
+    void send_bulk(socket_address const& to, QCborMap message,
+                   milliseconds timeout, callback done) override;
 
 private:
-    QHash<socket_address, std::shared_ptr<rpc_client>> clients_;
+    using client_table = QHash<socket_address, std::shared_ptr<rpc_client>>;
+
+    static rpc_client& client_in(client_table& clients,
+                                 socket_address const& address);
+
+    client_table clients_;
+    client_table bulk_clients_;
 };
 
 } // namespace verbenacove
--- a/tests/unit/raft_node_test.cpp
+++ b/tests/unit/raft_node_test.cpp
@@ -174,6 +174,10 @@
     qint64 sent = 0;
     /** Decides which messages are lost beside those of cut replicas. */
     std::function<bool(int to, QCborMap const& content)> loses;
+    /** Time that a message of `large_message_bytes` or more takes; one that
+        takes longer than its timeout is lost. */
+    milliseconds large_message_time{0};
+    static constexpr qsizetype large_message_bytes = 64 * 1024;
 
     void run(milliseconds span)
     {
@@ -239,11 +243,15 @@
         return *leader();
     }
 
-    /** Proposes a number; the end comes when it comes. */
-    void propose(replica& to, qint64 number)
+    /** Proposes a number; the end comes when it comes.
+
+        @param padding  makes the entry larger by so many bytes
+    */
+    void propose(replica& to, qint64 number, qsizetype padding = 0)
     {
         to.node->propose(
-            {{QLatin1String("n"), number}},
+            {{QLatin1String("n"), number},
+             {QLatin1String("padding"), QByteArray(padding, 'x')}},
             [this, number](raft_node::proposal_end end, QCborMap const&)
             { ends[number] = end; });
         to.node->flush();
@@ -290,6 +298,9 @@
         int to;
         QCborMap content;
         raft_transport::callback done;
+        /** When it arrives, or when the sender gives up. */
+        monotonic_time due;
+        bool is_late = false;
     };
 
     class queue_transport : public raft_transport
@@ -301,12 +312,15 @@
         {
         }
 
-        void send(socket_address const& to, QCborMap content, milliseconds,
-                  callback done) override
+        void send(socket_address const& to, QCborMap content,
+                  milliseconds timeout, callback done) override
         {
             ++fixture_.sent;
+            auto const span = fixture_.transfer_time(content);
             fixture_.queue_.push_back(
-                {from_, int(to.port) - 1, std::move(content), std::move(done)});
+                {from_, int(to.port) - 1, std::move(content), std::move(done),
+                 fixture_.clock.now() + std::min(span, timeout),
+                 span > timeout});
         }
 
     private:
@@ -324,13 +338,26 @@
         return *transport;
     }
 
+    milliseconds transfer_time(QCborMap const& content) const
+    {
+        bool const is_large =
+            large_message_time.count() > 0 &&
+            content.toCborValue().toCbor().size() >= large_message_bytes;
+        return is_large ? large_message_time : milliseconds(0);
+    }
+
     void deliver()
     {
         auto const messages = std::exchange(queue_, {});
         for (auto const& sent : messages)
         {
+            if (clock.now() < sent.due)
+            {
+                queue_.push_back(sent);
+                continue;
+            }
             auto& to = *replicas[std::size_t(sent.to)];
-            bool const is_lost = cut_.count(sent.from) > 0 ||
+            bool const is_lost = sent.is_late || cut_.count(sent.from) > 0 ||
                                  cut_.count(sent.to) > 0 || !to.node ||
                                  (loses && loses(sent.to, sent.content));
             if (is_lost)
@@ -730,6 +757,25 @@
                          milliseconds(3000)));
 }
 
+TEST_CASE(
+    "raft: an entry that takes longer to send than an election: committed "
+    "under the same leader")
+{
+    raft_fixture raft(3);
+    auto& leader = raft.elect();
+    auto const term = leader.node->term();
+    raft.large_message_time = milliseconds(1500);
+    raft.propose(leader, 7, 1024 * 1024);
+    CHECK(raft.run_until(
+        [&]
+        {
+            return raft.ends.count(7) > 0 &&
+                   raft.ends[7] == raft_node::proposal_end::committed;
+        },
+        milliseconds(4000)));
+    CHECK(raft.elect().node->term() == term);
+}
+
 TEST_CASE("raft: questions without an end: refused beyond a bound")
 {
     raft_fixture raft(3);
