Pack large changes and the routes that entries read

Cause: a leader encodes a large change item by item for each peer, twice, and each replica encodes all routes anew for each entry that reads it.

Change: a change of more than 64 items is a compressed byte string in the log, copied as it is; smaller ones keep their form, and both are read. Entries ask for packed routes, which a replica encodes once a revision. Replicas of an earlier version cannot read a packed change.

--- a/source/verbenacove/process/control_state.cpp
+++ b/source/verbenacove/process/control_state.cpp
@@ -2,6 +2,7 @@
 
 #include "verbenacove/core/cbor.hpp"
 #include "verbenacove/core/log.hpp"
+#include "verbenacove/core/packed_cbor.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -18,6 +19,7 @@
 auto const change_key = QLatin1String("change");
 auto const claim_key_name = QLatin1String("claim");
 auto const route_key = QLatin1String("route");
+auto const packed_route_key = QLatin1String("packed_route");
 auto const evacuation_key = QLatin1String("evacuation");
 auto const routes_key = QLatin1String("routes");
 auto const config_key = QLatin1String("config");
@@ -25,6 +27,9 @@
 auto const holders_key = QLatin1String("holders");
 auto const caps_key = QLatin1String("highest_caps");
 
+/** A change of more items is packed. */
+constexpr std::size_t maximum_plain_items = 64;
+
 } // namespace
 
 QCborMap control_state::change_command(QCborMap const& change)
@@ -39,7 +44,11 @@
 
 QCborMap control_state::route_command(route_change const& change)
 {
-    return {{route_key, to_cbor(change)}};
+    if (change.routes.size() + change.services.size() <= maximum_plain_items)
+    {
+        return {{route_key, to_cbor(change)}};
+    }
+    return {{packed_route_key, pack_cbor(to_cbor(change))}};
 }
 
 QCborMap control_state::evacuation_command(zone_name const& zone,
@@ -63,6 +72,12 @@
     {
         return apply_route(command.value(route_key).toMap(), index);
     }
+    if (command.contains(packed_route_key))
+    {
+        auto const change =
+            unpack_cbor(command.value(packed_route_key).toByteArray());
+        return apply_route(change.value_or(QCborMap()), index);
+    }
     if (command.contains(evacuation_key))
     {
         auto const order = command.value(evacuation_key).toMap();
--- a/source/verbenacove/process/discovery/discovery_service.cpp
+++ b/source/verbenacove/process/discovery/discovery_service.cpp
@@ -2,6 +2,7 @@
 
 #include "verbenacove/core/cbor.hpp"
 #include "verbenacove/core/event_log.hpp"
+#include "verbenacove/core/packed_cbor.hpp"
 #include "verbenacove/process/discovery/rate_limit_reporter.hpp"
 
 #include <QDateTime>
@@ -196,8 +197,15 @@
         {
             evacuated.append(zone.value());
         }
-        response[QLatin1String("routes")] =
-            to_cbor(*routes.current(), route_detail::effective);
+        if (cbor_flag(reader.request, "packed"))
+        {
+            response[QLatin1String("packed_routes")] = packed_routes();
+        }
+        else
+        {
+            response[QLatin1String("routes")] =
+                to_cbor(*routes.current(), route_detail::effective);
+        }
         response[QLatin1String("routes_revision")] = routes.revision();
         response[QLatin1String("evacuated")] = evacuated;
     }
@@ -205,6 +213,18 @@
     reader.reply(response);
 }
 
+QByteArray const& discovery_service::packed_routes()
+{
+    auto const& routes = server_.state().routes();
+    if (packed_revision_ != routes.revision())
+    {
+        packed_routes_ =
+            pack_cbor(to_cbor(*routes.current(), route_detail::effective));
+        packed_revision_ = routes.revision();
+    }
+    return packed_routes_;
+}
+
 void discovery_service::respond_to_waiting()
 {
     are_responses_scheduled_ = false;
--- a/source/verbenacove/process/discovery/discovery_service.hpp
+++ b/source/verbenacove/process/discovery/discovery_service.hpp
@@ -130,6 +130,8 @@
     void read(socket_address const& address, source& from);
     void handle_response(socket_address const& address,
                          std::optional<QCborMap> const& reply);
+    /** Returns the routes in force for entries, packed. */
+    QByteArray const& packed_routes();
     void merge_crashes(QCborMap const& message);
     std::size_t live_entries() const;
     void update_settling();
@@ -156,6 +158,9 @@
     monotonic_time created_;
     QHash<socket_address, std::shared_ptr<source>> sources_;
     std::vector<waiting_reader> waiting_;
+    /** Routes for entries, of one revision; encoded once for all of them. */
+    QByteArray packed_routes_;
+    qint64 packed_revision_ = -1;
     bool are_responses_scheduled_ = false;
     timer_service::subscription tick_;
     timer_service::subscription response_timer_;
--- a/source/verbenacove/process/discovery/replica_link.cpp
+++ b/source/verbenacove/process/discovery/replica_link.cpp
@@ -2,6 +2,7 @@
 
 #include "verbenacove/core/cbor.hpp"
 #include "verbenacove/core/event_log.hpp"
+#include "verbenacove/core/packed_cbor.hpp"
 
 #include <QDateTime>
 #include <QRandomGenerator>
@@ -133,6 +134,7 @@
             {QLatin1String("routes"), routes_revision_},
             {QLatin1String("current"), was_replica_current_},
             {QLatin1String("hold"), qint64{hold_time.count()}},
+            {QLatin1String("packed"), true},
             {QLatin1String("self"), to_cbor(self, self.last_heartbeat)}};
 }
 
@@ -248,7 +250,12 @@
     {
         return;
     }
-    auto parsed = parse_route_configuration(cbor_map(reply, "routes"));
+    // A replica of an earlier version sends them as a map.
+    auto const packed = reply.value(QLatin1String("packed_routes"));
+    auto const routes = packed.isByteArray()
+                            ? unpack_cbor(packed.toByteArray())
+                            : std::optional(cbor_map(reply, "routes"));
+    auto parsed = parse_route_configuration(routes.value_or(QCborMap()));
     if (!parsed)
     {
         link_log.note("routes.unreadable", {{"revision", revision}});
