Decide a change once that is sent again while it is undecided

Cause: an operator gets "may be in force" after 900 ms and sends the change again, to another replica. Each copy that comes before the first is decided is an entry of its own, so the leader sends the same change again and again while it is too slow for the first.

Change: the leader lets calls with the same change wait for the same entry. An order has 3 ms more for each item before its result counts as unknown. Evacuations are not merged: one that is ended in between is another order.

Test: route_service_test; the second copy was an entry of its own before.

--- a/source/verbenacove/process/control_state.cpp
+++ b/source/verbenacove/process/control_state.cpp
@@ -51,6 +51,11 @@
     return {{packed_route_key, pack_cbor(to_cbor(change))}};
 }
 
+bool control_state::is_route_command(QCborMap const& command)
+{
+    return command.contains(route_key) || command.contains(packed_route_key);
+}
+
 QCborMap control_state::evacuation_command(zone_name const& zone,
                                            bool is_evacuated)
 {
--- a/source/verbenacove/process/control_state.hpp
+++ b/source/verbenacove/process/control_state.hpp
@@ -32,6 +32,9 @@
         an order_result. */
     static QCborMap route_command(route_change const& change);
 
+    /** Returns whether a log command is a change of the routes. */
+    static bool is_route_command(QCborMap const& command);
+
     /** Returns the log command that evacuates a zone, or ends that. */
     static QCborMap evacuation_command(zone_name const& zone,
                                        bool is_evacuated);
--- a/source/verbenacove/process/route_service.cpp
+++ b/source/verbenacove/process/route_service.cpp
@@ -3,6 +3,7 @@
 #include "verbenacove/core/cbor.hpp"
 #include "verbenacove/core/event_log.hpp"
 
+#include <QCryptographicHash>
 #include <QTimer>
 
 #include <utility>
@@ -17,6 +18,10 @@
 
 /** Operators go to another replica after 1 s without an answer. */
 constexpr milliseconds longest_call{900};
+/** Added for each item of a change; operators wait longer for large ones. */
+constexpr milliseconds longest_call_per_item{3};
+/** Maximum number of calls that wait for the same order. */
+constexpr std::size_t maximum_waiting_calls = 256;
 constexpr milliseconds retry_interval{30};
 /** How soon a change that came by the log is seen. */
 constexpr milliseconds watch_interval{20};
@@ -59,22 +64,26 @@
 
 void route_service::change(route_change const& change, order_callback done)
 {
-    order(control_state::route_command(change), std::move(done));
+    auto const items = change.routes.size() + change.services.size();
+    order(control_state::route_command(change),
+          longest_call + longest_call_per_item * static_cast<qint64>(items),
+          std::move(done));
 }
 
 void route_service::evacuate(zone_name const& zone, bool is_evacuated,
                              order_callback done)
 {
-    order(control_state::evacuation_command(zone, is_evacuated),
+    order(control_state::evacuation_command(zone, is_evacuated), longest_call,
           std::move(done));
 }
 
-void route_service::order(QCborMap command, order_callback done)
+void route_service::order(QCborMap command, milliseconds limit,
+                          order_callback done)
 {
     auto call = std::make_shared<pending_call>();
     call->request = {{QLatin1String("m"), QLatin1String("order")},
                      {QLatin1String("command"), std::move(command)}};
-    call->until = clock_.now() + longest_call;
+    call->until = clock_.now() + limit;
     call->done = [done = std::move(done)](std::optional<QCborMap> const& reply)
     {
         if (!reply)
@@ -154,12 +163,28 @@
 void route_service::handle_order(QCborMap const& request,
                                  reply_function const& reply)
 {
+    auto const command = cbor_map(request, "command");
+    auto const key = key_of(command);
+    auto& waiting = undecided_[key];
+    if (waiting.size() >= maximum_waiting_calls)
+    {
+        reply({{QLatin1String("status"), QLatin1String("not-leader")}});
+        return;
+    }
+    waiting.push_back(reply);
+    if (waiting.size() > 1)
+    {
+        route_log.note("order.repeated",
+                       {{"calls", static_cast<qint64>(waiting.size())}});
+        return;
+    }
     auto const answer =
-        [reply](raft_node::proposal_end end, QCborMap const& result)
+        [this, key](raft_node::proposal_end end, QCborMap const& result)
     {
         if (end != raft_node::proposal_end::committed)
         {
-            reply({{QLatin1String("status"), QLatin1String("not-leader")}});
+            finish_order(
+                key, {{QLatin1String("status"), QLatin1String("not-leader")}});
             return;
         }
         auto const parsed = parse_order_result(result);
@@ -167,10 +192,31 @@
                        {{"outcome", static_cast<int>(parsed.outcome)},
                         {"version", parsed.version.value()},
                         {"reason", parsed.reason}});
-        reply({{QLatin1String("status"), QLatin1String("ok")},
-               {QLatin1String("result"), result}});
+        finish_order(key, {{QLatin1String("status"), QLatin1String("ok")},
+                           {QLatin1String("result"), result}});
     };
-    server_.submit(cbor_map(request, "command"), answer);
+    server_.submit(command, answer);
+}
+
+// An evacuation that is ordered, ended and ordered again is not one that is
+// sent again.
+QByteArray route_service::key_of(QCborMap const& command)
+{
+    if (!control_state::is_route_command(command))
+    {
+        return QByteArray::number(++last_order_);
+    }
+    return QCryptographicHash::hash(command.toCborValue().toCbor(),
+                                    QCryptographicHash::Sha256);
+}
+
+void route_service::finish_order(QByteArray const& key, QCborMap const& answer)
+{
+    auto const waiting = undecided_.take(key);
+    for (auto const& reply : waiting)
+    {
+        reply(answer);
+    }
 }
 
 void route_service::handle_read(QCborMap const&, reply_function const& reply)
--- a/source/verbenacove/process/route_service.hpp
+++ b/source/verbenacove/process/route_service.hpp
@@ -3,6 +3,8 @@
 
 #include "verbenacove/process/control_server.hpp"
 
+#include <QHash>
+
 #include <functional>
 #include <memory>
 #include <optional>
@@ -60,8 +62,14 @@
     };
 
     void handle_order(QCborMap const& request, reply_function const& reply);
+    /** Replies to all that have sent the same order. */
+    void finish_order(QByteArray const& key, QCborMap const& answer);
+    /** Returns the same key for a change that is sent again, and for each
+        other order one of its own. */
+    QByteArray key_of(QCborMap const& command);
     void handle_read(QCborMap const& request, reply_function const& reply);
-    void order(QCborMap command, order_callback done);
+    /** @param limit  time after which the result counts as unknown */
+    void order(QCborMap command, milliseconds limit, order_callback done);
     void call_leader(std::shared_ptr<pending_call> const& call);
     void take_reply(std::shared_ptr<pending_call> const& call,
                     std::optional<QCborMap> const& reply);
@@ -73,6 +81,10 @@
     timer_service timers_;
     timer_service::subscription watch_;
     qint64 seen_revision_ = 0;
+    /** The calls that wait for each order that is not decided yet, by its
+        key. */
+    QHash<QByteArray, std::vector<reply_function>> undecided_;
+    qint64 last_order_ = 0;
     QObject context_;
 };
 
--- /dev/null
+++ b/tests/unit/route_service_test.cpp
@@ -0,0 +1,100 @@
+#include "support/child_process.hpp"
+#include "support/wait_until.hpp"
+#include "verbenacove/core/cbor.hpp"
+#include "verbenacove/process/route_service.hpp"
+
+#include <doctest/doctest.h>
+
+#include <QTemporaryDir>
+
+using namespace verbenacove;
+using verbenacove::support::ensure_application;
+using verbenacove::support::free_port;
+using verbenacove::support::wait_until;
+
+namespace
+{
+
+constexpr int route_count = 1400;
+
+route_change large_change()
+{
+    route_change change;
+    change.version = route_version(7);
+    change.is_whole = true;
+    change.signature = "signature";
+    routed_service service;
+    service.name = service_name(QStringLiteral("grades"));
+    change.services.push_back(service);
+    for (int number = 0; number < route_count; ++number)
+    {
+        route_record route;
+        route.name = QStringLiteral("r-%1").arg(number);
+        route.host = QStringLiteral("g.example");
+        route.path_prefix = QStringLiteral("/lots/%1/").arg(number);
+        route.split = {{service.name, 1}};
+        change.routes.push_back(route);
+    }
+    return change;
+}
+
+/** A replica that is the only one, and leads. */
+class route_service_fixture
+{
+public:
+    route_service_fixture()
+    {
+        ensure_application();
+        replica_id const id(QStringLiteral("only"));
+        auto const folder = folder_.filePath(QStringLiteral("r"));
+        REQUIRE(raft_storage::create(folder, id,
+                                     {{address_.text(), id, address_}}));
+        auto opened = raft_storage::open(folder);
+        REQUIRE(opened);
+        storage_ = std::move(*opened);
+        control_settings settings;
+        settings.name = address_.text();
+        settings.listen = address_;
+        server = std::make_unique<control_server>(settings, *storage_);
+        routes = std::make_unique<route_service>(*server, [] {});
+        REQUIRE(server->start());
+        routes->start();
+        REQUIRE(wait_until([&] { return server->node().is_current(); }));
+    }
+
+    /** Sends a change and counts it once it is accepted. */
+    void send(route_change const& change)
+    {
+        routes->change(change,
+                       [this](std::optional<order_result> const& result)
+                       {
+                           bool const is_accepted =
+                               result &&
+                               result->outcome == order_outcome::accepted;
+                           accepted += is_accepted ? 1 : 0;
+                       });
+    }
+
+    std::unique_ptr<control_server> server;
+    std::unique_ptr<route_service> routes;
+    int accepted = 0;
+
+private:
+    QTemporaryDir folder_;
+    socket_address address_{QHostAddress(QHostAddress::LocalHost), free_port()};
+    std::unique_ptr<raft_storage> storage_;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(
+    route_service_fixture,
+    "route service: a change is sent again while it is undecided: "
+    "one entry of the log, both accepted")
+{
+    auto const before = server->node().commit_index();
+    send(large_change());
+    send(large_change());
+    REQUIRE(wait_until([&] { return accepted == 2; }));
+    CHECK(server->node().commit_index().value() == before.value() + 1);
+}
