Read a configuration from the replica that is asked, as new as the leader's

Cause: a follower that is asked for the configuration got all of it from the leader, 200 to 400 KB at 1,400 routes, in the 900 ms that a read may take, on the connection that also carries heartbeats' replies and other calls. A reply that was late counted as "cannot be told".

Change: the leader replies with the revision that a majority has just confirmed; the replica answers with its own configuration once it has that revision.

--- a/source/verbenacove/process/route_service.cpp
+++ b/source/verbenacove/process/route_service.cpp
@@ -99,17 +99,47 @@
 void route_service::read(read_callback done)
 {
     auto call = std::make_shared<pending_call>();
-    call->request = {{QLatin1String("m"), QLatin1String("routes")}};
+    call->request = {{QLatin1String("m"), QLatin1String("routes")},
+                     {QLatin1String("revision_only"), true}};
     call->until = clock_.now() + longest_call;
-    call->done = [done = std::move(done)](std::optional<QCborMap> const& reply)
+    call->done = [this, done = std::move(done),
+                  until = call->until](std::optional<QCborMap> const& reply)
     {
-        done(reply
-                 ? parse_route_configuration(cbor_map(*reply, "configuration"))
-                 : std::nullopt);
+        if (!reply)
+        {
+            done(std::nullopt);
+            return;
+        }
+        finish_read(*reply, done, until);
     };
     call_leader(call);
 }
 
+void route_service::finish_read(QCborMap const& reply,
+                                read_callback const& done, monotonic_time until)
+{
+    if (reply.contains(QLatin1String("configuration")))
+    {
+        // From a leader of an earlier version.
+        done(parse_route_configuration(cbor_map(reply, "configuration")));
+        return;
+    }
+    auto const& routes = server_.state().routes();
+    if (routes.revision() >= cbor_number(reply, "revision"))
+    {
+        done(*routes.current());
+        return;
+    }
+    if (clock_.now() >= until)
+    {
+        done(std::nullopt);
+        return;
+    }
+    QTimer::singleShot(retry_interval, &context_,
+                       [this, reply, done, until]
+                       { finish_read(reply, done, until); });
+}
+
 void route_service::call_leader(std::shared_ptr<pending_call> const& call)
 {
     auto const left = elapsed(clock_.now(), call->until);
@@ -219,20 +249,27 @@
     }
 }
 
-void route_service::handle_read(QCborMap const&, reply_function const& reply)
+void route_service::handle_read(QCborMap const& request,
+                                reply_function const& reply)
 {
     server_.confirm_current(
-        [this, reply](bool is_current)
+        [this, reply, is_revision_only = cbor_flag(request, "revision_only")](
+            bool is_current)
         {
             if (!is_current)
             {
                 reply({{QLatin1String("status"), QLatin1String("not-leader")}});
                 return;
             }
-            reply({{QLatin1String("status"), QLatin1String("ok")},
-                   {QLatin1String("configuration"),
-                    to_cbor(*server_.state().routes().current(),
-                            route_detail::with_source)}});
+            auto const& routes = server_.state().routes();
+            QCborMap answer{{QLatin1String("status"), QLatin1String("ok")},
+                            {QLatin1String("revision"), routes.revision()}};
+            if (!is_revision_only)
+            {
+                answer[QLatin1String("configuration")] =
+                    to_cbor(*routes.current(), route_detail::with_source);
+            }
+            reply(answer);
         });
 }
 
--- a/source/verbenacove/process/route_service.hpp
+++ b/source/verbenacove/process/route_service.hpp
@@ -71,6 +71,10 @@
     /** @param limit  time after which the result counts as unknown */
     void order(QCborMap command, milliseconds limit, order_callback done);
     void call_leader(std::shared_ptr<pending_call> const& call);
+    /** Gives the own configuration once it is of the revision that was newest
+        at the leader. */
+    void finish_read(QCborMap const& reply, read_callback const& done,
+                     monotonic_time until);
     void take_reply(std::shared_ptr<pending_call> const& call,
                     std::optional<QCborMap> const& reply);
     void try_again(std::shared_ptr<pending_call> const& call);
--- a/tests/unit/route_service_test.cpp
+++ b/tests/unit/route_service_test.cpp
@@ -16,6 +16,7 @@
 {
 
 constexpr int route_count = 1400;
+constexpr qsizetype maximum_read_reply_bytes = 256;
 
 route_change large_change()
 {
@@ -75,6 +76,8 @@
                        });
     }
 
+    socket_address const& address() const { return address_; }
+
     std::unique_ptr<control_server> server;
     std::unique_ptr<route_service> routes;
     int accepted = 0;
@@ -98,3 +101,25 @@
     REQUIRE(wait_until([&] { return accepted == 2; }));
     CHECK(server->node().commit_index().value() == before.value() + 1);
 }
+
+TEST_CASE_FIXTURE(route_service_fixture,
+                  "route service: another replica reads a large configuration: "
+                  "the leader replies with its revision")
+{
+    send(large_change());
+    REQUIRE(wait_until([&] { return accepted == 1; }));
+    rpc_client client(address());
+    std::optional<QCborMap> response;
+    client.call({{QLatin1String("m"), QLatin1String("routes")},
+                 {QLatin1String("revision_only"), true}},
+                milliseconds(2000),
+                [&](std::optional<QCborMap> const& reply)
+                { response = reply; });
+    REQUIRE(wait_until([&] { return response.has_value(); }));
+    CHECK(response->toCborValue().toCbor().size() < maximum_read_reply_bytes);
+    std::optional<route_configuration> read;
+    routes->read([&](std::optional<route_configuration> const& newest)
+                 { read = newest; });
+    REQUIRE(wait_until([&] { return read.has_value(); }));
+    CHECK(read->routes.size() == route_count);
+}
