Do not take a replica's own pause for silence of the others

Cause: applying the change keeps each replica's thread busy for about 0.3 s. The first tick afterwards judges the others by what was read before the pause, though their messages have arrived meanwhile. Class: a failure detector that does not count its own process's pauses; followers had the same fault.

Change: a tick that comes late gives unread messages two heartbeats' time, at most once per election timeout. Reads are confirmed by a majority as before.

Test: "raft: no replica runs for longer than an election: the leader stays" failed before (another term).

--- a/source/verbenacove/process/raft_node.cpp
+++ b/source/verbenacove/process/raft_node.cpp
@@ -120,6 +120,7 @@
 void raft_node::tick()
 {
     auto const now = clock_.now();
+    allow_for_own_pause(now);
     if (is_leader())
     {
         check_majority();
@@ -138,12 +139,24 @@
         ask_to_join();
         return;
     }
-    if (now >= election_deadline_)
+    if (now >= election_deadline_ && now >= unread_until_)
     {
         start_pre_vote();
     }
 }
 
+void raft_node::allow_for_own_pause(monotonic_time now)
+{
+    bool const has_paused = elapsed(last_tick_, now) >= settings_.heartbeat;
+    last_tick_ = now;
+    // Once per election timeout: a replica that always runs late must not put
+    // off its checks for good.
+    if (has_paused && now >= unread_until_ + settings_.election_timeout)
+    {
+        unread_until_ = now + 2 * settings_.heartbeat;
+    }
+}
+
 QCborMap raft_node::handle(QCborMap const& message)
 {
     auto const kind = cbor_text(message, "m");
--- a/source/verbenacove/process/raft_node.hpp
+++ b/source/verbenacove/process/raft_node.hpp
@@ -242,6 +242,10 @@
         QSet<replica_id> granted;
     };
 
+    /** Gives messages that came while this process did not run the time to be
+        read before anybody counts as silent. */
+    void allow_for_own_pause(monotonic_time now);
+
     // Elections.
     void reset_election_deadline();
     void start_pre_vote();
@@ -326,6 +330,10 @@
     monotonic_time caught_up_{};
     monotonic_time election_deadline_{};
     monotonic_time leader_since_{};
+    monotonic_time last_tick_{};
+    /** Time until which messages may be waiting unread; see
+        allow_for_own_pause. */
+    monotonic_time unread_until_{};
     vote_count votes_;
 
     raft_members members_;
--- a/source/verbenacove/process/raft_replication.cpp
+++ b/source/verbenacove/process/raft_replication.cpp
@@ -404,9 +404,10 @@
 
 void raft_node::check_majority()
 {
-    auto const silence = elapsed(majority_acknowledged(), clock_.now());
-    if (silence > settings_.election_timeout &&
-        elapsed(leader_since_, clock_.now()) > settings_.election_timeout)
+    auto const now = clock_.now();
+    auto const silence = elapsed(majority_acknowledged(), now);
+    if (silence > settings_.election_timeout && now >= unread_until_ &&
+        elapsed(leader_since_, now) > settings_.election_timeout)
     {
         raft_log.warn(QStringLiteral("No majority answers; stepping down."));
         step_down(term(), std::nullopt);
--- a/tests/unit/raft_node_test.cpp
+++ b/tests/unit/raft_node_test.cpp
@@ -776,6 +776,35 @@
     CHECK(raft.elect().node->term() == term);
 }
 
+TEST_CASE("raft: no replica runs for longer than an election: the leader stays")
+{
+    raft_fixture raft(3);
+    raft.commit(1);
+    auto const term = raft.elect().node->term();
+    raft.clock.advance(milliseconds(1500));
+    raft.run(milliseconds(3000));
+    CHECK(raft.elect().node->term() == term);
+}
+
+TEST_CASE("raft: replicas that always run late: elect a leader when theirs is "
+          "lost")
+{
+    raft_fixture raft(3);
+    auto const former = raft.index_of(&raft.elect());
+    raft.cut(former);
+    auto const has_other_leader = [&]
+    {
+        auto const* leader = raft.leader();
+        return leader != nullptr && raft.index_of(leader) != former;
+    };
+    for (int i = 0; i < 40 && !has_other_leader(); ++i)
+    {
+        raft.clock.advance(milliseconds(150));
+        raft.run(step);
+    }
+    CHECK(has_other_leader());
+}
+
 TEST_CASE("raft: questions without an end: refused beyond a bound")
 {
     raft_fixture raft(3);
