Hand orders to the leader beside the replicas' small messages

The same cause elsewhere: a follower sent the leader an operator's order, up to 8 MiB, on the connection that carries its votes and the news of upstreams that leave, which then waited for it. Found by looking for the cause, not seen.

Orders and reads now go by the connection for large messages.

--- a/source/verbenacove/process/control_server.cpp
+++ b/source/verbenacove/process/control_server.cpp
@@ -65,6 +65,13 @@
     transport_.send(to, std::move(request), timeout, std::move(done));
 }
 
+void control_server::call_bulk(socket_address const& to, QCborMap request,
+                               milliseconds timeout,
+                               raft_transport::callback done)
+{
+    transport_.send_bulk(to, std::move(request), timeout, std::move(done));
+}
+
 void control_server::set_known_addresses(std::vector<socket_address> addresses)
 {
     node_.set_known_addresses(std::move(addresses));
--- a/source/verbenacove/process/control_server.hpp
+++ b/source/verbenacove/process/control_server.hpp
@@ -57,6 +57,11 @@
     void call(socket_address const& to, QCborMap request, milliseconds timeout,
               raft_transport::callback done);
 
+    /** Calls another replica with what may be large; see
+        raft_transport::send_bulk. */
+    void call_bulk(socket_address const& to, QCborMap request,
+                   milliseconds timeout, raft_transport::callback done);
+
     /** Sets where a replica without a vote asks to be taken in. */
     void set_known_addresses(std::vector<socket_address> addresses);
 
--- a/source/verbenacove/process/route_service.cpp
+++ b/source/verbenacove/process/route_service.cpp
@@ -170,7 +170,7 @@
         try_again(call);
         return;
     }
-    server_.call(leader->address, call->request, left, reply);
+    server_.call_bulk(leader->address, call->request, left, reply);
 }
 
 void route_service::take_reply(std::shared_ptr<pending_call> const& call,
