Relay requests while an entry reaches no upstream

Cause: an entry judged each upstream by itself. Nothing joined the failures into "this entry reaches none", so each request tried three or four upstreams in turn, and look-ups went on naming the entry. Class: a fault of the observer taken for faults of all that it observes.

Change: `upstream_reachability` counts an entry as cut off when connections to three upstreams have failed and none was opened for 400 ms. It then relays requests to entries that reach upstreams, among the nearest ones; idempotent requests that wait for an upstream are moved if the retry budget allows. After 1 s it says so in its heartbeats: look-ups leave it out, unless all are cut off, and cold or limited upstreams are assigned to others. One probe each 500 ms finds the path again; ejections for lost connections end then.

At most once: the other entry states the verdict and how many upstreams it may still use; a relay whose answer is lost counts as may-have-run. A relayed request is not relayed again.

--- a/source/verbenacove/connection/upstream_attempt.cpp
+++ b/source/verbenacove/connection/upstream_attempt.cpp
@@ -212,6 +212,7 @@
     if (is_new)
     {
         sockets_.name(ends, opened_socket_);
+        connected_ = std::chrono::steady_clock::now();
     }
     if (!upstream_sockets::is_quiet(sockets_.find(ends)))
     {
@@ -283,6 +284,7 @@
     result.duration = elapsed(start_, now);
     result.end = end_of(code);
     result.reason = reason_of(code);
+    result.connected = connected_;
     if (result.end == attempt_end::answered)
     {
         result.response = answer_.take_response();
@@ -349,6 +351,7 @@
     attempt_result result;
     result.end = end;
     result.reason = reason;
+    result.connected = connected_;
     result.duration = elapsed(start_, now);
     return result;
 }
--- a/source/verbenacove/connection/upstream_client.hpp
+++ b/source/verbenacove/connection/upstream_client.hpp
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace verbenacove
 {
@@ -85,6 +86,8 @@
     http_response response;
     /** Why there is no answer, as a short sentence. */
     QString reason;
+    /** When a new connection was opened for it, whatever came of it. */
+    std::optional<monotonic_time> connected = std::nullopt;
     /** How long it took. */
     milliseconds duration{0};
 };
--- a/source/verbenacove/process/discovery/member_content.cpp
+++ b/source/verbenacove/process/discovery/member_content.cpp
@@ -93,7 +93,8 @@
 bool entry_content::is_equivalent(entry_content const& other) const
 {
     return address == other.address && zone == other.zone &&
-           region == other.region;
+           region == other.region &&
+           reaches_upstreams == other.reaches_upstreams;
 }
 
 bool replica_content::is_equivalent(replica_content const& other) const
@@ -118,7 +119,12 @@
 
 QCborMap to_cbor(entry_member const& record, monotonic_time now)
 {
-    return located_to_cbor(record, now);
+    auto result = located_to_cbor(record, now);
+    if (!record.content.reaches_upstreams)
+    {
+        result[QLatin1String("cut_off")] = true;
+    }
+    return result;
 }
 
 QCborMap to_cbor(replica_member const& record, monotonic_time now)
@@ -150,6 +156,7 @@
 
 bool from_cbor(QCborMap const& map, monotonic_time now, entry_member& record)
 {
+    record.content.reaches_upstreams = !cbor_flag(map, "cut_off");
     return located_from_cbor(map, now, record);
 }
 
--- a/source/verbenacove/process/discovery/member_content.hpp
+++ b/source/verbenacove/process/discovery/member_content.hpp
@@ -43,6 +43,8 @@
     socket_address address;
     zone_name zone;
     region_name region;
+    /** False while it is cut off from all upstreams. */
+    bool reaches_upstreams = true;
 
     bool is_equivalent(entry_content const& other) const;
 };
--- a/source/verbenacove/process/discovery/replica_link.cpp
+++ b/source/verbenacove/process/discovery/replica_link.cpp
@@ -29,7 +29,9 @@
     thousand upstreams, from a replica that was not read before, on a link of
     2 Mbit/s. */
 constexpr milliseconds maximum_read_duration{10000};
-constexpr milliseconds phase_report_timeout{500};
+/** Time to wait for the response to a heartbeat that is sent at once because
+    this entry has changed. */
+constexpr milliseconds heartbeat_timeout{500};
 /** Pause of an entry that has asked all replicas and found none with a leader.
     Limits its request rate while there is none. */
 constexpr milliseconds pause_between_rounds{300};
@@ -88,10 +90,24 @@
         return;
     }
     phase_ = phase;
+    send_heartbeat();
+}
+
+void replica_link::set_reaches_upstreams(bool reaches_upstreams)
+{
+    if (std::exchange(settings_.self.reaches_upstreams, reaches_upstreams) !=
+        reaches_upstreams)
+    {
+        send_heartbeat();
+    }
+}
+
+void replica_link::send_heartbeat()
+{
     if (current_)
     {
         client_of(*current_).call(make_request(milliseconds(0)),
-                                  phase_report_timeout,
+                                  heartbeat_timeout,
                                   [](std::optional<QCborMap> const&) {});
     }
 }
--- a/source/verbenacove/process/discovery/replica_link.hpp
+++ b/source/verbenacove/process/discovery/replica_link.hpp
@@ -59,6 +59,9 @@
         that is being read. */
     void set_phase(member_phase phase);
 
+    /** Reports whether this entry reaches upstreams, immediately. */
+    void set_reaches_upstreams(bool reaches_upstreams);
+
     /** Reports requests that crash upstreams to the other entries. */
     void report_crashes(quarantine_update const& crashes)
     {
@@ -85,6 +88,8 @@
 
 private:
     void handle_tick();
+    /** Sends a heartbeat to the replica that is being read. */
+    void send_heartbeat();
     void read();
     QCborMap make_request(milliseconds hold_time);
     void handle_response(socket_address const& from, quint64 number,
--- a/source/verbenacove/process/metrics.cpp
+++ b/source/verbenacove/process/metrics.cpp
@@ -72,6 +72,8 @@
                        "Upstreams that are heard of."))
     , open_requests_(gauge(registry_, "verbenacove_entry_open_requests",
                            "Requests in hand."))
+    , cut_off_(gauge(registry_, "verbenacove_entry_cut_off",
+                     "1 while no upstream can be reached."))
 {
 }
 
--- a/source/verbenacove/process/metrics.hpp
+++ b/source/verbenacove/process/metrics.hpp
@@ -47,6 +47,9 @@
     void set_state(qint64 config_version, std::size_t entries,
                    std::size_t upstreams, int open_requests);
 
+    /** Sets whether the entry is cut off from all upstreams. */
+    void set_cut_off(bool is_cut_off) { cut_off_.Set(is_cut_off ? 1 : 0); }
+
     /** Returns the metrics in Prometheus' text format. */
     QByteArray text() const { return metrics_text(registry_); }
 
@@ -61,6 +64,7 @@
     prometheus::Gauge& entries_;
     prometheus::Gauge& upstreams_;
     prometheus::Gauge& open_requests_;
+    prometheus::Gauge& cut_off_;
 };
 
 /** What a control replica shows. Metrics have the prefix
--- a/source/verbenacove/process/routing/entry_directory.cpp
+++ b/source/verbenacove/process/routing/entry_directory.cpp
@@ -33,7 +33,8 @@
 
 std::vector<entry_view> entry_directory::serving_entries() const
 {
-    std::vector<entry_view> result;
+    std::vector<entry_view> connected;
+    std::vector<entry_view> cut_off;
     for (auto const& entry : discovery_.membership().entries().records())
     {
         if (entry.phase != member_phase::serving || entry.is_silent)
@@ -45,9 +46,10 @@
         view.address = entry.content.address;
         view.region = entry.content.region;
         view.zone = entry.content.zone;
-        result.push_back(view);
+        (entry.content.reaches_upstreams ? connected : cut_off).push_back(view);
     }
-    return result;
+    // Entries that all say that they are cut off may still be better than none.
+    return connected.empty() ? cut_off : connected;
 }
 
 void entry_directory::log_change(location const& caller, std::size_t serving,
--- a/source/verbenacove/process/routing/entry_ranking.cpp
+++ b/source/verbenacove/process/routing/entry_ranking.cpp
@@ -10,7 +10,8 @@
 {
     for (auto const& entry : entries.records())
     {
-        if (entry.is_silent || entry.phase != member_phase::serving)
+        if (entry.is_silent || entry.phase != member_phase::serving ||
+            !entry.content.reaches_upstreams)
         {
             continue;
         }
--- a/source/verbenacove/process/routing/entry_ranking.hpp
+++ b/source/verbenacove/process/routing/entry_ranking.hpp
@@ -20,7 +20,8 @@
 class entry_ranking
 {
 public:
-    /** Creates the ranking of the entries in a table that serve.
+    /** Creates the ranking of the entries in a table that serve and reach
+        upstreams.
 
         @param self  the entry whose assignments are asked for
     */
--- a/source/verbenacove/process/routing/route_entry_process.cpp
+++ b/source/verbenacove/process/routing/route_entry_process.cpp
@@ -1,6 +1,8 @@
 #include "verbenacove/process/routing/route_entry_process.hpp"
 
 #include "verbenacove/core/event_log.hpp"
+#include "verbenacove/core/stable_hash.hpp"
+#include "verbenacove/request/entry_lookup.hpp"
 
 #include <QMetaObject>
 
@@ -30,6 +32,11 @@
     The rest is reserved for an entry that has not yet learned that another
     entry warms the upstream. */
 constexpr double usable_warmup_fraction = 0.8;
+/** Time for which this entry reaches no upstream before callers are sent to
+    other entries. */
+constexpr milliseconds reported_outage{1000};
+/** Maximum number of entries among which a relayed request's is selected. */
+constexpr std::size_t maximum_relays = 16;
 /** The smallest rate, in requests per second, that an entry gets of an
     upstream's rate limit, unless the limit itself is smaller. */
 constexpr double smallest_rate_share = 1;
@@ -86,10 +93,15 @@
                         call_on_control([this, reports]
                                         { link_.report_crashes(reports); });
                     },
-                    [this](rate_limit_report const& report)
-                    {
+                    [this](rate_limit_report const& report) {
                         call_on_control([this, report]
                                         { link_.report_rate_limit(report); });
+                    },
+                    [this](bool is_cut_off)
+                    {
+                        call_on_control(
+                            [this, is_cut_off]
+                            { handle_reachability_change(is_cut_off); });
                     }});
             error = traffic_->start();
         },
@@ -122,6 +134,55 @@
     publish();
 }
 
+// Requests are relayed at once. A short outage is not reported: each report
+// goes to all entries.
+void route_entry_process::handle_reachability_change(bool is_cut_off)
+{
+    cut_off_report_timer_.cancel();
+    if (!is_cut_off)
+    {
+        link_.set_reaches_upstreams(true);
+        return;
+    }
+    cut_off_report_timer_ = timers_.call_after(
+        reported_outage, [this] { link_.set_reaches_upstreams(false); });
+}
+
+std::vector<entry_view> route_entry_process::relays() const
+{
+    std::vector<std::pair<quint64, entry_view>> order;
+    for (auto const& entry : link_.membership().entries().records())
+    {
+        bool const is_usable = entry.id != settings_.name.value() &&
+                               entry.phase == member_phase::serving &&
+                               !entry.is_silent &&
+                               entry.content.reaches_upstreams;
+        if (!is_usable)
+        {
+            continue;
+        }
+        entry_view view;
+        view.id = entry_id(entry.id);
+        view.address = entry.content.address;
+        view.region = entry.content.region;
+        view.zone = entry.content.zone;
+        // Differs between entries, so that each has its own part of a large
+        // zone's entries.
+        auto const rank =
+            stable_hash(settings_.name.value().toUtf8(), entry.id.toUtf8());
+        order.emplace_back(rank, std::move(view));
+    }
+    std::sort(order.begin(), order.end(),
+              [](auto const& a, auto const& b) { return a.first < b.first; });
+    std::vector<entry_view> entries;
+    for (auto& [rank, view] : order)
+    {
+        entries.push_back(std::move(view));
+    }
+    return nearest_entries({settings_.region, settings_.zone}, entries,
+                           maximum_relays);
+}
+
 void route_entry_process::publish()
 {
     reopened_zones_.update(link_.evacuated(), clock_.now());
@@ -129,6 +190,7 @@
     view->routes = link_.routes();
     view->is_ready = is_ready_ && !is_stopping_;
     view->published_at = clock_.now();
+    view->relays = relays();
     count_entries(*view);
     if (view->routes)
     {
--- a/source/verbenacove/process/routing/route_entry_process.hpp
+++ b/source/verbenacove/process/routing/route_entry_process.hpp
@@ -55,6 +55,10 @@
 
 private:
     void handle_update();
+    void handle_reachability_change(bool is_cut_off);
+    /** Returns the entries that requests are relayed to while this one reaches
+        no upstream. */
+    std::vector<entry_view> relays() const;
     void publish();
     /** Sets the numbers of entries in the view. */
     void count_entries(routing_view& view) const;
@@ -90,6 +94,7 @@
     std::function<void()> on_stopped_;
     monotonic_time stop_deadline_{};
     timer_service::subscription refresh_timer_;
+    timer_service::subscription cut_off_report_timer_;
     timer_service::subscription stop_timer_;
     QThread traffic_thread_;
     std::unique_ptr<QObject> traffic_context_;
--- a/source/verbenacove/process/routing/route_traffic.cpp
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -42,6 +42,10 @@
     , request_quarantine_(clock_)
     , calls_(std::move(calls))
     , region_shift_(settings_.steering.maximum_region_shift)
+    , reachability_(clock_, [this](bool is_cut_off)
+                    { handle_reachability_change(is_cut_off); })
+    , relays_(clock_, settings_.region,
+              QRandomGenerator::system()->generate64())
     , caller_endpoint_(settings_.limits, [this](exchange_ptr const& exchange)
                        { handle_request(exchange); })
     , readiness_endpoint_(internal_endpoint_limits(settings_),
@@ -93,6 +97,7 @@
         apply_limits();
         split_chooser_.keep_only(*view_->routes);
     }
+    relays_.set_entries(view_->relays);
     for (auto item = view_->members.cbegin(); item != view_->members.cend();
          ++item)
     {
@@ -167,6 +172,8 @@
             timers_,
             header_codec_,
             request_quarantine_,
+            reachability_,
+            relays_,
             [this](routed_request_result const& result)
             { record_result(result); },
             calls_.rate_limit,
@@ -254,8 +261,51 @@
                        metrics_.text()});
 }
 
+void route_traffic::handle_reachability_change(bool is_cut_off)
+{
+    entry_log.note(is_cut_off ? "upstreams.unreachable" : "upstreams.reachable",
+                   {{"relays", static_cast<qint64>(view_->relays.size())}});
+    metrics_.set_cut_off(is_cut_off);
+    if (!is_cut_off)
+    {
+        for (auto const& each : pools_)
+        {
+            each->upstreams.end_connection_ejections();
+        }
+    }
+    calls_.reachability(is_cut_off);
+}
+
+void route_traffic::probe_path()
+{
+    if (!reachability_.start_due_probe())
+    {
+        return;
+    }
+    std::vector<std::pair<std::shared_ptr<routed_pool>, pool_member>> targets;
+    for (auto const& each : pools_)
+    {
+        for (auto const& member : each->upstreams.members())
+        {
+            targets.emplace_back(each, member);
+        }
+    }
+    if (targets.empty())
+    {
+        return;
+    }
+    auto const chosen = QRandomGenerator::global()->bounded(
+        static_cast<quint32>(targets.size()));
+    probe_upstream(targets[chosen].first, targets[chosen].second);
+}
+
 void route_traffic::probe()
 {
+    if (reachability_.is_cut_off())
+    {
+        probe_path();
+        return;
+    }
     for (auto const& each : pools_)
     {
         for (auto const& member : each->upstreams.start_due_probes())
@@ -288,6 +338,7 @@
     std::shared_ptr<routed_pool> const& target, pool_member const& member,
     attempt_result const& result)
 {
+    reachability_.record_attempt(member.id, result);
     auto const metadata = header_codec_.read_response(result.response);
     bool const is_healthy = result.end == attempt_end::answered &&
                             result.response.status == 200 &&
--- a/source/verbenacove/process/routing/route_traffic.hpp
+++ b/source/verbenacove/process/routing/route_traffic.hpp
@@ -35,6 +35,9 @@
         /** Called when an upstream names another rate limit than the known
             one. */
         std::function<void(rate_limit_report const&)> rate_limit;
+        /** Called when this entry has lost or regained the path to all
+            upstreams. */
+        std::function<void(bool is_cut_off)> reachability;
     };
 
     /** Creates the endpoints without opening them.
@@ -85,6 +88,9 @@
     std::shared_ptr<routed_pool> pool(service_name const& service);
     routed_request_services services();
     void probe();
+    /** Probes one upstream while this entry reaches none. */
+    void probe_path();
+    void handle_reachability_change(bool is_cut_off);
     void probe_upstream(std::shared_ptr<routed_pool> const& target,
                         pool_member const& member);
     void handle_probe_response(std::shared_ptr<routed_pool> const& target,
@@ -110,6 +116,8 @@
     listener calls_;
     quarantine_cursor reported_crashes_{0};
     region_shift_limit region_shift_;
+    upstream_reachability reachability_;
+    relay_selector relays_;
     split_chooser split_chooser_;
     routing_view_ptr view_ = std::make_shared<routing_view const>();
     QHash<service_name, std::shared_ptr<routed_pool>> pools_;
--- a/source/verbenacove/process/routing/routing_view.hpp
+++ b/source/verbenacove/process/routing/routing_view.hpp
@@ -1,6 +1,7 @@
 #ifndef VERBENACOVE_PROCESS_ROUTING_ROUTING_VIEW_HPP
 #define VERBENACOVE_PROCESS_ROUTING_ROUTING_VIEW_HPP
 
+#include "verbenacove/request/lookup_ranking.hpp"
 #include "verbenacove/request/upstream_pool.hpp"
 #include "verbenacove/version/route_configuration.hpp"
 
@@ -28,6 +29,9 @@
     /** The number of those entries that are in the local region. At
         least 1. */
     int region_entries = 1;
+    /** Entries that requests are relayed to while this entry reaches no
+        upstream. */
+    std::vector<entry_view> relays;
     /** Whether this entry accepts callers. */
     bool is_ready = false;
     /** The time at which the control thread published the view. */
--- a/source/verbenacove/request/route_header_codec.hpp
+++ b/source/verbenacove/request/route_header_codec.hpp
@@ -76,6 +76,10 @@
     virtual response_metadata
     read_response(http_response const& response) const = 0;
 
+    /** Sets the time that is left for a request, replacing the caller's. */
+    virtual void set_time_left(std::vector<http_header>& headers,
+                               milliseconds time_left) const = 0;
+
     /** Sets the steering headers for an upstream, replacing the caller's.
 
         @param time_left  time that is left for the request
--- a/source/verbenacove/request/routed_request.hpp
+++ b/source/verbenacove/request/routed_request.hpp
@@ -7,8 +7,11 @@
 #include "verbenacove/core/trace.hpp"
 #include "verbenacove/core/verdict.hpp"
 #include "verbenacove/request/quarantine.hpp"
+#include "verbenacove/request/relay_headers.hpp"
+#include "verbenacove/request/relay_selector.hpp"
 #include "verbenacove/request/route_header_codec.hpp"
 #include "verbenacove/request/routed_pool.hpp"
+#include "verbenacove/request/upstream_reachability.hpp"
 #include "verbenacove/version/route_configuration.hpp"
 
 #include <functional>
@@ -42,6 +45,8 @@
     timer_service& timers;
     route_header_codec const& header_codec;
     quarantine& request_quarantine;
+    upstream_reachability& reachability;
+    relay_selector& relays;
     /** Called with the result of each request that gets a response, to update
         metrics. */
     std::function<void(routed_request_result const&)> on_result;
@@ -69,6 +74,9 @@
     on an idempotent route. The deadline, the maximum number of attempts and the
     service's retry budget limit the retries. The route that matched on arrival
     is used throughout, even if the configuration changes in the meantime.
+
+    While this entry reaches no upstream, the request is relayed to an entry
+    that does. A request that was relayed to this entry is not relayed again.
 */
 class routed_request : public std::enable_shared_from_this<routed_request>
 {
@@ -109,6 +117,27 @@
 
     void begin();
     void try_next();
+    /** Returns the request for an attempt, whether at an upstream or at another
+        entry. */
+    attempt_request make_request(socket_address const& address) const;
+    void start_upstream_attempt();
+    /** Ends the attempt at an upstream that cannot be reached any more, if the
+        request may be retried; it is then relayed. */
+    void handle_cut_off();
+
+    // Relaying; see routed_request_relay.cpp.
+    bool should_relay() const;
+    /** Relays the request to an entry; returns false if there is none. */
+    bool relay();
+    attempt_request make_relay_request(socket_address const& address) const;
+    void handle_relay_result(entry_id const& entry, attempt_result result);
+    void handle_relay_response(attempt_result result,
+                               relay_response const& information);
+    void handle_relay_failure(entry_id const& entry,
+                              attempt_result const& result);
+    void apply_relayed_signals(attempt_result const& result,
+                               relay_response const& information);
+    void log_relay(entry_id const& entry, attempt_result const& result) const;
     void wait_for_upstream(pool_shortage shortage);
     void send_to(pool_choice choice);
     attempt_request make_attempt_request(pool_choice const& choice);
@@ -144,6 +173,13 @@
     monotonic_time deadline_{};
     std::optional<pool_choice> choice_;
     std::optional<upstream_client::attempt_id> running_attempt_;
+    /** Set if another entry has relayed the request to this one. */
+    std::optional<relay_request> relayed_from_;
+    std::vector<entry_id> tried_entries_;
+    /** Whether the running attempt was ended to retry elsewhere. */
+    bool is_moving_ = false;
+    /** Registered while an idempotent request waits for an upstream. */
+    std::optional<upstream_reachability::callback_id> cut_off_callback_;
     /** Number under which the quarantine tracks the running attempt. */
     std::optional<attempt_number> quarantine_attempt_;
     std::vector<upstream_id> tried_upstreams_;
--- a/source/verbenacove/request/upstream_monitor.cpp
+++ b/source/verbenacove/request/upstream_monitor.cpp
@@ -138,6 +138,14 @@
     awaits_probe_ = false;
 }
 
+void upstream_monitor::end_connection_ejection(monotonic_time now)
+{
+    if (awaits_probe_)
+    {
+        ejected_until_ = std::min(ejected_until_, now);
+    }
+}
+
 bool upstream_monitor::start_due_probe(monotonic_time now)
 {
     bool const is_due = awaits_probe_ && !is_ejected(now) &&
--- a/source/verbenacove/request/upstream_monitor.hpp
+++ b/source/verbenacove/request/upstream_monitor.hpp
@@ -78,6 +78,10 @@
         stays in recovery until a request succeeds. */
     void record_healthy_probe(monotonic_time now);
 
+    /** Ends an ejection for a lost connection, because this entry was cut off
+        and not the upstream. It stays in recovery until a request succeeds. */
+    void end_connection_ejection(monotonic_time now);
+
     /** Returns whether a health probe is due. If so, counts it as started, so
         that the next one is due only after the probe interval. */
     bool start_due_probe(monotonic_time now);
--- a/source/verbenacove/request/upstream_pool.cpp
+++ b/source/verbenacove/request/upstream_pool.cpp
@@ -428,6 +428,15 @@
     }
 }
 
+void upstream_pool::end_connection_ejections()
+{
+    auto const now = clock_.now();
+    for (auto& tracked : states_)
+    {
+        tracked.monitor->end_connection_ejection(now);
+    }
+}
+
 std::vector<pool_member> upstream_pool::start_due_probes()
 {
     auto const now = clock_.now();
--- a/source/verbenacove/request/upstream_pool.hpp
+++ b/source/verbenacove/request/upstream_pool.hpp
@@ -180,6 +180,10 @@
     */
     bool mark_leaving(pool_member const& member);
 
+    /** Ends all ejections for lost connections, because this entry was cut off
+        from all upstreams. */
+    void end_connection_ejections();
+
     /** Returns the upstreams whose connection was lost and whose health should
         be probed now, before a request is sent to them. Counts the probes as
         started. */
--- a/tests/platform/platform_upstream.hpp
+++ b/tests/platform/platform_upstream.hpp
@@ -169,6 +169,12 @@
     void answer(std::shared_ptr<http_exchange> const& exchange)
     {
         auto const& request = exchange->request();
+        if (request.path == "/health")
+        {
+            exchange->respond(
+                {200, {{"Verbenacove-Instance-Id", id_.toUtf8()}}, {}});
+            return;
+        }
         auto const id = request.header("Verbenacove-Request-Id");
         if (request.header("Verbenacove-Target-Instance") != id_.toUtf8())
         {
--- /dev/null
+++ b/tests/platform/relay_test.cpp
@@ -0,0 +1,230 @@
+#define DOCTEST_CONFIG_IMPLEMENT
+#include <doctest/doctest.h>
+
+#include "platform/platform_upstream.hpp"
+#include "platform_dialect.hpp"
+
+#include "verbenacove/process/routing/route_traffic.hpp"
+
+#include <QCoreApplication>
+
+using namespace verbenacove;
+using namespace verbenacove::support;
+
+namespace
+{
+
+constexpr int upstream_count = 4;
+/** Most of it is the time in which the first request finds out that no
+    upstream can be reached. */
+constexpr milliseconds longest_refusal{2000};
+
+/** The part of an entry that serves callers, on a thread of its own. */
+class traffic_entry
+{
+public:
+    explicit traffic_entry(char const* name)
+        : name_(entry_id(QString::fromLatin1(name)))
+        , address_(local(free_port()))
+    {
+        thread_.start();
+        context_.moveToThread(&thread_);
+        run(
+            [this]
+            {
+                route_entry_settings settings;
+                settings.name = name_;
+                settings.callers = address_;
+                settings.readiness = local(free_port());
+                traffic_ = std::make_unique<route_traffic>(
+                    settings, dialect_,
+                    route_traffic::listener{[](quarantine_update const&) {},
+                                            [](rate_limit_report const&) {},
+                                            [this](bool is_cut_off)
+                                            {
+                                                is_cut_off_ = is_cut_off;
+                                            }});
+                REQUIRE(traffic_->start().isEmpty());
+            });
+    }
+
+    ~traffic_entry()
+    {
+        run([this] { traffic_.reset(); });
+        thread_.quit();
+        thread_.wait();
+    }
+
+    traffic_entry(traffic_entry const&) = delete;
+    traffic_entry& operator=(traffic_entry const&) = delete;
+
+    /** Replaces the upstreams and the entries that it may relay to. */
+    void update(std::vector<socket_address> const& upstreams,
+                std::vector<traffic_entry const*> const& relays)
+    {
+        auto view = std::make_shared<routing_view>();
+        view->routes = configuration();
+        view->is_ready = true;
+        auto& members = view->members[service_name(QStringLiteral("grades"))];
+        for (auto const& address : upstreams)
+        {
+            pool_member member;
+            member.id = upstream_id(
+                QStringLiteral("i-%1").arg(qint64(members.size()) + 1));
+            member.started = incarnation(1);
+            member.address = address;
+            member.slots = slot_count(4);
+            member.health_path = QStringLiteral("/health");
+            members.push_back(member);
+        }
+        for (auto const* relay : relays)
+        {
+            entry_view entry;
+            entry.id = relay->name_;
+            entry.address = relay->address_;
+            view->relays.push_back(entry);
+        }
+        run([this, &view] { traffic_->update(view); });
+    }
+
+    http_answer call(QByteArray const& id, QByteArray const& method = "GET")
+    {
+        return call_http({address_,
+                          method,
+                          method == "POST" ? "/bales/7" : "/grades/7",
+                          {"Host: g.example", "Verbenacove-Request-Id: " + id,
+                           "Verbenacove-Deadline-Ms: 2500"},
+                          method == "POST" ? "bale of " + id : QByteArray()});
+    }
+
+    bool is_cut_off() const { return is_cut_off_; }
+
+private:
+    static route_configuration_ptr configuration()
+    {
+        auto result = std::make_shared<route_configuration>();
+        result->version = route_version(3);
+        service_name const service(QStringLiteral("grades"));
+        result->services[service.value()].name = service;
+        for (bool const is_idempotent : {true, false})
+        {
+            route_record route;
+            route.name = QString::number(is_idempotent ? 1 : 0);
+            route.host = QStringLiteral("g.example");
+            route.path_prefix = is_idempotent ? QStringLiteral("/grades/")
+                                              : QStringLiteral("/bales/");
+            route.is_idempotent = is_idempotent;
+            route.maximum_attempts = 2;
+            route.split = {{service, 1}};
+            result->routes[route.name] = route;
+        }
+        return result;
+    }
+
+    template <class Function>
+    void run(Function function)
+    {
+        QMetaObject::invokeMethod(&context_, function,
+                                  Qt::BlockingQueuedConnection);
+    }
+
+    entry_id name_;
+    socket_address address_;
+    platform::platform_dialect dialect_;
+    std::atomic<bool> is_cut_off_ = false;
+    QThread thread_;
+    QObject context_;
+    std::unique_ptr<route_traffic> traffic_;
+};
+
+/** An entry that reaches no upstream, and one that reaches one. */
+struct relay_fixture
+{
+    relay_fixture()
+    {
+        std::vector<socket_address> closed;
+        for (int number = 0; number < upstream_count; ++number)
+        {
+            closed.push_back(local(free_port()));
+        }
+        cut_off.update(closed, {&connected});
+        connected.update({upstream.address()}, {&cut_off});
+    }
+
+    platform_upstream upstream{QStringLiteral("i-1")};
+    traffic_entry connected{"connected"};
+    traffic_entry cut_off{"cut-off"};
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(
+    relay_fixture,
+    "entry without a path to any upstream: callers that know only "
+    "this entry are served")
+{
+    for (int number = 0; number < 10; ++number)
+    {
+        auto const id = "grade-" + QByteArray::number(number);
+        CHECK(cut_off.call(id).is(200));
+        CHECK(upstream.runs(id) == 1);
+    }
+    CHECK(cut_off.is_cut_off());
+    auto const answer = cut_off.call("bale-1", "POST");
+    CHECK(answer.is(200));
+    CHECK(answer.body.contains("bale of bale-1"));
+    CHECK(answer.headers.value("verbenacove-response-signature") == "s-bale-1");
+    CHECK(answer.headers.value("relay-verdict").isEmpty());
+    CHECK(upstream.runs("bale-1") == 1);
+}
+
+TEST_CASE_FIXTURE(relay_fixture,
+                  "entry without a path to any upstream: the answer to relayed "
+                  "non-idempotent work is lost: 502, and it ran once")
+{
+    CHECK(cut_off.call("grade-1").is(200));
+    upstream.loses_answers = true;
+    CHECK(cut_off.call("bale-1", "POST").is(502));
+    CHECK(upstream.runs("bale-1") == 1);
+}
+
+TEST_CASE_FIXTURE(relay_fixture,
+                  "no entry has a path to any upstream: a true refusal at once")
+{
+    std::vector<socket_address> closed(upstream_count, local(free_port()));
+    connected.update(closed, {&cut_off});
+    for (int number = 0; number < 5; ++number)
+    {
+        auto const id = "bale-" + QByteArray::number(number);
+        auto const begin = std::chrono::steady_clock::now();
+        auto const answer = cut_off.call(id, "POST");
+        CHECK(answer.is(503));
+        CHECK(answer.headers.value("run-verdict") == "not-run");
+        CHECK(elapsed(begin, std::chrono::steady_clock::now()) <
+              longest_refusal);
+        CHECK(upstream.runs(id) == 0);
+    }
+}
+
+TEST_CASE_FIXTURE(relay_fixture,
+                  "entry without a path to any upstream: the path is back: it "
+                  "serves by itself again")
+{
+    CHECK(cut_off.call("grade-1").is(200));
+    REQUIRE(cut_off.is_cut_off());
+    cut_off.update({upstream.address()}, {});
+    auto const deadline =
+        std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (cut_off.is_cut_off() && std::chrono::steady_clock::now() < deadline)
+    {
+        QThread::msleep(20);
+    }
+    CHECK_FALSE(cut_off.is_cut_off());
+    CHECK(cut_off.call("grade-2").is(200));
+}
+
+int main(int argc, char** argv)
+{
+    QCoreApplication const application(argc, argv);
+    return doctest::Context(argc, argv).run();
+}
