--- a/tests/platform/platform_documents_test.cpp
+++ b/tests/platform/platform_documents_test.cpp
@@ -2,6 +2,10 @@
 #include "platform_documents.hpp"
 
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "verbenacove/core/cbor.hpp"
+#include "verbenacove/process/control_state.hpp"
+#include "verbenacove/process/raft_types.hpp"
+
 #include <doctest/doctest.h>
 
 #include <QJsonDocument>
@@ -185,6 +189,33 @@
     CHECK(list->routes[0].name == QStringLiteral("r-3"));
 }
 
+TEST_CASE("platform documents: a deeply nested value: refused, or replicas can "
+          "read it back")
+{
+    for (int const depth : {10, 60, 1000, 1010, 1015, 1018, 1020, 2000})
+    {
+        QByteArray const nested =
+            QByteArray(depth, '[') + QByteArray(depth, ']');
+        auto const body = QByteArray(whole_body)
+                              .replace(R"("Kind":"safe")",
+                                       R"("Kind":"safe","Note":)" + nested);
+        REQUIRE(body.contains(nested));
+        QString wrong;
+        auto const change = change_of(body, change_form::whole, wrong);
+        if (!change)
+        {
+            continue;
+        }
+        raft_entry const entry{log_index(1), log_term(1),
+                               raft_entry_kind::command,
+                               control_state::route_command(*change)};
+        QCborMap const record{
+            {QLatin1String("append"), QCborArray{to_cbor(entry)}}};
+        CHECK_MESSAGE(parse_cbor_map(record.toCborValue().toCbor()), "nested ",
+                      depth, " deep");
+    }
+}
+
 TEST_CASE("platform documents: a heartbeat: decoded")
 {
     auto const record = heartbeat_of(heartbeat_with("Slots", 6));
