--- a/tests/platform/platform_documents_test.cpp
+++ b/tests/platform/platform_documents_test.cpp
@@ -247,6 +247,18 @@
     }
 }
 
+TEST_CASE("platform dialect: a load that cannot be: left out")
+{
+    platform_dialect const dialect;
+    for (char const* const load : {"-1,0,4", "2147483647,2147483647,4", "1,2",
+                                   "1,2,x", "99999999999,0,4"})
+    {
+        http_response const response{
+            200, {{"Verbenacove-Backend-Load", load}}, {}};
+        CHECK_FALSE(dialect.read_response(response).load);
+    }
+}
+
 TEST_CASE("platform dialect: outgoing headers: replaced, not added twice")
 {
     platform_dialect const dialect;
