--- a/tests/platform/platform_documents_test.cpp
+++ b/tests/platform/platform_documents_test.cpp
@@ -247,6 +247,25 @@
     }
 }
 
+TEST_CASE("platform documents: heartbeats with numbers that are too large: "
+          "refused")
+{
+    CHECK_FALSE(heartbeat_of(heartbeat_with("born", 9007199254740992.0)));
+    CHECK_FALSE(heartbeat_of(heartbeat_with("Slots", 1000000)));
+    for (char const* const key : {"Slots", "Sequence", "born"})
+    {
+        CHECK_FALSE(heartbeat_of(heartbeat_with(key, 1e300)));
+        CHECK_FALSE(heartbeat_of(heartbeat_with(key, -1e300)));
+    }
+    for (char const* const address :
+         {"10.0.0.9:65536", "10.0.0.9:0", "10.0.0.9:-1", "10.0.0.9:1e3",
+          "10.0.0.999:80", "10.0.0.9:99999999999999999999"})
+    {
+        CHECK_FALSE(heartbeat_of(
+            heartbeat_with("Address", QString::fromLatin1(address))));
+    }
+}
+
 TEST_CASE("platform dialect: a load that cannot be: left out")
 {
     platform_dialect const dialect;
