Refuse requests that come late in an entry's grace

Report of other operators: in a planned stop, requests that came late in the grace were taken and passed on, and cut off without an answer at its end.

It happens here: an entry that stops serves on until callers' look-ups expire (3 s) and then waits for the requests in flight, but went on taking new ones as long as one was in flight, to 0.25 s before the end.

Change: after these 3 s each new request is refused with a true 503, also one that another entry relays. Requests in flight get the rest of the grace.

Test: "platform: an entry is asked to stop: a request that comes late in the grace is refused, not cut off" failed before (the late request ran and got no answer).

--- a/source/verbenacove/process/routing/route_entry_process.cpp
+++ b/source/verbenacove/process/routing/route_entry_process.cpp
@@ -331,6 +331,8 @@
 
 void route_entry_process::finish_stop()
 {
+    // A request that comes this late might not end before the process does.
+    call_on_traffic([this] { traffic_->refuse_requests(); });
     stop_timer_ = timers_.call_every(
         stop_poll_interval,
         [this]
--- a/source/verbenacove/process/routing/route_entry_process.hpp
+++ b/source/verbenacove/process/routing/route_entry_process.hpp
@@ -46,7 +46,8 @@
 
         The entry is removed from look-ups at once. It keeps serving until the
         cached look-up responses that name it expire, but for at most half of
-        the grace period, and then waits for the requests in flight.
+        the grace period. Then it refuses further requests and waits for those
+        in flight.
 
         @param on_stopped  called when no request is in flight, or when the
                            grace period is nearly over
--- a/source/verbenacove/process/routing/route_traffic.cpp
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -186,9 +186,10 @@
 {
     auto const& request = exchange->request();
     auto metadata = header_codec_.read_request(request);
-    if (!view_->routes)
+    if (!view_->routes || is_refusing_)
     {
-        refuse(exchange, metadata, 503, "no-routes");
+        refuse(exchange, metadata, 503,
+               is_refusing_ ? "stopping" : "no-routes");
         return;
     }
     if (metadata.id.isEmpty())
@@ -217,6 +218,11 @@
     {
         header_codec_.set_retry_after(response.headers, refusal_delay);
     }
+    if (read_relay_request(exchange->request()))
+    {
+        set_relay_headers(response.headers,
+                          relay_response{run_verdict::not_run, {}});
+    }
     entry_log.note("request.refused",
                    {{"request", QString::fromLatin1(metadata.id)},
                     {"status", status},
--- a/source/verbenacove/process/routing/route_traffic.hpp
+++ b/source/verbenacove/process/routing/route_traffic.hpp
@@ -68,9 +68,8 @@
         are still accepted. */
     void prepare_stop() { caller_endpoint_.prepare_stop(); }
 
-    /** Stops accepting new caller connections. Requests in flight
-        continue. */
-    void stop_accepting() { caller_endpoint_.stop_accepting(); }
+    /** Refuses all requests from now on. Those in flight continue. */
+    void refuse_requests() { is_refusing_ = true; }
 
     /** Returns the number of caller connections with a request in progress
         or a response that is not fully sent. */
@@ -120,6 +119,7 @@
     relay_selector relays_;
     split_chooser split_chooser_;
     routing_view_ptr view_ = std::make_shared<routing_view const>();
+    bool is_refusing_ = false;
     QHash<service_name, std::shared_ptr<routed_pool>> pools_;
     upstream_client upstream_client_;
     http_server caller_endpoint_;
--- a/tests/platform/platform_path_test.cpp
+++ b/tests/platform/platform_path_test.cpp
@@ -212,6 +212,29 @@
     CHECK(entry_process(0).exit_code() == 0);
 }
 
+TEST_CASE_FIXTURE(
+    platform_fixture,
+    "platform: an entry is asked to stop: a request that comes late "
+    "in the grace is refused, not cut off")
+{
+    put_until_accepted(3, "unsafe", "r0");
+    REQUIRE(serves(0));
+    std::jthread stopping(
+        [&] { entry_process(0).stop_gracefully(milliseconds(8000)); });
+    std::this_thread::sleep_for(milliseconds(2500));
+    first.work_ms = 2000;
+    second.work_ms = 2000;
+    http_answer early;
+    std::jthread calling([&] { early = call(0, "early", "POST"); });
+    std::this_thread::sleep_for(milliseconds(1500));
+    auto const late = call(0, "late", "POST");
+    calling.join();
+    CHECK(early.is(200));
+    CHECK(late.is(503));
+    CHECK(late.headers.value("run-verdict") == "not-run");
+    CHECK(first.runs("late") + second.runs("late") == 0);
+}
+
 int main(int argc, char** argv)
 {
     QCoreApplication const application(argc, argv);
--- a/tests/platform/platform_upstream.hpp
+++ b/tests/platform/platform_upstream.hpp
@@ -10,6 +10,7 @@
 #include <QJsonDocument>
 #include <QMutex>
 #include <QThread>
+#include <QTimer>
 
 #include <atomic>
 #include <map>
@@ -133,6 +134,9 @@
         return arrivals_;
     }
 
+    /** Time for which it works on each request. */
+    std::atomic<int> work_ms{0};
+
     /** Makes the next answers come without ending, and the connection break. */
     std::atomic<bool> loses_answers{false};
 
@@ -234,7 +238,9 @@
             response.headers.push_back(
                 {"Server-Limit", QByteArray::number(rate_limit)});
         }
-        exchange->respond(response);
+        QTimer::singleShot(work_ms.load(), &context_,
+                           [exchange, response]
+                           { exchange->respond(response); });
     }
 
     QString id_;
--- a/tests/platform/relay_test.cpp
+++ b/tests/platform/relay_test.cpp
@@ -97,6 +97,11 @@
                           method == "POST" ? "bale of " + id : QByteArray()});
     }
 
+    void refuse_requests()
+    {
+        run([this] { traffic_->refuse_requests(); });
+    }
+
     bool is_cut_off() const { return is_cut_off_; }
 
 private:
@@ -188,6 +193,19 @@
     CHECK(upstream.runs("bale-1") == 1);
 }
 
+TEST_CASE_FIXTURE(
+    relay_fixture,
+    "entry without a path to any upstream: the only other entry is "
+    "about to end: a true refusal")
+{
+    CHECK(cut_off.call("grade-1").is(200));
+    connected.refuse_requests();
+    auto const answer = cut_off.call("bale-1", "POST");
+    CHECK(answer.is(503));
+    CHECK(answer.headers.value("run-verdict") == "not-run");
+    CHECK(upstream.runs("bale-1") == 0);
+}
+
 TEST_CASE_FIXTURE(relay_fixture,
                   "no entry has a path to any upstream: a true refusal at once")
 {
