Spread callers of cut-off entries by what is left, and tell a full link apart

Cause, from the entries' logs: 39 of 69 entries are cut off. In zones with few entries left these got four times their load, and their links of 2 Mbit/s filled up. New connections then took longer than 300 ms, so the sound entries counted as cut off too and relayed in turn (10 to 18 changes a second).

Change: look-ups and relays take the nearest of zone, region and all of which half of the entries reach upstreams, or else that of which most do. Failures to connect in time count only while no response comes either; refused connections count as before. An outage is reported after 0.5 s.

Tests: entry_lookup_test and upstream_reachability_test, which failed before.

--- a/source/verbenacove/process/routing/entry_directory.cpp
+++ b/source/verbenacove/process/routing/entry_directory.cpp
@@ -33,8 +33,7 @@
 
 std::vector<entry_view> entry_directory::serving_entries() const
 {
-    std::vector<entry_view> connected;
-    std::vector<entry_view> cut_off;
+    std::vector<entry_view> result;
     for (auto const& entry : discovery_.membership().entries().records())
     {
         if (entry.phase != member_phase::serving || entry.is_silent)
@@ -46,10 +45,10 @@
         view.address = entry.content.address;
         view.region = entry.content.region;
         view.zone = entry.content.zone;
-        (entry.content.reaches_upstreams ? connected : cut_off).push_back(view);
+        view.reaches_upstreams = entry.content.reaches_upstreams;
+        result.push_back(view);
     }
-    // Entries that all say that they are cut off may still be better than none.
-    return connected.empty() ? cut_off : connected;
+    return result;
 }
 
 void entry_directory::log_change(location const& caller, std::size_t serving,
--- a/source/verbenacove/process/routing/entry_directory.hpp
+++ b/source/verbenacove/process/routing/entry_directory.hpp
@@ -34,9 +34,8 @@
     std::vector<entry_view> find(location const& caller,
                                  std::size_t maximum_count);
 
-    /** Returns the entries that a look-up can return: those that are serving,
-        not silent and not cut off from all upstreams. If all are cut off, these
-        are returned. */
+    /** Returns the entries that a look-up can return: those that are serving
+        and not silent. */
     std::vector<entry_view> serving_entries() const;
 
 private:
--- a/source/verbenacove/process/routing/route_entry_process.cpp
+++ b/source/verbenacove/process/routing/route_entry_process.cpp
@@ -34,7 +34,7 @@
 constexpr double usable_warmup_fraction = 0.8;
 /** Time for which this entry reaches no upstream before callers are sent to
     other entries. */
-constexpr milliseconds reported_outage{1000};
+constexpr milliseconds reported_outage{500};
 /** Maximum number of entries among which a relayed request's is selected. */
 constexpr std::size_t maximum_relays = 16;
 /** The smallest rate, in requests per second, that an entry gets of an
@@ -155,8 +155,7 @@
     {
         bool const is_usable = entry.id != settings_.name.value() &&
                                entry.phase == member_phase::serving &&
-                               !entry.is_silent &&
-                               entry.content.reaches_upstreams;
+                               !entry.is_silent;
         if (!is_usable)
         {
             continue;
@@ -166,6 +165,7 @@
         view.address = entry.content.address;
         view.region = entry.content.region;
         view.zone = entry.content.zone;
+        view.reaches_upstreams = entry.content.reaches_upstreams;
         // Differs between entries, so that each has its own part of a large
         // zone's entries.
         auto const rank =
--- a/source/verbenacove/request/entry_lookup.cpp
+++ b/source/verbenacove/request/entry_lookup.cpp
@@ -5,6 +5,8 @@
 #include <QSet>
 
 #include <algorithm>
+#include <array>
+#include <iterator>
 
 namespace verbenacove
 {
@@ -12,6 +14,14 @@
 namespace
 {
 
+/** The entries of the caller's zone, of its region and of all regions. */
+constexpr std::array<network_distance, 3> scopes{
+    network_distance::same_zone, network_distance::same_region,
+    network_distance::other_region};
+
+/** The share of a scope's entries that must be left for its callers. */
+constexpr double sufficient_share = 0.5;
+
 // Returns whether the entries of one zone are less than half of the average.
 bool is_zone_short(std::vector<entry_view> const& entries,
                    std::size_t entries_in_zone)
@@ -25,29 +35,84 @@
     return entries_in_zone * zone_count * 2 < entries.size();
 }
 
-} // namespace
+// Returns the share of a scope's entries that reach upstreams.
+double connected_share(location const& caller,
+                       std::vector<entry_view> const& entries,
+                       network_distance scope)
+{
+    int all = 0;
+    int connected = 0;
+    for (auto const& entry : entries)
+    {
+        bool const is_in_scope = distance_between(caller, entry) <= scope;
+        all += is_in_scope ? 1 : 0;
+        connected += is_in_scope && entry.reaches_upstreams ? 1 : 0;
+    }
+    return all == 0 ? 0 : static_cast<double>(connected) / all;
+}
 
-std::vector<entry_view> nearest_entries(location const& caller,
-                                        std::vector<entry_view> const& entries,
-                                        std::size_t maximum_count)
+// Returns the nearest scope of which enough entries reach upstreams, or that of
+// which most do.
+network_distance connected_scope(location const& caller,
+                                 std::vector<entry_view> const& entries)
 {
-    std::vector<entry_view> result;
-    auto limit = network_distance::other_region;
+    auto best = scopes.front();
+    double best_share = 0;
+    for (auto const scope : scopes)
+    {
+        auto const share = connected_share(caller, entries, scope);
+        if (share >= sufficient_share)
+        {
+            return scope;
+        }
+        if (share > best_share)
+        {
+            best = scope;
+            best_share = share;
+        }
+    }
+    return best;
+}
+
+// Returns the nearest scope that has entries, and enough of them.
+network_distance populated_scope(location const& caller,
+                                 std::vector<entry_view> const& entries)
+{
+    auto scope = network_distance::other_region;
     std::size_t in_zone = 0;
     for (auto const& entry : entries)
     {
         auto const distance = distance_between(caller, entry);
-        limit = std::min(limit, distance);
+        scope = std::min(scope, distance);
         in_zone += distance == network_distance::same_zone ? 1 : 0;
     }
-    if (limit == network_distance::same_zone && is_zone_short(entries, in_zone))
+    bool const is_short =
+        scope == network_distance::same_zone && is_zone_short(entries, in_zone);
+    return is_short ? network_distance::same_region : scope;
+}
+
+} // namespace
+
+std::vector<entry_view> nearest_entries(location const& caller,
+                                        std::vector<entry_view> const& entries,
+                                        std::size_t maximum_count)
+{
+    std::vector<entry_view> connected;
+    std::copy_if(entries.begin(), entries.end(), std::back_inserter(connected),
+                 [](entry_view const& entry)
+                 { return entry.reaches_upstreams; });
+    bool const is_any_connected = !connected.empty();
+    auto const& usable = is_any_connected ? connected : entries;
+    auto scope = populated_scope(caller, usable);
+    if (is_any_connected && usable.size() < entries.size())
     {
-        limit = network_distance::same_region;
+        scope = std::max(scope, connected_scope(caller, entries));
     }
-    for (auto const& entry : entries)
+    std::vector<entry_view> result;
+    for (auto const& entry : usable)
     {
         if (result.size() < maximum_count &&
-            distance_between(caller, entry) <= limit)
+            distance_between(caller, entry) <= scope)
         {
             result.push_back(entry);
         }
--- a/source/verbenacove/request/entry_lookup.hpp
+++ b/source/verbenacove/request/entry_lookup.hpp
@@ -17,6 +17,10 @@
     callers of the zone would overload them, and those of its region are
     returned as well. The given order is kept.
 
+    Entries that are cut off from all upstreams are left out, unless all are. If
+    that leaves less than half of the entries of the zone, those of the region
+    are returned instead, or all: the scope of which most are left.
+
     @param entries        the entries that are known to serve
     @param maximum_count  the maximum number of entries to return
 */
--- a/source/verbenacove/request/lookup_ranking.hpp
+++ b/source/verbenacove/request/lookup_ranking.hpp
@@ -22,6 +22,8 @@
     /** False once the entry is about to stop, so that it is removed from
         look-ups before it stops serving. */
     bool is_serving = true;
+    /** False while it is cut off from all upstreams. */
+    bool reaches_upstreams = true;
     /** The free share of its capacity, 0 to 1. */
     double headroom = 1;
     /** The time of the report, on the local clock. */
--- a/source/verbenacove/request/upstream_reachability.cpp
+++ b/source/verbenacove/request/upstream_reachability.cpp
@@ -19,13 +19,17 @@
     bool const has_timed_out =
         result.end == attempt_end::timed_out_before_send &&
         result.duration >= conclusive_connect_time;
+    if (result.end == attempt_end::answered)
+    {
+        last_response_ = clock_.now();
+    }
     if (result.connected)
     {
         record_connection(*result.connected);
     }
     else if (result.end == attempt_end::connect_failed || has_timed_out)
     {
-        record_failure(upstream);
+        record_failure(upstream, result.duration < conclusive_connect_time);
     }
 }
 
@@ -34,30 +38,40 @@
 {
     last_connection_ = std::max(last_connection_, opened);
     failures_.removeIf([opened](auto const& item)
-                       { return item.value() <= opened; });
+                       { return item.value().at <= opened; });
     if (is_cut_off_ && opened > cut_off_since_)
     {
         set_cut_off(false);
     }
 }
 
-void upstream_reachability::record_failure(upstream_id const& upstream)
+void upstream_reachability::record_failure(upstream_id const& upstream,
+                                           bool was_refused)
 {
     auto const now = clock_.now();
     failures_.removeIf(
         [now](auto const& item)
-        { return elapsed(item.value(), now) > failure_retention; });
+        { return elapsed(item.value().at, now) > failure_retention; });
     if (failures_.size() < failures_to_cut_off || failures_.contains(upstream))
     {
-        failures_[upstream] = now;
+        failures_[upstream] = {now, was_refused};
     }
     if (failures_.size() >= failures_to_cut_off &&
-        elapsed(last_connection_, now) >= minimum_outage)
+        elapsed(last_connection_, now) >= minimum_outage &&
+        !is_response_recent(now))
     {
         set_cut_off(true);
     }
 }
 
+bool upstream_reachability::is_response_recent(monotonic_time now) const
+{
+    bool const were_all_refused =
+        std::all_of(failures_.begin(), failures_.end(),
+                    [](failure const& each) { return each.was_refused; });
+    return !were_all_refused && elapsed(last_response_, now) < minimum_outage;
+}
+
 bool upstream_reachability::start_due_probe()
 {
     auto const now = clock_.now();
--- a/source/verbenacove/request/upstream_reachability.hpp
+++ b/source/verbenacove/request/upstream_reachability.hpp
@@ -18,9 +18,11 @@
 
     An entry counts as cut off when connections to several upstreams failed, one
     after the other, and none has been opened for longer than an attempt to
-    connect takes. It counts as connected again with the first connection that
-    is opened. Responses on connections that were open before say nothing: such
-    connections may outlive the path for new ones.
+    connect takes. Unless the connections were refused, there must have been no
+    response either: on a link that is full, new connections come late. Refused
+    ones count alone, since open connections may outlive the path for new ones.
+    The entry counts as connected again with the first connection that is
+    opened.
 
     All calls must come from one thread.
 */
@@ -53,7 +55,7 @@
     upstream_reachability& operator=(upstream_reachability const&) = delete;
 
     /** Minimum duration of an attempt to connect that counts as a failure when
-        its time has run out. */
+        its time has run out. One that fails earlier was refused. */
     static constexpr milliseconds conclusive_connect_time{250};
 
     /** Records what an attempt says about the path to an upstream. */
@@ -74,8 +76,15 @@
     void remove(callback_id id) { waiting_.erase(id); }
 
 private:
+    struct failure
+    {
+        monotonic_time at;
+        bool was_refused = false;
+    };
+
     void record_connection(monotonic_time opened);
-    void record_failure(upstream_id const& upstream);
+    void record_failure(upstream_id const& upstream, bool was_refused);
+    bool is_response_recent(monotonic_time now) const;
     void set_cut_off(bool is_cut_off);
 
     clock_source const& clock_;
@@ -84,9 +93,10 @@
     monotonic_time cut_off_since_{};
     monotonic_time last_connection_{};
     monotonic_time last_probe_{};
-    /** Time of each upstream's last failure since the last connection; at most
+    monotonic_time last_response_{};
+    /** Each upstream's last failure since the last connection; at most
         `failures_to_cut_off`. */
-    QHash<upstream_id, monotonic_time> failures_;
+    QHash<upstream_id, failure> failures_;
     std::map<callback_id, std::function<void()>> waiting_;
     callback_id last_id_ = 0;
 };
--- a/tests/unit/entry_lookup_test.cpp
+++ b/tests/unit/entry_lookup_test.cpp
@@ -23,6 +23,19 @@
         }
     }
 
+    /** Cuts off this many entries of a zone. */
+    void cut_off(char const* zone, int count)
+    {
+        for (auto& entry : entries)
+        {
+            if (count > 0 && entry.zone.value() == QLatin1String(zone))
+            {
+                entry.reaches_upstreams = false;
+                --count;
+            }
+        }
+    }
+
     std::size_t found(char const* zone = "wcape-a") const
     {
         location const caller{region_name(QStringLiteral("wcape")),
@@ -84,3 +97,42 @@
     CHECK(nearest_entries(caller, {far}, 64).size() == 1);
     CHECK(nearest_entries(caller, {}, 64).empty());
 }
+
+TEST_CASE_FIXTURE(entry_lookup_fixture,
+                  "entry look-up: half of a zone's entries are cut off: the "
+                  "other half")
+{
+    add("wcape-a", "wcape", 12);
+    add("wcape-b", "wcape", 12);
+    add("ecape-a", "ecape", 12);
+    cut_off("wcape-a", 6);
+    CHECK(found() == 6);
+    CHECK(found("wcape-b") == 12);
+}
+
+TEST_CASE_FIXTURE(
+    entry_lookup_fixture,
+    "entry look-up: most of a zone's entries are cut off: callers "
+    "are spread until enough entries carry them")
+{
+    add("wcape-a", "wcape", 12);
+    add("wcape-b", "wcape", 12);
+    add("ecape-a", "ecape", 24);
+    cut_off("wcape-a", 9);
+    CHECK(found() == 15);
+    cut_off("wcape-a", 12);
+    CHECK(found() == 12);
+    cut_off("wcape-b", 4);
+    CHECK(found() == 32);
+    CHECK(found("wcape-b") == 8);
+}
+
+TEST_CASE_FIXTURE(
+    entry_lookup_fixture,
+    "entry look-up: all entries are cut off: they are returned all "
+    "the same")
+{
+    add("wcape-a", "wcape", 3);
+    cut_off("wcape-a", 3);
+    CHECK(found() == 3);
+}
--- a/tests/unit/upstream_reachability_test.cpp
+++ b/tests/unit/upstream_reachability_test.cpp
@@ -24,6 +24,14 @@
         reachability.record_attempt(id(upstream), result);
     }
 
+    void refuse(int upstream)
+    {
+        attempt_result result;
+        result.end = attempt_end::connect_failed;
+        result.duration = milliseconds(2);
+        reachability.record_attempt(id(upstream), result);
+    }
+
     void connect(monotonic_time opened)
     {
         attempt_result result;
@@ -135,6 +143,38 @@
     CHECK_FALSE(reachability.is_cut_off());
 }
 
+TEST_CASE_FIXTURE(reachability_fixture,
+                  "upstream reachability: no new connection in time, but "
+                  "responses: the link is full, not cut off")
+{
+    connect(clock.now());
+    for (int i = 0; i < 20; ++i)
+    {
+        clock.advance(milliseconds(100));
+        answer_on_kept_connection();
+        fail(i);
+    }
+    CHECK_FALSE(reachability.is_cut_off());
+    clock.advance(upstream_reachability::minimum_outage);
+    fail(1);
+    CHECK(reachability.is_cut_off());
+}
+
+TEST_CASE_FIXTURE(
+    reachability_fixture,
+    "upstream reachability: new connections are refused, kept ones "
+    "work: cut off")
+{
+    connect(clock.now());
+    clock.advance(milliseconds(500));
+    for (int upstream = 1; upstream <= 3; ++upstream)
+    {
+        answer_on_kept_connection();
+        refuse(upstream);
+    }
+    CHECK(reachability.is_cut_off());
+}
+
 TEST_CASE_FIXTURE(reachability_fixture,
                   "upstream reachability: attempts with hardly any time: not "
                   "cut off")
