Test disks that are full in turn

Report of other operators: the disks of replicas were full one after the other, and changes were refused or unanswered long after the last had space.

--- a/tests/unit/raft_node_test.cpp
+++ b/tests/unit/raft_node_test.cpp
@@ -696,6 +696,37 @@
     CHECK(raft.run_until([&] { return raft.all_hold({1, 3}); }));
 }
 
+TEST_CASE("raft: disks are full in turn: once the last has space, changes are "
+          "committed at once")
+{
+    raft_fixture raft(5);
+    raft.commit(1);
+    qint64 number = 1;
+    for (int i = 0; i < 5; ++i)
+    {
+        raft.fill_disk(i);
+        for (int change = 0; change < 3; ++change)
+        {
+            if (auto* leader = raft.leader())
+            {
+                raft.propose(*leader, ++number);
+            }
+            raft.run(milliseconds(800));
+        }
+        raft.free_disk(i);
+    }
+    raft.propose(raft.elect(), ++number);
+    CHECK(raft.run_until(
+        [&]
+        {
+            return raft.ends.count(number) > 0 &&
+                   raft.ends[number] == raft_node::proposal_end::committed;
+        },
+        milliseconds(1000)));
+    auto const held = raft.elect().machine.numbers;
+    CHECK(raft.run_until([&] { return raft.all_hold(held); }));
+}
+
 TEST_CASE("raft: a snapshot arrives at a full disk: taken once there is space")
 {
     raft_fixture raft(3);
