Take in a voter that was replaced while it was away

A voter that is silent for 10 s gives its place to a learner. When it came back it took itself for a voter still: it asked for votes, which the others refuse while they have a leader, and no leader wrote to it. It never became current again: reads and orders there got 503, and entries near it read another replica. With 11 replicas and 7 voters four such absences use up all learners.

Test: "raft: a voter returns after it was replaced: learns again" failed before.

--- a/source/verbenacove/process/raft_node.cpp
+++ b/source/verbenacove/process/raft_node.cpp
@@ -139,6 +139,12 @@
         ask_to_join();
         return;
     }
+    // A voter that was replaced while it was away cannot know that from its own
+    // log; the leader takes it in as a learner.
+    if (!has_live_leader())
+    {
+        ask_to_join();
+    }
     if (now >= election_deadline_ && now >= unread_until_)
     {
         start_pre_vote();
--- a/tests/unit/raft_node_test.cpp
+++ b/tests/unit/raft_node_test.cpp
@@ -511,6 +511,32 @@
     CHECK(raft.run_until([&] { return raft.all_hold({1, 2}); }));
 }
 
+TEST_CASE("raft: a voter returns after it was replaced: learns again")
+{
+    raft_fixture raft(3);
+    raft.admit_all();
+    raft.maximum_voters = 3;
+    for (int i = 0; i < 3; ++i)
+    {
+        raft.stop(i);
+        raft.start(i);
+    }
+    raft.commit(1);
+    auto const stranger = raft.add_stranger(QStringLiteral("stranger"));
+    auto const& learner = *raft.replicas[std::size_t(stranger)];
+    auto const lost = (raft.index_of(&raft.elect()) + 1) % 3;
+    raft.cut(lost);
+    REQUIRE(raft.run_until([&] { return learner.node->is_voter(); },
+                           milliseconds(30000)));
+    raft.commit(2);
+    raft.heal(lost);
+    raft.commit(3);
+    auto const& returned = *raft.replicas[std::size_t(lost)];
+    CHECK(raft.run_until([&] { return raft.all_hold({1, 2, 3}); }));
+    CHECK(raft.run_until([&] { return returned.node->is_current(); }));
+    CHECK_FALSE(returned.node->is_voter());
+}
+
 TEST_CASE("raft: replicas that nobody named: voters up to the most")
 {
     raft_fixture raft(3);
