Try another entry when the one that a request was relayed to is cut off too

In the first second of a cut most entries do not know yet that others are cut off as well.

Change: a refused relay goes on to the next entry, four at most, whatever came before; the verdict is unchanged when none is left.

Test: relay_test, "another entry has none either: the third one serves". It covers the way, not the 502, which needs a request in flight at the cut.

--- a/source/verbenacove/request/routed_request_relay.cpp
+++ b/source/verbenacove/request/routed_request_relay.cpp
@@ -12,7 +12,7 @@
 {
 
 /** Maximum number of entries that one request is relayed to. */
-constexpr std::size_t maximum_relays = 3;
+constexpr std::size_t maximum_relays = 4;
 
 } // namespace
 
@@ -76,9 +76,12 @@
         respond(std::move(result.response), run_verdict::ran, "relayed");
         return;
     }
-    may_have_run_ =
-        may_have_run_ || information.verdict == run_verdict::may_have_run;
-    if (may_have_run_)
+    bool const is_lost = information.verdict == run_verdict::may_have_run;
+    if (!is_lost && should_relay() && relay())
+    {
+        return;
+    }
+    if (is_lost || may_have_run_)
     {
         respond_may_have_run(result.response.status == gateway_timeout
                                  ? gateway_timeout
@@ -86,10 +89,6 @@
                              "relayed");
         return;
     }
-    if (should_relay() && relay())
-    {
-        return;
-    }
     // Another status would be about the entry's configuration, which may be
     // older than the one that the request was accepted by.
     if (result.response.status == unavailable)
--- a/tests/platform/relay_test.cpp
+++ b/tests/platform/relay_test.cpp
@@ -206,6 +206,23 @@
     CHECK(upstream.runs("bale-1") == 0);
 }
 
+TEST_CASE_FIXTURE(
+    relay_fixture,
+    "entry without a path to any upstream: another entry has none "
+    "either: the third one serves")
+{
+    traffic_entry other("other");
+    std::vector<socket_address> closed(upstream_count, local(free_port()));
+    other.update(closed, {});
+    cut_off.update(closed, {&other, &connected});
+    for (int number = 0; number < 20; ++number)
+    {
+        auto const id = "bale-" + QByteArray::number(number);
+        CHECK(cut_off.call(id, "POST").is(200));
+        CHECK(upstream.runs(id) == 1);
+    }
+}
+
 TEST_CASE_FIXTURE(relay_fixture,
                   "no entry has a path to any upstream: a true refusal at once")
 {
