Do not take refusals of busy upstreams for a cut

Cause, from the entries' logs: entries that have just started had opened no connection yet, so the first three failures sufficed; and upstreams with a long queue refuse connections, which counted like those of a cut.

Change: the time without a connection begins at the start, and refusals alone must come from six upstreams.

--- a/source/verbenacove/request/upstream_reachability.cpp
+++ b/source/verbenacove/request/upstream_reachability.cpp
@@ -10,6 +10,7 @@
                                              change_callback changed)
     : clock_(clock)
     , changed_(std::move(changed))
+    , last_connection_(clock.now())
 {
 }
 
@@ -52,24 +53,28 @@
     failures_.removeIf(
         [now](auto const& item)
         { return elapsed(item.value().at, now) > failure_retention; });
-    if (failures_.size() < failures_to_cut_off || failures_.contains(upstream))
+    if (failures_.size() < refusals_to_cut_off || failures_.contains(upstream))
     {
         failures_[upstream] = {now, was_refused};
     }
-    if (failures_.size() >= failures_to_cut_off &&
-        elapsed(last_connection_, now) >= minimum_outage &&
-        !is_response_recent(now))
+    if (elapsed(last_connection_, now) >= minimum_outage &&
+        is_evidence_sufficient(now))
     {
         set_cut_off(true);
     }
 }
 
-bool upstream_reachability::is_response_recent(monotonic_time now) const
+bool upstream_reachability::is_evidence_sufficient(monotonic_time now) const
 {
     bool const were_all_refused =
         std::all_of(failures_.begin(), failures_.end(),
                     [](failure const& each) { return each.was_refused; });
-    return !were_all_refused && elapsed(last_response_, now) < minimum_outage;
+    if (were_all_refused)
+    {
+        return failures_.size() >= refusals_to_cut_off;
+    }
+    return failures_.size() >= failures_to_cut_off &&
+           elapsed(last_response_, now) >= minimum_outage;
 }
 
 bool upstream_reachability::start_due_probe()
--- a/source/verbenacove/request/upstream_reachability.hpp
+++ b/source/verbenacove/request/upstream_reachability.hpp
@@ -32,6 +32,10 @@
     /** Number of upstreams that must have failed. */
     static constexpr qsizetype failures_to_cut_off = 3;
 
+    /** The same if all of them refused the connection, as an upstream with a
+        long queue also does. */
+    static constexpr qsizetype refusals_to_cut_off = 6;
+
     /** Minimum time without a new connection. */
     static constexpr milliseconds minimum_outage{400};
 
@@ -84,7 +88,7 @@
 
     void record_connection(monotonic_time opened);
     void record_failure(upstream_id const& upstream, bool was_refused);
-    bool is_response_recent(monotonic_time now) const;
+    bool is_evidence_sufficient(monotonic_time now) const;
     void set_cut_off(bool is_cut_off);
 
     clock_source const& clock_;
@@ -95,7 +99,7 @@
     monotonic_time last_probe_{};
     monotonic_time last_response_{};
     /** Each upstream's last failure since the last connection; at most
-        `failures_to_cut_off`. */
+        `refusals_to_cut_off`. */
     QHash<upstream_id, failure> failures_;
     std::map<callback_id, std::function<void()>> waiting_;
     callback_id last_id_ = 0;
