Let the test of a late request use less than the route's timeout

Traced by its status: the stand-in worked 2,000 ms, which is the route's timeout, so which came first was chance. The checks are unchanged; the work of 1,750 ms still spans the late request.

--- a/tests/platform/platform_path_test.cpp
+++ b/tests/platform/platform_path_test.cpp
@@ -222,8 +222,10 @@
     std::jthread stopping(
         [&] { entry_process(0).stop_gracefully(milliseconds(8000)); });
     std::this_thread::sleep_for(milliseconds(2500));
-    first.work_ms = 2000;
-    second.work_ms = 2000;
+    // Below the route's timeout of 2000 ms, and still at work when the late
+    // request comes.
+    first.work_ms = 1750;
+    second.work_ms = 1750;
     http_answer early;
     std::jthread calling([&] { early = call(0, "early", "POST"); });
     std::this_thread::sleep_for(milliseconds(1500));
