--- a/source/verbenacove/core/setting_reader.cpp
+++ b/source/verbenacove/core/setting_reader.cpp
@@ -284,7 +284,7 @@
                        std::vector<std::pair<QString, qint64>> const& units)
 {
     static QRegularExpression const pattern(
-        QStringLiteral("^([0-9]{1,9}(?:\\.[0-9]{1,3})?) ?([A-Za-z]+)$"));
+        QStringLiteral("^([0-9]{1,9}(?:\\.[0-9]{1,20})?) ?([A-Za-z]+)$"));
     auto const match = pattern.match(entry.value);
     for (auto const& [unit, factor] : units)
     {
--- a/source/verbenacove/process/routing/replica_process.cpp
+++ b/source/verbenacove/process/routing/replica_process.cpp
@@ -9,6 +9,7 @@
 #include <boost/leaf/handle_errors.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace verbenacove
@@ -109,8 +110,9 @@
     settings.metrics = parse_optional_address(reader, "replica", "metrics");
     settings.is_first_start =
         reader.text("replica", "first_start", {}) == QLatin1String("true");
-    settings.tolerated_losses =
-        static_cast<int>(reader.number("replica", "tolerated_losses", 1, 0, 3));
+    // Rounded up: with a voter too many nothing is lost.
+    settings.tolerated_losses = static_cast<int>(
+        std::ceil(reader.fraction("replica", "tolerated_losses", 1, 0, 3)));
     settings.lookup_ttl =
         reader.duration("replica", "lookup_ttl", settings.lookup_ttl,
                         milliseconds(100), maximum_duration);
--- a/source/verbenacove/process/routing/route_entry_settings.cpp
+++ b/source/verbenacove/process/routing/route_entry_settings.cpp
@@ -41,8 +41,8 @@
                         steering.maximum_region_shift, 0.01, 1);
     steering.retry_ratio =
         reader.fraction("steering", "retry_ratio", steering.retry_ratio, 0, 10);
-    steering.retry_slack = static_cast<int>(reader.number(
-        "steering", "retry_slack", steering.retry_slack, 0, 1000000));
+    steering.retry_slack = reader.fraction("steering", "retry_slack",
+                                           steering.retry_slack, 0, 1000000);
     steering.retry_window =
         reader.duration("steering", "retry_window", steering.retry_window,
                         milliseconds(100), maximum_duration);
--- a/source/verbenacove/request/routed_pool.cpp
+++ b/source/verbenacove/request/routed_pool.cpp
@@ -15,7 +15,7 @@
 
 /** Returns how many retries this entry may make per window regardless of its
     number of requests. */
-int retry_floor(int slack, int all_entries)
+int retry_floor(double slack, int all_entries)
 {
     return static_cast<int>(slack * used_retry_share /
                             std::max(1, all_entries));
--- a/source/verbenacove/request/routed_pool.hpp
+++ b/source/verbenacove/request/routed_pool.hpp
@@ -39,7 +39,7 @@
     retry_budget retries;
 
 private:
-    int retry_slack_;
+    double retry_slack_;
 };
 
 } // namespace verbenacove
--- a/source/verbenacove/request/steering_settings.hpp
+++ b/source/verbenacove/request/steering_settings.hpp
@@ -58,7 +58,7 @@
     double retry_ratio = 0.2;
     /** The number of retries that are allowed per window regardless of the
         number of requests, over all entries. */
-    int retry_slack = 64;
+    double retry_slack = 64;
     /** The window in which retries and requests are counted. */
     milliseconds retry_window{10000};
 };
--- a/tests/platform/platform_documents_test.cpp
+++ b/tests/platform/platform_documents_test.cpp
@@ -266,6 +266,67 @@
     }
 }
 
+TEST_CASE("platform documents: heartbeats with fractions: rounded down, and "
+          "slots never to none")
+{
+    CHECK(heartbeat_of(heartbeat_with("Slots", 3.7))->content.slots ==
+          slot_count(3));
+    CHECK(heartbeat_of(heartbeat_with("Slots", 0.5))->content.slots ==
+          slot_count(1));
+    CHECK(heartbeat_of(heartbeat_with("Sequence", 4.5))->sequence == 4);
+}
+
+TEST_CASE("platform documents: limits with fractions: rounded down")
+{
+    QString wrong_key;
+    auto body = whole_body;
+    body.replace("\"MaxAttempts\":2", "\"MaxAttempts\":2.9")
+        .replace("\"Priority\":2", "\"Priority\":2.5")
+        .replace("\"MaxConnections\":390", "\"MaxConnections\":0.4")
+        .replace("16384", "16384.5")
+        .replace("67108864", "67108864.25");
+    auto const change = change_of(body, change_form::whole, wrong_key);
+    REQUIRE(change);
+    CHECK(change->routes.front().maximum_attempts == 2);
+    CHECK(change->services.front().connection_limit == 1);
+    CHECK(change->limits->header_bytes == 16384);
+    CHECK(change->limits->body_bytes == 67108864);
+}
+
+TEST_CASE("platform documents: weights with fractions: their shares are kept")
+{
+    QString wrong_key;
+    auto body = whole_body;
+    body.replace("\"Weight\":90", "\"Weight\":0.3")
+        .replace("\"Weight\":10", "\"Weight\":0.7");
+    auto const change = change_of(body, change_form::whole, wrong_key);
+    REQUIRE(change);
+    auto const& split = change->routes.front().split;
+    REQUIRE(split.size() == 2);
+    double const total = split[0].weight + split[1].weight;
+    CHECK(split[0].weight / total == doctest::Approx(0.3).epsilon(1e-5));
+    body.replace("\"Weight\":0.3", "\"Weight\":-0.3");
+    CHECK_FALSE(change_of(body, change_form::whole, wrong_key));
+    CHECK(wrong_key.contains(QStringLiteral("Weight")));
+}
+
+TEST_CASE("platform dialect: numbers with fractions: rounded to the safe side")
+{
+    platform_dialect const dialect;
+    http_request request;
+    request.headers = {{"Verbenacove-Deadline-Ms", "1500.9"}};
+    CHECK(dialect.read_request(request).time_left == milliseconds(1500));
+    http_response response;
+    response.headers = {{"Verbenacove-Backend-Load", "2.2,0.1,4.9"},
+                        {"Verbenacove-Cold-Ms", "900.2"}};
+    auto const metadata = dialect.read_response(response);
+    REQUIRE(metadata.load);
+    CHECK(metadata.load->running == 3);
+    CHECK(metadata.load->waiting == 1);
+    CHECK(metadata.load->slots == 4);
+    CHECK(metadata.cold_start_remaining == milliseconds(901));
+}
+
 TEST_CASE("platform dialect: a load that cannot be: left out")
 {
     platform_dialect const dialect;
