Find the process that holds an address without a scan

Each heartbeat, direct or relayed, was compared with all known upstreams to see whether its address had belonged to another process. With 1,350 upstreams and 19 replicas that took most of a replica's processor time in the first seconds, and agreement waits in the same loop. Now by an index of addresses.

The test asks that ten times the upstreams cost less than three times as much for a heartbeat.

--- a/source/verbenacove/process/discovery/membership_view.cpp
+++ b/source/verbenacove/process/discovery/membership_view.cpp
@@ -186,7 +186,12 @@
         upstreams_.merge(std::move(update), origin, clock_.now());
     if (change == update_result::changed)
     {
-        calls_.upstream(*upstreams_.find(id));
+        auto const& record = *upstreams_.find(id);
+        if (record.phase != member_phase::gone)
+        {
+            address_holders_.insert(record.content.address, id);
+        }
+        calls_.upstream(record);
     }
     return change;
 }
@@ -196,24 +201,18 @@
 // update itself comes from the earlier one.
 bool membership_view::mark_replaced_gone(upstream_member const& update)
 {
-    std::vector<QString> ended;
-    for (auto const& known : upstreams_.records())
+    auto const* holder =
+        upstreams_.find(address_holders_.value(update.content.address));
+    bool const is_other = holder != nullptr && holder->id != update.id &&
+                          holder->phase != member_phase::gone &&
+                          holder->content.address == update.content.address;
+    if (is_other && holder->started > update.started)
     {
-        bool const is_other = known.id != update.id &&
-                              known.phase != member_phase::gone &&
-                              known.content.address == update.content.address;
-        if (is_other && known.started > update.started)
-        {
-            return false;
-        }
-        if (is_other && update.phase != member_phase::gone)
-        {
-            ended.push_back(known.id);
-        }
+        return false;
     }
-    for (auto const& id : ended)
+    if (is_other && update.phase != member_phase::gone)
     {
-        mark_upstream_gone(upstream_id(id));
+        mark_upstream_gone(upstream_id(holder->id));
     }
     return true;
 }
@@ -360,6 +359,22 @@
     notify(entries_.expire(now), calls_.entry);
     notify(replicas_.expire(now), calls_.replica);
     remove_obsolete_rate_limits(now);
+    remove_obsolete_address_holders();
+}
+
+// Entries of removed records are left in the index until then.
+void membership_view::remove_obsolete_address_holders()
+{
+    if (address_holders_.size() <= 2 * upstreams_.records().size())
+    {
+        return;
+    }
+    address_holders_.removeIf(
+        [this](auto const& item)
+        {
+            auto const* record = upstreams_.find(item.value());
+            return record == nullptr || record->content.address != item.key();
+        });
 }
 
 void membership_view::remove_obsolete_rate_limits(monotonic_time now)
--- a/source/verbenacove/process/discovery/membership_view.hpp
+++ b/source/verbenacove/process/discovery/membership_view.hpp
@@ -4,6 +4,7 @@
 #include "verbenacove/process/discovery/member_content.hpp"
 
 #include <QCborMap>
+#include <QHash>
 
 #include <functional>
 #include <vector>
@@ -125,6 +126,7 @@
     bool mark_replaced_gone(upstream_member const& update);
     void merge_heartbeats(QCborMap const& delta);
     void remove_obsolete_rate_limits(monotonic_time now);
+    void remove_obsolete_address_holders();
 
     qint64 view_id_;
     failure_detector detector_;
@@ -135,6 +137,9 @@
     qint64 source_ = 0;
     monotonic_time source_first_read_;
     membership_table<upstream_content> upstreams_;
+    /** Id of the latest upstream at each address. May name records that have
+        been removed, or that have moved to another address. */
+    QHash<socket_address, QString> address_holders_;
     membership_table<entry_content> entries_;
     membership_table<replica_content> replicas_;
     membership_table<rate_limit_content> rate_limits_;
--- a/tests/unit/membership_view_test.cpp
+++ b/tests/unit/membership_view_test.cpp
@@ -94,6 +94,63 @@
     CHECK(phase("b") == member_phase::serving);
 }
 
+TEST_CASE_FIXTURE(view_fixture,
+                  "discovery: an upstream moves: its former address is free")
+{
+    auto at_port = [](char const* id, qint64 started, qint64 sequence, int port)
+    {
+        auto record = upstream(id, started, sequence);
+        record.content.address.port = static_cast<quint16>(port);
+        return record;
+    };
+    apply_heartbeat(at_port("a", 2000, 1, 80));
+    apply_heartbeat(at_port("a", 2000, 2, 81));
+    CHECK(apply_heartbeat(at_port("b", 1000, 1, 80)) == update_result::changed);
+    CHECK(phase("a") == member_phase::serving);
+    CHECK(apply_heartbeat(at_port("c", 3000, 1, 81)) == update_result::changed);
+    CHECK(phase("a") == member_phase::gone);
+    CHECK(phase("b") == member_phase::serving);
+}
+
+// A replica whose view took longer per heartbeat the more upstreams there were
+// had no time left for agreement at 1,350 upstreams.
+TEST_CASE_FIXTURE(
+    view_fixture,
+    "discovery: ten times the upstreams: a heartbeat's cost grows "
+    "far less than tenfold")
+{
+    auto const time_for = [this](int count)
+    {
+        auto view = make(1, failure_detector::self);
+        for (int sequence = 1; sequence <= 2; ++sequence)
+        {
+            for (int i = 0; i < count; ++i)
+            {
+                auto record = upstream("a", 1000, sequence);
+                record.id = QString::number(i);
+                record.content.address.port = static_cast<quint16>(1000 + i);
+                record.last_heartbeat = clock.now();
+                view.apply_heartbeat(std::move(record));
+            }
+        }
+        auto const started = std::chrono::steady_clock::now();
+        for (int i = 0; i < 2000; ++i)
+        {
+            auto record = upstream("a", 1000, 3 + i);
+            record.id = QString::number(i % count);
+            record.content.address.port =
+                static_cast<quint16>(1000 + i % count);
+            record.last_heartbeat = clock.now();
+            view.apply_heartbeat(std::move(record));
+        }
+        return std::chrono::steady_clock::now() - started;
+    };
+    auto const small = std::min({time_for(200), time_for(200), time_for(200)});
+    auto const large =
+        std::min({time_for(2000), time_for(2000), time_for(2000)});
+    CHECK(large < small * 3);
+}
+
 TEST_CASE_FIXTURE(view_fixture,
                   "discovery: heartbeats stop, then resume: silent, then not")
 {
