Publish an entry's view five times a second at most

Each update from a replica made a new view of all upstreams and entries for the traffic thread. While 1,350 upstreams appear, updates come without a pause. A view that makes the entry ready is published at once, as before.

--- a/source/verbenacove/process/routing/route_entry_process.cpp
+++ b/source/verbenacove/process/routing/route_entry_process.cpp
@@ -21,6 +21,9 @@
 /** The view is also published at this interval because warm-up periods end
     without an update from the replica. */
 constexpr milliseconds refresh_interval{1000};
+/** Minimum interval between two views: making one takes time for each upstream
+    and each entry. */
+constexpr milliseconds minimum_publish_interval{200};
 constexpr milliseconds stop_poll_interval{50};
 /** Callers may use a look-up response for up to three times its TTL. */
 constexpr int maximum_lookup_age_in_ttls = 3;
@@ -134,8 +137,25 @@
         entry_log.note("entry.ready",
                        {{"version", link_.routes()->version.value()}});
         link_.set_phase(member_phase::serving);
+        publish();
+        return;
+    }
+    schedule_publish();
+}
+
+void route_entry_process::schedule_publish()
+{
+    auto const waited = elapsed(last_publish_, clock_.now());
+    if (waited >= minimum_publish_interval)
+    {
+        publish();
+        return;
+    }
+    if (!publish_timer_.is_active())
+    {
+        publish_timer_ = timers_.call_after(minimum_publish_interval - waited,
+                                            [this] { publish(); });
     }
-    publish();
 }
 
 // Requests are relayed at once. A short outage is not reported: each report
@@ -189,6 +209,8 @@
 
 void route_entry_process::publish()
 {
+    publish_timer_.cancel();
+    last_publish_ = clock_.now();
     reopened_zones_.update(link_.evacuated(), clock_.now());
     auto view = std::make_shared<routing_view>();
     view->routes = link_.routes();
--- a/source/verbenacove/process/routing/route_entry_process.hpp
+++ b/source/verbenacove/process/routing/route_entry_process.hpp
@@ -60,6 +60,8 @@
     /** Returns the entries that requests are relayed to while this one reaches
         no upstream. */
     std::vector<entry_view> relays() const;
+    /** Publishes the view now, or once the minimum interval has passed. */
+    void schedule_publish();
     void publish();
     /** Sets the numbers of entries in the view. */
     void count_entries(routing_view& view) const;
@@ -94,6 +96,8 @@
     bool is_stopping_ = false;
     std::function<void()> on_stopped_;
     monotonic_time stop_deadline_{};
+    timer_service::subscription publish_timer_;
+    monotonic_time last_publish_{};
     timer_service::subscription refresh_timer_;
     timer_service::subscription cut_off_report_timer_;
     timer_service::subscription stop_timer_;
