Keep look-up responses while the entries stay the same

Each look-up copied and ranked all entries: 281 for some 100 look-ups a second at a replica. Now once per caller's zone and change of the view, bounded by 256 zones.

--- a/source/verbenacove/process/routing/entry_directory.cpp
+++ b/source/verbenacove/process/routing/entry_directory.cpp
@@ -11,7 +11,7 @@
 event_log const directory_log{"directory"};
 
 /** Callers name their zone, so the number of zones needs a bound. */
-constexpr qsizetype maximum_logged_zones = 256;
+constexpr qsizetype maximum_zones = 256;
 
 } // namespace
 
@@ -23,14 +23,39 @@
 std::vector<entry_view> entry_directory::find(location const& caller,
                                               std::size_t maximum_count)
 {
+    if (!is_cache_current(maximum_count))
+    {
+        responses_.clear();
+        cached_revision_ = discovery_.membership().entries().revision();
+        is_cached_settled_ = discovery_.has_settled_view();
+        cached_maximum_ = maximum_count;
+    }
+    auto const key =
+        caller.zone.value() + QLatin1Char('\n') + caller.region.value();
+    auto const cached = responses_.constFind(key);
+    if (cached != responses_.constEnd())
+    {
+        return *cached;
+    }
     auto const serving = serving_entries();
-    auto const result = discovery_.has_settled_view()
+    auto const result = is_cached_settled_
                             ? nearest_entries(caller, serving, maximum_count)
                             : std::vector<entry_view>{};
     log_change(caller, serving.size(), result.size());
+    if (responses_.size() < maximum_zones)
+    {
+        responses_.insert(key, result);
+    }
     return result;
 }
 
+bool entry_directory::is_cache_current(std::size_t maximum_count) const
+{
+    return cached_revision_ == discovery_.membership().entries().revision() &&
+           is_cached_settled_ == discovery_.has_settled_view() &&
+           cached_maximum_ == maximum_count;
+}
+
 std::vector<entry_view> entry_directory::serving_entries() const
 {
     std::vector<entry_view> result;
@@ -57,7 +82,7 @@
     auto const known = returned_.constFind(caller.zone);
     bool const is_known = known != returned_.constEnd();
     if ((is_known && *known == returned) ||
-        (!is_known && returned_.size() >= maximum_logged_zones))
+        (!is_known && returned_.size() >= maximum_zones))
     {
         return;
     }
--- a/source/verbenacove/process/routing/entry_directory.hpp
+++ b/source/verbenacove/process/routing/entry_directory.hpp
@@ -5,6 +5,7 @@
 #include "verbenacove/request/entry_lookup.hpp"
 
 #include <QHash>
+#include <QString>
 
 #include <vector>
 
@@ -39,10 +40,19 @@
     std::vector<entry_view> serving_entries() const;
 
 private:
+    /** Returns whether responses of before may be given again. */
+    bool is_cache_current(std::size_t maximum_count) const;
     void log_change(location const& caller, std::size_t serving,
                     std::size_t returned);
 
     discovery_service const& discovery_;
+    /** Responses by the caller's zone and region, for the state of the view
+       that is described below; look-ups are far more frequent than its changes.
+     */
+    QHash<QString, std::vector<entry_view>> responses_;
+    qint64 cached_revision_ = -1;
+    bool is_cached_settled_ = false;
+    std::size_t cached_maximum_ = 0;
     /** Number of entries in the last response to each zone. */
     QHash<zone_name, std::size_t> returned_;
 };
