Bound a replica's connections below its descriptors; log its load

A replica had 5,823 files of 4,096: each of its three HTTP endpoints took up to 4,096 connections. Their bounds now leave descriptors for the disk, for other replicas and for entries.

Nothing told that a replica was short of processor time.

--- a/source/verbenacove/connection/http_server.cpp
+++ b/source/verbenacove/connection/http_server.cpp
@@ -65,6 +65,11 @@
         close();
     }
 
+    std::size_t connection_count() const
+    {
+        return connections_.size() + parked_.size();
+    }
+
     int open_exchanges() const
     {
         int result = 0;
@@ -137,11 +142,6 @@
         return connection;
     }
 
-    std::size_t connection_count() const
-    {
-        return connections_.size() + parked_.size();
-    }
-
     std::size_t maximum_connections() const
     {
         return static_cast<std::size_t>(limits_.maximum_connections);
@@ -279,6 +279,11 @@
     core_->stop_accepting();
 }
 
+int http_server::connection_count() const
+{
+    return static_cast<int>(core_->connection_count());
+}
+
 int http_server::open_exchanges() const
 {
     return core_->open_exchanges();
--- a/source/verbenacove/connection/http_server.hpp
+++ b/source/verbenacove/connection/http_server.hpp
@@ -62,6 +62,9 @@
     */
     void stop_accepting();
 
+    /** Returns how many connections are open. */
+    int connection_count() const;
+
     /** Returns how many requests have not been answered. */
     int open_exchanges() const;
 
--- /dev/null
+++ b/source/verbenacove/process/routing/replica_load.hpp
@@ -0,0 +1,60 @@
+#ifndef VERBENACOVE_PROCESS_ROUTING_REPLICA_LOAD_HPP
+#define VERBENACOVE_PROCESS_ROUTING_REPLICA_LOAD_HPP
+
+#include "verbenacove/core/clock.hpp"
+#include "verbenacove/core/loop_lag.hpp"
+#include "verbenacove/core/timer_service.hpp"
+
+#include <QtGlobal>
+
+#include <functional>
+
+namespace verbenacove
+{
+
+/** Amount of work before a control replica at one moment. */
+struct replica_load
+{
+    /** Readers that wait for updates. */
+    qint64 waiting_readers = 0;
+    /** Replicas whose latest read failed. */
+    qint64 lost_replicas = 0;
+    /** Open connections of upstreams and operators. */
+    qint64 control_connections = 0;
+    /** Open connections for look-ups. */
+    qint64 lookup_connections = 0;
+    bool is_leader = false;
+    /** On the leader, replicas without a vote. */
+    qint64 learners = 0;
+    /** Those of them that have not acknowledged what was committed. */
+    qint64 learners_behind = 0;
+    /** Those of them that do not answer. */
+    qint64 learners_silent = 0;
+};
+
+/** Logs a replica's load at an interval, with the processor time that the
+    process has used and the lag of its event loop in it. */
+class replica_load_reporter
+{
+public:
+    /** @param measure  returns the load at the moment */
+    explicit replica_load_reporter(std::function<replica_load()> measure);
+
+    /** Starts to report. */
+    void start();
+
+private:
+    void handle_tick();
+
+    std::function<replica_load()> measure_;
+    steady_clock_source clock_;
+    timer_service timers_;
+    loop_lag lag_;
+    monotonic_time last_report_{};
+    milliseconds last_processor_time_{0};
+    timer_service::subscription tick_;
+};
+
+} // namespace verbenacove
+
+#endif
--- a/source/verbenacove/process/routing/replica_process.cpp
+++ b/source/verbenacove/process/routing/replica_process.cpp
@@ -59,10 +59,18 @@
     return result;
 }
 
-http_limits endpoint_limits()
+/** Maximum numbers of connections, whose sum with rpc_server's leaves
+    descriptors for the disk and for connections to other replicas among the
+    4,096 of a control VM. */
+constexpr int maximum_control_connections = 1024;
+constexpr int maximum_lookup_connections = 768;
+constexpr int maximum_metrics_connections = 16;
+
+http_limits endpoint_limits(int maximum_connections)
 {
     http_limits limits;
     limits.maximum_body_bytes = maximum_request_body_bytes;
+    limits.maximum_connections = maximum_connections;
     return limits;
 }
 
@@ -164,6 +172,7 @@
     }
     routes_->start();
     discovery_->start();
+    load_reporter_.start();
     return open_endpoints(make_handlers());
 }
 
@@ -192,13 +201,16 @@
         std::unique_ptr<http_server>& server;
         socket_address address;
         http_server::handler handle;
+        int maximum_connections = 0;
     };
     std::vector<endpoint> endpoints{{control_endpoint_, settings_.control,
-                                     std::move(request_handlers.control)}};
+                                     std::move(request_handlers.control),
+                                     maximum_control_connections}};
     if (settings_.directory)
     {
         endpoints.push_back({directory_endpoint_, *settings_.directory,
-                             std::move(request_handlers.directory)});
+                             std::move(request_handlers.directory),
+                             maximum_lookup_connections});
     }
     if (settings_.metrics)
     {
@@ -210,12 +222,13 @@
                      {200,
                       {{"Content-Type", "text/plain; version=0.0.4"}},
                       metrics_body()});
-             }});
+             },
+             maximum_metrics_connections});
     }
     for (auto& each : endpoints)
     {
-        each.server =
-            std::make_unique<http_server>(endpoint_limits(), each.handle);
+        each.server = std::make_unique<http_server>(
+            endpoint_limits(each.maximum_connections), each.handle);
         if (!each.server->listen(each.address))
         {
             return each.address.text() + QStringLiteral(": ") +
@@ -265,6 +278,24 @@
         });
 }
 
+replica_load replica_process::measure_load() const
+{
+    auto const& node = server_->node();
+    replica_load load;
+    load.control_connections = control_endpoint_->connection_count();
+    load.lookup_connections =
+        directory_endpoint_ ? directory_endpoint_->connection_count() : 0;
+    load.is_leader = node.is_leader();
+    for (auto const& peer : node.peers())
+    {
+        load.learners += peer.is_voter ? 0 : 1;
+        load.learners_silent += !peer.is_voter && !peer.is_heard ? 1 : 0;
+        load.learners_behind +=
+            !peer.is_voter && peer.match < node.commit_index() ? 1 : 0;
+    }
+    return load;
+}
+
 QByteArray replica_process::metrics_body()
 {
     auto const& node = server_->node();
--- a/source/verbenacove/process/routing/replica_process.hpp
+++ b/source/verbenacove/process/routing/replica_process.hpp
@@ -6,6 +6,7 @@
 #include "verbenacove/process/metrics.hpp"
 #include "verbenacove/process/route_service.hpp"
 #include "verbenacove/process/routing/entry_directory.hpp"
+#include "verbenacove/process/routing/replica_load.hpp"
 
 #include <functional>
 #include <memory>
@@ -100,6 +101,7 @@
     QString open_endpoints(handlers request_handlers);
     void finish_stop(std::function<void()> on_stopped);
     QByteArray metrics_body();
+    replica_load measure_load() const;
 
     replica_settings settings_;
     steady_clock_source clock_;
@@ -111,6 +113,10 @@
     std::unique_ptr<discovery_service> discovery_;
     std::unique_ptr<route_service> routes_;
     std::unique_ptr<entry_directory> directory_;
+    replica_load_reporter load_reporter_{[this]
+                                         {
+                                             return measure_load();
+                                         }};
     std::unique_ptr<http_server> control_endpoint_;
     std::unique_ptr<http_server> directory_endpoint_;
     std::unique_ptr<http_server> metrics_endpoint_;
