--- /dev/null
+++ b/source/verbenacove/process/discovery/discovery_read.cpp
@@ -0,0 +1,294 @@
+#include "verbenacove/core/cbor.hpp"
+#include "verbenacove/process/discovery/discovery_service_detail.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace verbenacove
+{
+
+using namespace discovery_detail;
+
+namespace
+{
+
+/** Interval between the heartbeats of a replica. */
+constexpr milliseconds heartbeat_interval{1000};
+/** Time to wait for another replica's response, in addition to maximum_hold. */
+constexpr milliseconds read_margin{600};
+constexpr milliseconds retry_interval{300};
+/** Time since the last response after which a source that is no longer a known
+    replica is removed. */
+constexpr milliseconds source_retention{60000};
+constexpr qsizetype maximum_sources = 64;
+/** Interval between the log lines that count relayed changes. */
+constexpr milliseconds relayed_log_interval{1000};
+
+QCborArray to_cbor_texts(QSet<QString> const& texts)
+{
+    QCborArray result;
+    for (auto const& text : texts)
+    {
+        result.append(text);
+    }
+    return result;
+}
+
+} // namespace
+
+// Synchronisation with other replicas.
+
+void discovery_service::handle_tick()
+{
+    auto const now = clock_.now();
+    if (elapsed(last_heartbeat_, now) >= heartbeat_interval)
+    {
+        record_own_heartbeat();
+    }
+    last_current_ = is_current() ? now : last_current_;
+    membership_.expire();
+    update_settling();
+    log_relayed_changes(now);
+    add_sources();
+    for (auto item = sources_.begin(); item != sources_.end(); ++item)
+    {
+        read(item.key(), **item);
+    }
+    if (elapsed(last_responses_, now) >= update_interval)
+    {
+        respond_to_waiting();
+    }
+}
+
+void discovery_service::log_relayed_changes(monotonic_time now)
+{
+    if (relayed_changes_ > 0 &&
+        elapsed(last_relayed_log_, now) >= relayed_log_interval)
+    {
+        last_relayed_log_ = now;
+        discovery_log.note("relayed.changed",
+                           {{"changes", std::exchange(relayed_changes_, 0)}});
+    }
+}
+
+void discovery_service::prepare_stop()
+{
+    is_stopping_ = true;
+    record_own_heartbeat();
+}
+
+void discovery_service::record_own_heartbeat()
+{
+    last_heartbeat_ = clock_.now();
+    replica_member self;
+    self.id = settings_.self.address.text();
+    self.started = started_;
+    self.sequence = ++heartbeat_sequence_;
+    self.phase = is_stopping_ ? member_phase::draining : member_phase::serving;
+    self.content = settings_.self;
+    self.last_heartbeat = last_heartbeat_;
+    membership_.apply_heartbeat(std::move(self));
+}
+
+void discovery_service::add_sources()
+{
+    std::vector<socket_address> addresses = settings_.seeds;
+    for (auto const& replica : membership_.replicas().records())
+    {
+        if (replica.phase == member_phase::serving)
+        {
+            addresses.push_back(replica.content.address);
+        }
+    }
+    for (auto const& address : addresses)
+    {
+        bool const is_new = address != settings_.self.address &&
+                            !sources_.contains(address) &&
+                            sources_.size() < maximum_sources;
+        if (is_new)
+        {
+            auto added = std::make_shared<source>();
+            added->client = std::make_unique<rpc_client>(address);
+            added->last_response = clock_.now();
+            sources_.insert(address, added);
+        }
+    }
+    sources_.removeIf(
+        [this, &addresses](auto const& item)
+        {
+            bool const is_known = std::find(addresses.begin(), addresses.end(),
+                                            item.key()) != addresses.end();
+            return !is_known && !item.value()->is_reading &&
+                   elapsed(item.value()->last_response, clock_.now()) >
+                       source_retention;
+        });
+    server_.set_known_addresses(std::move(addresses));
+}
+
+void discovery_service::read(socket_address const& address, source& from)
+{
+    auto const now = clock_.now();
+    if (from.is_reading || now < from.next_read)
+    {
+        return;
+    }
+    from.is_reading = true;
+    from.client->call(make_read_request(address, from),
+                      maximum_hold + read_margin,
+                      [this, address](std::optional<QCborMap> const& reply)
+                      { handle_response(address, reply); });
+}
+
+QCborMap discovery_service::make_read_request(socket_address const& address,
+                                              source& from)
+{
+    auto const* self =
+        membership_.replicas().find(settings_.self.address.text());
+    from.sent_lost = lost_replicas(address);
+    QCborMap request{
+        {QLatin1String("m"), QLatin1String("news")},
+        {QLatin1String("replica"), true},
+        {QLatin1String("delegates"), true},
+        {QLatin1String("routes"), std::numeric_limits<qint64>::max()},
+        {QLatin1String("hold"), qint64{maximum_hold.count()}},
+        {QLatin1String("position"), to_cbor(from.position)},
+        {QLatin1String("self"), to_cbor(*self, clock_.now())}};
+    if (!settling_.is_settled())
+    {
+        request[QLatin1String("all_entries")] = true;
+    }
+    if (!from.sent_lost.isEmpty())
+    {
+        auto const newly_lost = from.sent_lost - from.answered_lost;
+        request[QLatin1String("lost")] = to_cbor_texts(from.sent_lost);
+        request[QLatin1String("newly_lost")] = to_cbor_texts(newly_lost);
+    }
+    from.crashes.add_to(request);
+    return request;
+}
+
+QSet<QString>
+discovery_service::lost_replicas(socket_address const& except) const
+{
+    QSet<QString> names;
+    for (auto item = sources_.begin(); item != sources_.end(); ++item)
+    {
+        if (item.value()->is_lost && item.key() != except)
+        {
+            names.insert(item.key().text());
+        }
+    }
+    return names;
+}
+
+// Replicas that this one reads and the reader does not.
+QCborArray discovery_service::vouched_replicas(QSet<QString> const& lost) const
+{
+    QCborArray result;
+    auto const now = clock_.now();
+    for (auto item = sources_.begin(); item != sources_.end(); ++item)
+    {
+        auto const& from = *item.value();
+        auto const name = item.key().text();
+        bool const is_in_contact =
+            from.was_read && !from.is_lost && from.position.view_id != 0 &&
+            elapsed(from.last_response, now) < maximum_hold + read_margin;
+        if (is_in_contact && lost.contains(name))
+        {
+            result.append(QCborArray{name, from.position.view_id});
+        }
+    }
+    return result;
+}
+
+void discovery_service::handle_response(socket_address const& address,
+                                        std::optional<QCborMap> const& reply)
+{
+    // Keeps the source alive, as a callback may remove it.
+    auto const from = sources_.value(address);
+    if (!from)
+    {
+        return;
+    }
+    auto const now = clock_.now();
+    from->is_reading = false;
+    if (!reply || cbor_text(*reply, "status") != QLatin1String("ok"))
+    {
+        from->next_read = now + retry_interval;
+        from->is_lost = true;
+        // What its processes did meanwhile is not told as changes.
+        from->position = {};
+        return;
+    }
+    from->last_response = now;
+    record_read(address, *from, *reply);
+    read(address, *from);
+}
+
+void discovery_service::record_read(socket_address const& address, source& from,
+                                    QCborMap const& reply)
+{
+    if (std::exchange(from.is_lost, false))
+    {
+        for (auto const& other : sources_)
+        {
+            other->answered_lost.remove(address.text());
+        }
+    }
+    auto const lost = lost_replicas({});
+    from.answered_lost = from.sent_lost & lost;
+    bool const is_delegate = cbor_flag(reply, "delegates");
+    auto const previous_view = from.position.view_id;
+    from.position = membership_.merge(reply, {address.text(), is_delegate});
+    from.was_read = true;
+    for (auto const& item : cbor_array(reply, "vouched"))
+    {
+        auto const name = item.toArray().at(0).toString();
+        if (lost.contains(name))
+        {
+            membership_.record_contact(name, item.toArray().at(1).toInteger());
+        }
+    }
+    bool const is_whole_view = from.position.view_id != previous_view;
+    if (is_whole_view && cbor_flag(reply, "settled"))
+    {
+        settling_.merge_settled_view(live_entries());
+    }
+    from.crashes.apply_response(from.position.view_id, parse_crashes(reply));
+    merge_crashes(reply);
+}
+
+std::size_t discovery_service::live_entries() const
+{
+    auto const& entries = membership_.entries().records();
+    return static_cast<std::size_t>(std::count_if(
+        entries.begin(), entries.end(),
+        [](entry_member const& entry)
+        { return entry.phase == member_phase::serving && !entry.is_silent; }));
+}
+
+void discovery_service::update_settling()
+{
+    bool const was_settled = settling_.is_settled();
+    auto const live = live_entries();
+    settling_.update(live, clock_.now());
+    if (settling_.is_settled() != was_settled)
+    {
+        discovery_log.note("view.settled",
+                           {{"settled", settling_.is_settled()},
+                            {"entries", static_cast<qint64>(live)}});
+    }
+}
+
+void discovery_service::merge_crashes(QCborMap const& message)
+{
+    auto const crashes = parse_crashes(message);
+    if (crashes)
+    {
+        known_crashes_.merge_update(*crashes);
+        schedule_responses(urgent_delay);
+    }
+}
+
+} // namespace verbenacove
--- a/source/verbenacove/process/discovery/discovery_service.cpp
+++ b/source/verbenacove/process/discovery/discovery_service.cpp
@@ -2,13 +2,13 @@
 
 #include "verbenacove/core/cbor.hpp"
 #include "verbenacove/core/packed_cbor.hpp"
+#include "verbenacove/process/discovery/heartbeat_receiver.hpp"
 #include "verbenacove/process/discovery/rate_limit_reporter.hpp"
 
 #include <QDateTime>
 #include <QRandomGenerator>
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace verbenacove
@@ -20,29 +20,51 @@
 {
 
 constexpr milliseconds tick_interval{100};
-/** Interval between the heartbeats of a replica. */
-constexpr milliseconds heartbeat_interval{1000};
-/** Maximum time for which a response is delayed while there are no updates
-    (long polling). */
-constexpr milliseconds maximum_hold{1000};
-/** Delay that batches changes arriving in quick succession. */
-constexpr milliseconds response_delay{5};
-/** Time to wait for another replica's response, in addition to maximum_hold. */
-constexpr milliseconds read_margin{600};
-constexpr milliseconds retry_interval{300};
+/** Minimum interval between the responses with changes to another replica. Each
+    replica reads each other one, so the number of responses grows with the
+    square of the number of replicas. Departures do not wait for it: they are
+    sent to the voting replicas at once. */
+constexpr milliseconds replica_update_interval{300};
+/** Maximum number of replicas that a reader may report as lost. */
+constexpr qsizetype maximum_lost = 64;
+/** Time without contact with a leader after which upstreams are sent to other
+    replicas; longer than an election. */
+constexpr milliseconds leaderless_time{1500};
+
 /** Time after which a replica that has read no other one may be the only
     one. */
 constexpr milliseconds sole_replica_timeout{2500};
-/** Time since the last response after which a source that is no longer a known
-    replica is removed. */
-constexpr milliseconds source_retention{60000};
-constexpr qsizetype maximum_sources = 64;
 
 qint64 new_view_id()
 {
     return static_cast<qint64>(QRandomGenerator::system()->generate64() >> 1);
 }
 
+QSet<QString> names_in(QCborMap const& request, char const* key)
+{
+    QSet<QString> names;
+    for (auto const& name : cbor_array(request, key))
+    {
+        if (names.size() < maximum_lost)
+        {
+            names.insert(name.toString());
+        }
+    }
+    return names;
+}
+
+view_reader parse_view_reader(QCborMap const& request)
+{
+    view_reader reader;
+    reader.wants_heartbeats = cbor_flag(request, "replica");
+    reader.is_delegating = cbor_flag(request, "delegates");
+    reader.wants_all_entries =
+        !reader.is_delegating || cbor_flag(request, "all_entries");
+    reader.lost = names_in(request, "lost");
+    reader.newly_lost = names_in(request, "newly_lost");
+    return reader;
+}
+
 } // namespace
 
 discovery_service::discovery_service(discovery_settings settings,
@@ -58,7 +80,7 @@
                    { handle_replica_change(record); },
                    [this](rate_limit_record const&)
                    {
-                       schedule_responses();
+                       schedule_updates();
                    }})
     , started_(QDateTime::currentMSecsSinceEpoch())
     , created_(clock_.now())
@@ -116,7 +138,7 @@
     auto const now = clock_.now();
     for (auto const& from : sources_)
     {
-        if (from->position.view_id != 0)
+        if (from->was_read)
         {
             return true;
         }
@@ -124,6 +146,19 @@
     return elapsed(created_, now) > sole_replica_timeout;
 }
 
+std::optional<socket_address>
+discovery_service::heartbeat_receiver(upstream_id const& id,
+                                      zone_name const& zone) const
+{
+    bool const is_leaderless =
+        elapsed(last_current_, clock_.now()) > leaderless_time &&
+        elapsed(created_, clock_.now()) > leaderless_time;
+    return is_leaderless
+               ? choose_remote_receiver(membership_, settings_.self.address, id,
+                                        heartbeat_sequence_)
+               : choose_receiver(membership_, id, zone);
+}
+
 // Requests of readers.
 
 void discovery_service::handle_updates_request(QCborMap const& request,
@@ -147,17 +182,26 @@
     auto const hold = std::clamp(milliseconds(cbor_number(request, "hold")),
                                  milliseconds(0), maximum_hold);
     waiting_reader const reader{
-        request, parse_sync_position(cbor_map(request, "position")),
-        crash_position::parse(request), now + hold, reply};
-    if (is_response_due(reader) || waiting_.size() >= maximum_waiting)
+        request,
+        parse_sync_position(cbor_map(request, "position")),
+        parse_view_reader(request),
+        crash_position::parse(request),
+        is_replica ? now + replica_update_interval : now,
+        now + hold,
+        reply};
+    if (is_urgent(reader) || waiting_.size() >= maximum_waiting)
     {
         respond(reader);
         return;
     }
+    if (membership_.has_updates_since(reader.position, reader.view))
+    {
+        schedule_updates();
+    }
     waiting_.push_back(reader);
 }
 
-bool discovery_service::is_response_due(waiting_reader const& reader) const
+bool discovery_service::is_urgent(waiting_reader const& reader) const
 {
     bool const has_older_routes = cbor_number(reader.request, "routes", -1) <
                                   server_.state().routes().revision();
@@ -166,22 +210,30 @@
     bool const is_leader_contact_changed =
         !cbor_flag(reader.request, "replica") &&
         cbor_flag(reader.request, "current") != is_current();
-    return membership_.has_updates_since(reader.position) ||
+    return !membership_.is_known(reader.position) ||
+           cbor_flag(reader.request, "replicas_only") ||
            known_crashes_.has_changes(reader.crash_cursor) ||
            (has_older_routes && is_current()) || is_leader_contact_changed ||
            clock_.now() >= reader.deadline;
 }
 
+bool discovery_service::is_response_due(waiting_reader const& reader) const
+{
+    return is_urgent(reader) ||
+           (clock_.now() >= reader.not_before &&
+            membership_.has_updates_since(reader.position, reader.view));
+}
+
 void discovery_service::respond(waiting_reader const& reader)
 {
     bool const is_replica = cbor_flag(reader.request, "replica");
-    // An entry that looks for a replica with a leader would receive the view of
-    // each one without over its narrow link.
-    bool const is_brief = cbor_flag(reader.request, "brief") && !is_current();
-    auto response =
-        is_brief ? QCborMap()
-                 : membership_.updates_since(reader.position, is_replica);
+    auto response = view_for(reader);
     response[QLatin1String("status")] = QLatin1String("ok");
+    if (reader.view.is_delegating)
+    {
+        response[QLatin1String("delegates")] = true;
+        response[QLatin1String("vouched")] = vouched_replicas(reader.view.lost);
+    }
     response[QLatin1String("current")] = is_current();
     response[QLatin1String("settled")] = settling_.is_settled();
     auto const& routes = server_.state().routes();
@@ -210,6 +262,33 @@
     reader.reply(response);
 }
 
+QCborMap discovery_service::view_for(waiting_reader const& reader)
+{
+    auto const& request = reader.request;
+    // An entry that looks for a replica with a leader would receive the view of
+    // each one without over its narrow link.
+    if (cbor_flag(request, "brief") && !is_current())
+    {
+        return {};
+    }
+    // An entry that has just started knows the seeds only, which cannot send
+    // their views to all entries.
+    if (cbor_flag(request, "replicas_only"))
+    {
+        return membership_.replica_records();
+    }
+    if (cbor_flag(request, "replica"))
+    {
+        return membership_.updates_since(reader.position, reader.view);
+    }
+    auto const& delta =
+        entry_deltas_.find(membership_, reader.position, clock_.now());
+    bool const is_packed =
+        cbor_flag(request, "packed_view") && !delta.packed.isEmpty();
+    return is_packed ? QCborMap{{QLatin1String("packed_view"), delta.packed}}
+                     : delta.plain;
+}
+
 QByteArray const& discovery_service::packed_routes()
 {
     auto const& routes = server_.state().routes();
@@ -224,7 +303,8 @@
 
 void discovery_service::respond_to_waiting()
 {
-    are_responses_scheduled_ = false;
+    next_responses_.reset();
+    last_responses_ = clock_.now();
     std::vector<waiting_reader> ready;
     std::erase_if(waiting_,
                   [&](waiting_reader& reader)
@@ -242,172 +322,40 @@
     }
 }
 
-void discovery_service::schedule_responses()
+void discovery_service::routes_changed()
 {
-    if (are_responses_scheduled_)
-    {
-        return;
-    }
-    are_responses_scheduled_ = true;
-    response_timer_ =
-        timers_.call_after(response_delay, [this] { respond_to_waiting(); });
+    schedule_responses(urgent_delay);
 }
 
-// Synchronisation with other replicas.
-
-void discovery_service::handle_tick()
+void discovery_service::schedule_updates()
 {
-    auto const now = clock_.now();
-    if (elapsed(last_heartbeat_, now) >= heartbeat_interval)
-    {
-        record_own_heartbeat();
-    }
-    membership_.expire();
-    update_settling();
-    add_sources();
-    for (auto item = sources_.begin(); item != sources_.end(); ++item)
-    {
-        read(item.key(), **item);
-    }
-    respond_to_waiting();
+    auto const waited = elapsed(last_responses_, clock_.now());
+    schedule_responses(std::max(urgent_delay, update_interval - waited));
 }
 
-void discovery_service::record_own_heartbeat()
+void discovery_service::schedule_responses(milliseconds delay)
 {
-    last_heartbeat_ = clock_.now();
-    replica_member self;
-    self.id = settings_.self.address.text();
-    self.started = started_;
-    self.sequence = ++heartbeat_sequence_;
-    self.phase = member_phase::serving;
-    self.content = settings_.self;
-    self.last_heartbeat = last_heartbeat_;
-    membership_.apply_heartbeat(std::move(self));
-}
-
-void discovery_service::add_sources()
-{
-    std::vector<socket_address> addresses = settings_.seeds;
-    for (auto const& replica : membership_.replicas().records())
-    {
-        if (replica.phase == member_phase::serving)
-        {
-            addresses.push_back(replica.content.address);
-        }
-    }
-    for (auto const& address : addresses)
-    {
-        bool const is_new = address != settings_.self.address &&
-                            !sources_.contains(address) &&
-                            sources_.size() < maximum_sources;
-        if (is_new)
-        {
-            auto added = std::make_shared<source>();
-            added->client = std::make_unique<rpc_client>(address);
-            added->last_response = clock_.now();
-            sources_.insert(address, added);
-        }
-    }
-    sources_.removeIf(
-        [this, &addresses](auto const& item)
-        {
-            bool const is_known = std::find(addresses.begin(), addresses.end(),
-                                            item.key()) != addresses.end();
-            return !is_known && !item.value()->is_reading &&
-                   elapsed(item.value()->last_response, clock_.now()) >
-                       source_retention;
-        });
-    server_.set_known_addresses(std::move(addresses));
-}
-
-void discovery_service::read(socket_address const& address, source& from)
-{
-    auto const now = clock_.now();
-    if (from.is_reading || now < from.next_read)
-    {
-        return;
-    }
-    from.is_reading = true;
-    auto const* self =
-        membership_.replicas().find(settings_.self.address.text());
-    QCborMap request{
-        {QLatin1String("m"), QLatin1String("news")},
-        {QLatin1String("replica"), true},
-        {QLatin1String("routes"), std::numeric_limits<qint64>::max()},
-        {QLatin1String("hold"), qint64{maximum_hold.count()}},
-        {QLatin1String("position"), to_cbor(from.position)},
-        {QLatin1String("self"), to_cbor(*self, now)}};
-    from.crashes.add_to(request);
-    from.client->call(std::move(request), maximum_hold + read_margin,
-                      [this, address](std::optional<QCborMap> const& reply)
-                      { handle_response(address, reply); });
-}
-
-void discovery_service::handle_response(socket_address const& address,
-                                        std::optional<QCborMap> const& reply)
-{
-    // Keeps the source alive, as a callback may remove it.
-    auto const from = sources_.value(address);
-    if (!from)
+    auto const at = clock_.now() + delay;
+    if (next_responses_ && *next_responses_ <= at)
     {
         return;
     }
-    auto const now = clock_.now();
-    from->is_reading = false;
-    if (!reply || cbor_text(*reply, "status") != QLatin1String("ok"))
-    {
-        from->next_read = now + retry_interval;
-        return;
-    }
-    from->last_response = now;
-    auto const previous_view = from->position.view_id;
-    from->position = membership_.merge(*reply);
-    bool const is_whole_view = from->position.view_id != previous_view;
-    if (is_whole_view && cbor_flag(*reply, "settled"))
-    {
-        settling_.merge_settled_view(live_entries());
-    }
-    from->crashes.apply_response(from->position.view_id, parse_crashes(*reply));
-    merge_crashes(*reply);
-    read(address, *from);
-}
-
-std::size_t discovery_service::live_entries() const
-{
-    auto const& entries = membership_.entries().records();
-    return static_cast<std::size_t>(std::count_if(
-        entries.begin(), entries.end(),
-        [](entry_member const& entry)
-        { return entry.phase == member_phase::serving && !entry.is_silent; }));
-}
-
-void discovery_service::update_settling()
-{
-    bool const was_settled = settling_.is_settled();
-    auto const live = live_entries();
-    settling_.update(live, clock_.now());
-    if (settling_.is_settled() != was_settled)
-    {
-        discovery_log.note("view.settled",
-                           {{"settled", settling_.is_settled()},
-                            {"entries", static_cast<qint64>(live)}});
-    }
-}
-
-void discovery_service::merge_crashes(QCborMap const& message)
-{
-    auto const crashes = parse_crashes(message);
-    if (crashes)
-    {
-        known_crashes_.merge_update(*crashes);
-        schedule_responses();
-    }
+    next_responses_ = at;
+    response_timer_ =
+        timers_.call_after(delay, [this] { respond_to_waiting(); });
 }
 
 // Changes of the membership view: logged, and sent to the waiting readers.
 
 void discovery_service::handle_upstream_change(upstream_member const& record)
 {
+    schedule_updates();
+    // The replica that receives the heartbeats logs the change.
+    if (!record.receiver.isEmpty())
+    {
+        ++relayed_changes_;
+        return;
+    }
     discovery_log.note("upstream.changed",
                        {{"upstream", record.id},
                         {"service", record.content.service.value()},
@@ -415,22 +363,26 @@
                         {"silent", record.is_silent},
                         {"started", record.started.value()},
                         {"sequence", record.sequence}});
-    schedule_responses();
 }
 
 void discovery_service::handle_entry_change(entry_member const& record)
 {
+    schedule_updates();
+    if (!record.receiver.isEmpty())
+    {
+        ++relayed_changes_;
+        return;
+    }
     discovery_log.note("entry.changed", {{"entry", record.id},
                                          {"phase", phase_name(record.phase)},
                                          {"silent", record.is_silent}});
-    schedule_responses();
 }
 
 void discovery_service::handle_replica_change(replica_member const& record)
 {
     discovery_log.note("replica.changed",
                        {{"replica", record.id}, {"silent", record.is_silent}});
-    schedule_responses();
+    schedule_updates();
 }
 
 } // namespace verbenacove
--- a/source/verbenacove/process/discovery/discovery_service.hpp
+++ b/source/verbenacove/process/discovery/discovery_service.hpp
@@ -3,13 +3,16 @@
 
 #include "verbenacove/process/control_server.hpp"
 #include "verbenacove/process/discovery/crash_exchange.hpp"
+#include "verbenacove/process/discovery/delta_cache.hpp"
 #include "verbenacove/process/discovery/membership_view.hpp"
 #include "verbenacove/process/discovery/view_settling.hpp"
 
 #include <QHash>
+#include <QSet>
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace verbenacove
@@ -78,7 +81,30 @@
 
     /** Schedules responses to the waiting readers; must be called when the
         routes have changed. */
-    void routes_changed() { schedule_responses(); }
+    void routes_changed();
+
+    /** Returns the replica that an upstream should send its heartbeats to: one
+        of its zone or region, the same one for all replicas with the same view;
+        nothing when none is known.
+
+        A replica that has lost contact with a leader names one that it has no
+        contact with itself, which may be on the side of the majority.
+    */
+    std::optional<socket_address>
+    heartbeat_receiver(upstream_id const& id, zone_name const& zone) const;
+
+    /** Lets others name this replica no longer to upstreams; must be called
+        when it begins to stop. */
+    void prepare_stop();
+
+    /** Returns the number of readers that wait for updates. */
+    std::size_t waiting_readers() const { return waiting_.size(); }
+
+    /** Returns the number of replicas whose latest read failed. */
+    std::size_t lost_replica_count() const
+    {
+        return static_cast<std::size_t>(lost_replicas({}).size());
+    }
 
     /** Returns whether entries should read this replica: it has contact with a
         leader and has read another replica, or appears to be the only one. */
@@ -99,7 +125,10 @@
     {
         QCborMap request;
         sync_position position;
+        view_reader view;
         quarantine_cursor crash_cursor;
+        /** Time before which changes of the view alone are not sent. */
+        monotonic_time not_before;
         /** Time at which the response is sent even without updates. */
         monotonic_time deadline;
         reply_function reply;
@@ -112,6 +141,14 @@
         sync_position position;
         crash_position crashes;
         bool is_reading = false;
+        /** Whether it has ever been read. */
+        bool was_read = false;
+        /** Whether the latest read failed. */
+        bool is_lost = false;
+        /** Names of the lost replicas that the read in progress tells of. */
+        QSet<QString> sent_lost;
+        /** Those for which this source has sent what it knows. */
+        QSet<QString> answered_lost;
         monotonic_time next_read;
         /** Time of its last response; before the first, of its addition. */
         monotonic_time last_response;
@@ -120,14 +157,26 @@
     void handle_updates_request(QCborMap const& request,
                                 reply_function const& reply);
     void handle_push(QCborMap const& request, reply_function const& reply);
+    /** Returns whether a response cannot wait for further changes. */
+    bool is_urgent(waiting_reader const& reader) const;
     bool is_response_due(waiting_reader const& reader) const;
+    QCborArray vouched_replicas(QSet<QString> const& lost) const;
     void respond(waiting_reader const& reader);
+    /** Returns the part of the membership view that a reader gets. */
+    QCborMap view_for(waiting_reader const& reader);
     void respond_to_waiting();
-    void schedule_responses();
+    void schedule_responses(milliseconds delay);
+    /** Schedules responses with changes of the membership view, which are
+        gathered for a while. */
+    void schedule_updates();
     void handle_tick();
     void record_own_heartbeat();
     void add_sources();
     void read(socket_address const& address, source& from);
+    QCborMap make_read_request(socket_address const& address, source& from);
+    QSet<QString> lost_replicas(socket_address const& except) const;
+    void record_read(socket_address const& address, source& from,
+                     QCborMap const& reply);
     void handle_response(socket_address const& address,
                          std::optional<QCborMap> const& reply);
     /** Returns the routes in force for entries, packed. */
@@ -135,6 +184,7 @@
     void merge_crashes(QCborMap const& message);
     std::size_t live_entries() const;
     void update_settling();
+    void log_relayed_changes(monotonic_time now);
     /** Sends an upstream's record to all voting replicas and reports whether a
         majority of them has recorded it. */
     void push(upstream_member const& record, acknowledge_callback done);
@@ -160,8 +210,16 @@
     std::vector<waiting_reader> waiting_;
     /** Routes for entries, of one revision; encoded once for all of them. */
     QByteArray packed_routes_;
+    delta_cache entry_deltas_;
     qint64 packed_revision_ = -1;
-    bool are_responses_scheduled_ = false;
+    /** Time of the scheduled responses; absent if there are none. */
+    std::optional<monotonic_time> next_responses_;
+    monotonic_time last_responses_{};
+    monotonic_time last_current_{};
+    bool is_stopping_ = false;
+    /** Number of relayed changes of upstreams that were not logged yet. */
+    int relayed_changes_ = 0;
+    monotonic_time last_relayed_log_{};
     timer_service::subscription tick_;
     timer_service::subscription response_timer_;
 };
--- a/source/verbenacove/process/discovery/membership_table.hpp
+++ b/source/verbenacove/process/discovery/membership_table.hpp
@@ -48,6 +48,12 @@
     /** Value of the table's counter of direct heartbeats when the latest
         heartbeat was recorded; 0 when that heartbeat was relayed. */
     qint64 direct_heartbeat = 0;
+    /** Value of that counter when the process began to send its heartbeats
+        here; 0 while it sends them to another replica. */
+    qint64 direct_since = 0;
+    /** Name of the other replica that receives the heartbeats of the process;
+        empty when this one does, or when none is known to. */
+    QString receiver;
     /** Identifier of the remote membership view that last contained this
         record; 0 when no remote view did. */
     qint64 source = 0;
@@ -71,6 +77,9 @@
     direct,
     /** Relayed by a peer that received it from the process. */
     relayed,
+    /** Relayed for the replica that receives the heartbeats of the process,
+        whose failure detector decides whether it is silent. */
+    delegated,
     /** Sent by a peer whose failure detector also decides whether the process
         is silent. */
     authoritative
@@ -108,8 +117,8 @@
     {
     }
 
-    /** Applies an update. Its `revision` and `direct_heartbeat` are ignored,
-        since they are set by this table. */
+    /** Applies an update. Its `revision`, `direct_heartbeat` and
+        `direct_since` are ignored, since they are set by this table. */
     update_result merge(record update, update_origin origin, monotonic_time now)
     {
         auto const found = records_.find(update.id);
@@ -125,7 +134,6 @@
         }
         if (known.started < update.started)
         {
-            update.direct_heartbeat = 0;
             known = std::move(update);
             return record_change(known, origin);
         }
@@ -141,20 +149,30 @@
             return update_result::ignored;
         }
         found->phase = member_phase::gone;
-        found->revision = ++revision_;
+        set_revision(*found);
         return update_result::changed;
     }
 
     /** Marks processes without recent heartbeats as silent, and removes the
         records whose retention period has passed.
 
+        @param last_contact  returns the time of the last contact with the
+                             receiver of a record's heartbeats, which stands for
+                             a heartbeat
         @return the records that became silent
     */
-    std::vector<record> expire(monotonic_time now)
+    template <class LastContact>
+    std::vector<record> expire(monotonic_time now,
+                               LastContact const& last_contact)
     {
         std::vector<record> result;
         for (auto& each : records_)
         {
+            if (!each.is_silent && !each.receiver.isEmpty())
+            {
+                each.last_heartbeat =
+                    std::max(each.last_heartbeat, last_contact(each));
+            }
             bool const is_expired =
                 elapsed(each.last_heartbeat, now) > timeouts_.silence_timeout;
             if (is_expired && mark_silent(each))
@@ -167,6 +185,26 @@
         return result;
     }
 
+    std::vector<record> expire(monotonic_time now)
+    {
+        return expire(now, [](record const&) { return monotonic_time{}; });
+    }
+
+    /** Forgets that a replica receives the heartbeats of processes: it has
+        restarted. They count as heard of at the given time. */
+    void remove_receiver(QString const& receiver, monotonic_time last_contact)
+    {
+        for (auto& each : records_)
+        {
+            if (each.receiver == receiver)
+            {
+                each.receiver.clear();
+                each.last_heartbeat =
+                    std::max(each.last_heartbeat, last_contact);
+            }
+        }
+    }
+
     /** Marks all processes as silent whose last update did not come from this
         source.
 
@@ -201,14 +239,15 @@
         return found == records_.end() ? nullptr : &*found;
     }
 
-    /** Returns the records that changed after a revision, in the order of
+    /** Returns the records for which a predicate is true, in the order of
         their changes. */
-    std::vector<record> changes_since(qint64 revision) const
+    template <class Predicate>
+    std::vector<record> select(Predicate const& predicate) const
     {
         std::vector<record> result;
         for (auto const& each : records_)
         {
-            if (each.revision > revision)
+            if (predicate(each))
             {
                 result.push_back(each);
             }
@@ -219,27 +258,24 @@
         return result;
     }
 
-    /** Returns the records with a direct heartbeat after the given value of
-        the counter of direct heartbeats. */
-    std::vector<record> heartbeats_since(qint64 count) const
-    {
-        std::vector<record> result;
-        for (auto const& each : records_)
-        {
-            if (each.direct_heartbeat > count &&
-                each.phase != member_phase::gone)
-            {
-                result.push_back(each);
-            }
-        }
-        return result;
-    }
-
     QHash<QString, record> const& records() const { return records_; }
 
     /** Returns the revision of the latest change. */
     qint64 revision() const { return revision_; }
 
+    /** Returns the revision of the latest change that readers which delegate
+        need when they have contact with all replicas.
+        @see concerns_delegating_readers */
+    qint64 delegated_revision() const { return delegated_revision_; }
+
+    /** Returns whether readers that have contact with the receivers of all
+        heartbeats need a record from this table: its heartbeats are received
+        here, or it is leaving, which must not be missed. */
+    static bool concerns_delegating_readers(record const& each)
+    {
+        return each.receiver.isEmpty() || each.phase > member_phase::serving;
+    }
+
     /** Returns the number of direct heartbeats that were recorded. */
     qint64 direct_heartbeats() const { return direct_heartbeats_; }
 
@@ -250,7 +286,6 @@
         {
             return update_result::ignored;
         }
-        update.direct_heartbeat = 0;
         auto& added = *records_.insert(update.id, std::move(update));
         return record_change(added, origin);
     }
@@ -259,45 +294,89 @@
                                          update_origin origin,
                                          monotonic_time now)
     {
-        bool const is_authoritative = origin == update_origin::authoritative;
         bool const is_later = update.sequence > known.sequence;
         bool const has_advanced = update.phase > known.phase;
         bool const is_silence_changed =
-            is_authoritative && update.is_silent != known.is_silent;
+            decides_silence(known, update, origin) &&
+            update.is_silent != known.is_silent;
         if (known.phase == member_phase::gone ||
             (!is_later && !has_advanced && !is_silence_changed))
         {
             return update_result::ignored;
         }
+        bool const is_silent = decides_silence(known, update, origin)
+                                   ? update.is_silent
+                                   : known.is_silent && !is_later;
         bool const is_changed =
-            has_advanced || is_silence_changed ||
-            (is_later && !known.content.is_equivalent(update.content)) ||
-            (is_later && !is_authoritative && known.is_silent);
+            has_advanced || is_silent != known.is_silent ||
+            (is_later && !known.content.is_equivalent(update.content));
         if (is_later)
         {
             known.content = std::move(update.content);
             known.sequence = update.sequence;
             known.last_heartbeat = std::max(
                 known.last_heartbeat, std::min(update.last_heartbeat, now));
-            known.is_silent = false;
-            known.direct_heartbeat =
-                origin == update_origin::direct ? ++direct_heartbeats_ : 0;
+            set_receiver(known, std::move(update.receiver), origin);
         }
         known.phase = std::max(known.phase, update.phase);
-        known.is_silent = is_authoritative ? update.is_silent : known.is_silent;
-        known.revision = is_changed ? ++revision_ : known.revision;
+        known.is_silent = is_silent;
+        if (is_changed)
+        {
+            set_revision(known);
+        }
         return is_changed ? update_result::changed : update_result::refreshed;
     }
 
+    // The word of the receiver of the heartbeats counts unless a later
+    // heartbeat is known.
+    static bool decides_silence(record const& known, record const& update,
+                                update_origin origin)
+    {
+        bool const is_of_receiver =
+            update.sequence > known.sequence ||
+            (update.sequence == known.sequence && !known.receiver.isEmpty() &&
+             known.receiver == update.receiver);
+        return origin == update_origin::authoritative ||
+               (origin == update_origin::delegated && is_of_receiver);
+    }
+
+    void set_receiver(record& changed, QString receiver, update_origin origin)
+    {
+        if (origin == update_origin::direct)
+        {
+            changed.direct_heartbeat = ++direct_heartbeats_;
+            changed.direct_since = changed.direct_since > 0
+                                       ? changed.direct_since
+                                       : changed.direct_heartbeat;
+            changed.receiver.clear();
+            return;
+        }
+        changed.direct_heartbeat = 0;
+        changed.direct_since = 0;
+        if (!receiver.isEmpty())
+        {
+            changed.receiver = std::move(receiver);
+        }
+    }
+
+    void set_revision(record& changed)
+    {
+        changed.revision = ++revision_;
+        if (concerns_delegating_readers(changed))
+        {
+            delegated_revision_ = revision_;
+        }
+    }
+
     update_result record_change(record& changed, update_origin origin)
     {
-        if (origin != update_origin::authoritative)
+        if (origin == update_origin::direct || origin == update_origin::relayed)
         {
             changed.is_silent = false;
         }
-        changed.direct_heartbeat =
-            origin == update_origin::direct ? ++direct_heartbeats_ : 0;
-        changed.revision = ++revision_;
+        changed.direct_since = 0;
+        set_receiver(changed, changed.receiver, origin);
+        set_revision(changed);
         return update_result::changed;
     }
 
@@ -308,7 +387,7 @@
             return false;
         }
         changed.is_silent = true;
-        changed.revision = ++revision_;
+        set_revision(changed);
         return true;
     }
 
@@ -323,6 +402,7 @@
     membership_timeouts timeouts_;
     QHash<QString, record> records_;
     qint64 revision_ = 0;
+    qint64 delegated_revision_ = 0;
     qint64 direct_heartbeats_ = 0;
 };
 
--- a/source/verbenacove/process/discovery/membership_view.cpp
+++ b/source/verbenacove/process/discovery/membership_view.cpp
@@ -1,6 +1,7 @@
 #include "verbenacove/process/discovery/membership_view.hpp"
 
 #include "verbenacove/core/cbor.hpp"
+#include "verbenacove/process/discovery/membership_delta.hpp"
 
 #include <limits>
 #include <utility>
@@ -8,6 +9,8 @@
 namespace verbenacove
 {
 
+using namespace membership_detail;
+
 namespace
 {
 
@@ -35,122 +38,11 @@
     return detector == failure_detector::self ? own : remote_detection_timeouts;
 }
 
-template <class Content>
-QCborArray changes_to_cbor(membership_table<Content> const& table,
-                           qint64 revision, monotonic_time now)
-{
-    QCborArray result;
-    for (auto const& record : table.changes_since(revision))
-    {
-        result.append(to_cbor(record, now));
-    }
-    return result;
-}
-
-template <class Content>
-QCborArray heartbeats_to_cbor(membership_table<Content> const& table,
-                              qint64 after, monotonic_time now)
-{
-    QCborArray result;
-    for (auto const& record : table.heartbeats_since(after))
-    {
-        result.append(
-            QCborArray{record.id, record.started.value(), record.sequence,
-                       qint64{elapsed(record.last_heartbeat, now).count()}});
-    }
-    return result;
-}
-
-void add(QCborMap& delta, char const* key, QCborArray const& items)
-{
-    if (!items.isEmpty())
-    {
-        delta[QLatin1String(key)] = items;
-    }
-}
-
-template <class Content>
-void notify(std::vector<member_record<Content>> const& records,
-            std::function<void(member_record<Content> const&)> const& call)
-{
-    for (auto const& record : records)
-    {
-        call(record);
-    }
-}
-
-template <class Content>
-void merge_heartbeats_of(
-    membership_table<Content>& table, QCborArray const& heartbeats,
-    monotonic_time now,
-    std::function<void(member_record<Content> const&)> const& call)
-{
-    for (auto const& item : heartbeats)
-    {
-        auto const heartbeat = item.toArray();
-        auto const* known = table.find(heartbeat.at(0).toString());
-        if (!known || known->started.value() != heartbeat.at(1).toInteger())
-        {
-            continue;
-        }
-        auto update = *known;
-        update.sequence = heartbeat.at(2).toInteger();
-        update.last_heartbeat =
-            now -
-            milliseconds(std::max(qint64{0}, heartbeat.at(3).toInteger()));
-        auto const change =
-            table.merge(std::move(update), update_origin::relayed, now);
-        if (change == update_result::changed)
-        {
-            call(*table.find(heartbeat.at(0).toString()));
-        }
-    }
-}
-
-template <class Content>
-void merge_all(membership_table<Content>& table, QCborArray const& items,
-               update_origin origin, qint64 source, monotonic_time now,
-               std::function<void(member_record<Content> const&)> const& call)
-{
-    for (auto const& item : items)
-    {
-        member_record<Content> record;
-        if (!from_cbor(item.toMap(), now, record))
-        {
-            continue;
-        }
-        record.source = source;
-        auto const id = record.id;
-        auto const change = table.merge(std::move(record), origin, now);
-        if (change == update_result::changed)
-        {
-            call(*table.find(id));
-        }
-    }
-}
+/** Maximum number of replicas whose latest contact is kept. */
+constexpr qsizetype maximum_contacts = 256;
 
 } // namespace
 
-QCborMap to_cbor(sync_position const& position)
-{
-    return {{QLatin1String("stream"), position.view_id},
-            {QLatin1String("u"), position.upstreams},
-            {QLatin1String("e"), position.entries},
-            {QLatin1String("r"), position.replicas},
-            {QLatin1String("ub"), position.upstream_heartbeats},
-            {QLatin1String("eb"), position.entry_heartbeats},
-            {QLatin1String("rb"), position.replica_heartbeats},
-            {QLatin1String("l"), position.rate_limits}};
-}
-
-sync_position parse_sync_position(QCborMap const& map)
-{
-    return {cbor_number(map, "stream"), cbor_number(map, "u"),
-            cbor_number(map, "e"),      cbor_number(map, "r"),
-            cbor_number(map, "ub"),     cbor_number(map, "eb"),
-            cbor_number(map, "rb"),     cbor_number(map, "l")};
-}
-
 membership_view::membership_view(qint64 view_id, failure_detector detector,
                                  clock_source const& clock, listener calls)
     : view_id_(view_id)
@@ -263,49 +155,84 @@
     return change;
 }
 
+sync_position membership_view::position() const
+{
+    return {view_id_,
+            upstreams_.revision(),
+            entries_.revision(),
+            replicas_.revision(),
+            upstreams_.direct_heartbeats(),
+            entries_.direct_heartbeats(),
+            replicas_.direct_heartbeats(),
+            rate_limits_.revision()};
+}
+
+QCborMap membership_view::replica_records() const
+{
+    QCborMap result;
+    add(result, "replicas",
+        changes_to_cbor(replicas_, 0, view_reader{}, clock_.now()));
+    return result;
+}
+
+void membership_view::merge_replica_records(QCborMap const& records)
+{
+    merge_all(replicas_, cbor_array(records, "replicas"),
+              update_origin::relayed, qint64{0}, QString(), clock_.now(),
+              calls_.replica);
+}
+
 QCborMap membership_view::updates_since(sync_position const& position,
-                                        bool with_heartbeats) const
+                                        view_reader const& reader) const
 {
     auto const now = clock_.now();
-    auto const from = position.view_id == view_id_ ? position : sync_position{};
-    QCborMap delta{
-        {QLatin1String("next"),
-         to_cbor(sync_position{
-             view_id_, upstreams_.revision(), entries_.revision(),
-             replicas_.revision(), upstreams_.direct_heartbeats(),
-             entries_.direct_heartbeats(), replicas_.direct_heartbeats(),
-             rate_limits_.revision()})}};
-    add(delta, "upstreams", changes_to_cbor(upstreams_, from.upstreams, now));
-    add(delta, "entries", changes_to_cbor(entries_, from.entries, now));
-    add(delta, "replicas", changes_to_cbor(replicas_, from.replicas, now));
+    auto const from = is_known(position) ? position : sync_position{};
+    // Replicas and rate limits are few, and told by each replica.
+    auto whole = reader;
+    whole.is_delegating = false;
+    bool const needs_all_entries =
+        reader.wants_all_entries && !is_known(position);
+    auto const& entry_reader = needs_all_entries ? whole : reader;
+    QCborMap delta{{QLatin1String("next"), to_cbor(this->position())}};
+    add(delta, "upstreams",
+        changes_to_cbor(upstreams_, from.upstreams, reader, now));
+    add(delta, "entries",
+        changes_to_cbor(entries_, from.entries, entry_reader, now));
+    add(delta, "replicas",
+        changes_to_cbor(replicas_, from.replicas, whole, now));
     add(delta, "rate_limits",
-        changes_to_cbor(rate_limits_, from.rate_limits, now));
-    if (with_heartbeats)
+        changes_to_cbor(rate_limits_, from.rate_limits, whole, now));
+    if (reader.wants_heartbeats)
     {
         add(delta, "upstream_beats",
-            heartbeats_to_cbor(upstreams_, from.upstream_heartbeats, now));
+            heartbeats_to_cbor(upstreams_, from.upstream_heartbeats, reader,
+                               now));
         add(delta, "entry_beats",
-            heartbeats_to_cbor(entries_, from.entry_heartbeats, now));
+            heartbeats_to_cbor(entries_, from.entry_heartbeats, reader, now));
         add(delta, "replica_beats",
-            heartbeats_to_cbor(replicas_, from.replica_heartbeats, now));
+            heartbeats_to_cbor(replicas_, from.replica_heartbeats, whole, now));
     }
     return delta;
 }
 
-bool membership_view::has_updates_since(sync_position const& position) const
+bool membership_view::has_updates_since(sync_position const& position,
+                                        view_reader const& reader) const
 {
-    return position.view_id != view_id_ ||
-           position.upstreams < upstreams_.revision() ||
-           position.entries < entries_.revision() ||
+    return !is_known(position) || !reader.newly_lost.isEmpty() ||
+           position.upstreams < revision_for(upstreams_, reader) ||
+           position.entries < revision_for(entries_, reader) ||
            position.replicas < replicas_.revision() ||
            position.rate_limits < rate_limits_.revision();
 }
 
-sync_position membership_view::merge(QCborMap const& delta)
+sync_position membership_view::merge(QCborMap const& delta,
+                                     view_source const& from)
 {
     auto const now = clock_.now();
+    auto const own_origin =
+        from.is_delegate ? update_origin::delegated : update_origin::relayed;
     auto const origin = detector_ == failure_detector::self
-                            ? update_origin::relayed
+                            ? own_origin
                             : update_origin::authoritative;
     auto const next = parse_sync_position(cbor_map(delta, "next"));
     if (next.view_id != source_)
@@ -313,34 +240,63 @@
         source_ = next.view_id;
         source_first_read_ = now;
     }
+    // A replica of an earlier build relays what any replica has heard, and
+    // heartbeats that it has received itself.
+    auto const sender = from.is_delegate ? from.name : QString();
+    if (from.is_delegate)
+    {
+        record_contact(from.name, next.view_id);
+    }
     for (auto const& item : cbor_array(delta, "upstreams"))
     {
         upstream_member record;
-        if (from_cbor(item.toMap(), now, record))
+        auto const map = item.toMap();
+        if (from_cbor(map, now, record))
         {
             record.source = source_;
+            record.receiver = receiver_of(map, sender);
             apply_upstream(std::move(record), origin);
         }
     }
-    merge_all(entries_, cbor_array(delta, "entries"), origin, source_, now,
-              calls_.entry);
-    merge_all(replicas_, cbor_array(delta, "replicas"), origin, source_, now,
-              calls_.replica);
+    merge_all(entries_, cbor_array(delta, "entries"), origin, source_, sender,
+              now, calls_.entry);
+    auto const replica_origin =
+        origin == update_origin::delegated ? update_origin::relayed : origin;
+    merge_all(replicas_, cbor_array(delta, "replicas"), replica_origin, source_,
+              QString(), now, calls_.replica);
     merge_all(rate_limits_, cbor_array(delta, "rate_limits"),
-              update_origin::relayed, source_, now, calls_.rate_limit);
-    merge_heartbeats(delta);
+              update_origin::relayed, source_, QString(), now,
+              calls_.rate_limit);
+    merge_heartbeats(delta, from);
     return next;
 }
 
-void membership_view::merge_heartbeats(QCborMap const& delta)
+void membership_view::record_contact(QString const& replica, qint64 view_id)
+{
+    if (!contacts_.contains(replica) && contacts_.size() >= maximum_contacts)
+    {
+        return;
+    }
+    auto& contact = contacts_[replica];
+    if (contact.view_id != 0 && contact.view_id != view_id)
+    {
+        // It has restarted and may not know of all of these processes.
+        upstreams_.remove_receiver(replica, contact.at);
+        entries_.remove_receiver(replica, contact.at);
+    }
+    contact = {view_id, clock_.now()};
+}
+
+void membership_view::merge_heartbeats(QCborMap const& delta,
+                                       view_source const& from)
 {
     auto const now = clock_.now();
-    merge_heartbeats_of(upstreams_, cbor_array(delta, "upstream_beats"), now,
-                        calls_.upstream);
-    merge_heartbeats_of(entries_, cbor_array(delta, "entry_beats"), now,
-                        calls_.entry);
-    merge_heartbeats_of(replicas_, cbor_array(delta, "replica_beats"), now,
-                        calls_.replica);
+    merge_heartbeats_of(upstreams_, cbor_array(delta, "upstream_beats"),
+                        from.name, now, calls_.upstream);
+    merge_heartbeats_of(entries_, cbor_array(delta, "entry_beats"), from.name,
+                        now, calls_.entry);
+    merge_heartbeats_of(replicas_, cbor_array(delta, "replica_beats"),
+                        QString(), now, calls_.replica);
 }
 
 void membership_view::expire()
@@ -355,8 +311,12 @@
         notify(entries_.mark_silent_all_except(source_), calls_.entry);
         notify(replicas_.mark_silent_all_except(source_), calls_.replica);
     }
-    notify(upstreams_.expire(now), calls_.upstream);
-    notify(entries_.expire(now), calls_.entry);
+    auto const last_contact = [this](auto const& record)
+    {
+        return contacts_.value(record.receiver).at;
+    };
+    notify(upstreams_.expire(now, last_contact), calls_.upstream);
+    notify(entries_.expire(now, last_contact), calls_.entry);
     notify(replicas_.expire(now), calls_.replica);
     remove_obsolete_rate_limits(now);
     remove_obsolete_address_holders();
--- a/source/verbenacove/process/discovery/membership_view.hpp
+++ b/source/verbenacove/process/discovery/membership_view.hpp
@@ -2,9 +2,11 @@
 #define VERBENACOVE_PROCESS_DISCOVERY_MEMBERSHIP_VIEW_HPP
 
 #include "verbenacove/process/discovery/member_content.hpp"
+#include "verbenacove/process/discovery/sync_position.hpp"
 
 #include <QCborMap>
 #include <QHash>
+#include <QSet>
 
 #include <functional>
 #include <vector>
@@ -21,25 +23,32 @@
     source
 };
 
-/** Sync position of a reader in a remote membership view: the last revision and
-    heartbeat count that it has received for each kind of process. */
-struct sync_position
+/** How the reader of a membership view uses it. */
+struct view_reader
 {
-    /** Identifies the instance of the remote view; a position is valid for that
-        instance only. */
-    qint64 view_id = 0;
-    qint64 upstreams = 0;
-    qint64 entries = 0;
-    qint64 replicas = 0;
-    qint64 upstream_heartbeats = 0;
-    qint64 entry_heartbeats = 0;
-    qint64 replica_heartbeats = 0;
-    qint64 rate_limits = 0;
+    /** Whether it wants heartbeats, not only changes. */
+    bool wants_heartbeats = false;
+    /** Whether it leaves the failure detection to the replica that receives the
+        heartbeats of a process. It then needs that replica's records and
+        nothing of others, but for what is lost. */
+    bool is_delegating = false;
+    /** Whether the first read contains all entries nevertheless: look-ups need
+        them at once. */
+    bool wants_all_entries = false;
+    /** Names of the replicas that it cannot read itself. */
+    QSet<QString> lost = {};
+    /** Those of them whose records it wants whatever its position. */
+    QSet<QString> newly_lost = {};
 };
 
-/** Converts a position to CBOR and back. */
-QCborMap to_cbor(sync_position const& position);
-sync_position parse_sync_position(QCborMap const& map);
+/** A replica whose view is merged. */
+struct view_source
+{
+    QString name;
+    /** Whether its failure detector decides for the processes whose heartbeats
+        it receives. */
+    bool is_delegate = false;
+};
 
 /** Holds the upstreams, entries and replicas that a process tracks, and the
     rate limits that upstreams have named.
@@ -89,20 +98,41 @@
     update_result mark_upstream_gone(upstream_id const& id);
 
     /** Returns the delta after a reader's position, and the reader's next
-        position. When nothing has changed, it contains only that position.
-
-        @param with_heartbeats  whether to add the heartbeats that were received
-                                directly since then
-    */
+        position. When nothing has changed, it contains only that position. */
     QCborMap updates_since(sync_position const& position,
-                           bool with_heartbeats) const;
+                           view_reader const& reader) const;
 
     /** Returns whether there are changes after a reader's position. */
-    bool has_updates_since(sync_position const& position) const;
+    bool has_updates_since(sync_position const& position,
+                           view_reader const& reader) const;
+
+    /** Returns the position of a reader that has read all of this view. */
+    sync_position position() const;
+
+    /** Returns the replicas, for a reader that chooses one of them to read. */
+    QCborMap replica_records() const;
+
+    /** Applies what `replica_records` of another view has returned. */
+    void merge_replica_records(QCborMap const& records);
+
+    /** Returns whether a position is one in this view; if not, all of the view
+        is read. */
+    bool is_known(sync_position const& position) const
+    {
+        return position.view_id == view_id_;
+    }
 
     /** Applies a delta from another view. Returns the position from which that
         view is to be read next. */
-    sync_position merge(QCborMap const& delta);
+    sync_position merge(QCborMap const& delta, view_source const& from = {});
+
+    /** Records contact with a replica, or that another one has contact with it.
+        The processes that send their heartbeats to it count as heard of, unless
+        its view is another one than before.
+
+        @param view_id  identifies its view
+    */
+    void record_contact(QString const& replica, qint64 view_id);
 
     /** Runs the failure detector; must be called a few times per second. */
     void expire();
@@ -122,9 +152,15 @@
     }
 
 private:
+    struct replica_contact
+    {
+        qint64 view_id = 0;
+        monotonic_time at{};
+    };
+
     update_result apply_upstream(upstream_member update, update_origin origin);
     bool mark_replaced_gone(upstream_member const& update);
-    void merge_heartbeats(QCborMap const& delta);
+    void merge_heartbeats(QCborMap const& delta, view_source const& from);
     void remove_obsolete_rate_limits(monotonic_time now);
     void remove_obsolete_address_holders();
 
@@ -136,6 +172,8 @@
         since which its deltas are applied. */
     qint64 source_ = 0;
     monotonic_time source_first_read_;
+    /** Latest contact with each other replica, by its name. */
+    QHash<QString, replica_contact> contacts_;
     membership_table<upstream_content> upstreams_;
     /** Id of the latest upstream at each address. May name records that have
         been removed, or that have moved to another address. */
--- a/source/verbenacove/process/discovery/replica_link.cpp
+++ b/source/verbenacove/process/discovery/replica_link.cpp
@@ -35,6 +35,11 @@
 /** Pause of an entry that has asked all replicas and found none with a leader.
     Limits its request rate while there is none. */
 constexpr milliseconds pause_between_rounds{300};
+/** Number of replicas that are asked before a pause, and number of rounds over
+    which the pauses grow: with many replicas and entries, the entries that find
+    no leader would keep the replicas from electing one. */
+constexpr std::size_t maximum_reads_per_round = 5;
+constexpr std::size_t maximum_pause_factor = 4;
 /** Interval at which an entry that finds no replica with a leader still reads
     the membership view of one without. */
 constexpr milliseconds leaderless_view_interval{2000};
@@ -151,6 +156,7 @@
             {QLatin1String("current"), was_replica_current_},
             {QLatin1String("hold"), qint64{hold_time.count()}},
             {QLatin1String("packed"), true},
+            {QLatin1String("packed_view"), true},
             {QLatin1String("self"), to_cbor(self, self.last_heartbeat)}};
 }
 
@@ -174,6 +180,14 @@
     message[QLatin1String("brief")] =
         !was_replica_current_ &&
         elapsed(last_view_, read_started_) < leaderless_view_interval;
+    // The seeds tell which replicas there are; the view is read from the
+    // nearest.
+    is_finding_replicas_ = membership_.replicas().records().isEmpty();
+    if (is_finding_replicas_)
+    {
+        message[QLatin1String("replicas_only")] = true;
+        message[QLatin1String("hold")] = 0;
+    }
     received_crashes_.add_to(message);
     auto const sent_crashes =
         add_crashes(message, own_crashes_, confirmed_crashes_);
@@ -209,11 +223,20 @@
         continue_search();
         return;
     }
-    if (reply->contains(QLatin1String("next")))
+    if (is_finding_replicas_ && !reply->contains(QLatin1String("next")))
     {
-        position_ = membership_.merge(*reply);
-        last_view_ = clock_.now();
+        membership_.merge_replica_records(*reply);
+        if (membership_.replicas().records().isEmpty())
+        {
+            leave_replica(from, "no replicas known");
+            continue_search();
+            return;
+        }
+        current_.reset();
+        read();
+        return;
     }
+    merge_view(*reply);
     report_received_crashes(*reply);
     was_replica_current_ = cbor_flag(*reply, "current");
     if (was_replica_current_)
@@ -237,13 +260,35 @@
     read();
 }
 
+void replica_link::merge_view(QCborMap const& reply)
+{
+    auto const packed = reply.value(QLatin1String("packed_view"));
+    auto const view = packed.isByteArray() ? unpack_cbor(packed.toByteArray())
+                                           : std::optional(reply);
+    if (!view)
+    {
+        link_log.note("view.unreadable", {});
+        return;
+    }
+    if (view->contains(QLatin1String("next")))
+    {
+        position_ = membership_.merge(*view);
+        last_view_ = clock_.now();
+    }
+}
+
 void replica_link::continue_search()
 {
     was_replica_current_ = false;
     ++failed_reads_;
-    if (failed_reads_ % selector_.candidate_count(membership_) == 0)
+    auto const round = std::min(selector_.candidate_count(membership_),
+                                maximum_reads_per_round);
+    if (failed_reads_ % round == 0)
     {
-        next_read_ = clock_.now() + pause_between_rounds;
+        auto const factor =
+            std::min(failed_reads_ / round, maximum_pause_factor);
+        next_read_ =
+            clock_.now() + pause_between_rounds * static_cast<qint64>(factor);
         return;
     }
     read();
--- a/source/verbenacove/process/discovery/replica_link.hpp
+++ b/source/verbenacove/process/discovery/replica_link.hpp
@@ -96,6 +96,7 @@
                          std::optional<QCborMap> const& reply);
     /** Reads the next replica, or pauses when all have been tried. */
     void continue_search();
+    void merge_view(QCborMap const& reply);
     void apply_routes(QCborMap const& reply);
     void report_received_crashes(QCborMap const& reply);
     void leave_replica(socket_address const& failed, char const* reason);
@@ -125,6 +126,8 @@
     /** Number of the latest read; responses to earlier reads are ignored. */
     quint64 read_number_ = 0;
     bool is_reading_ = false;
+    /** Whether the read in progress asks only which replicas there are. */
+    bool is_finding_replicas_ = false;
     /** Whether the replica that was read last had contact with a leader; also
         false after a read without response. */
     bool was_replica_current_ = true;
--- a/source/verbenacove/process/routing/replica_process.cpp
+++ b/source/verbenacove/process/routing/replica_process.cpp
@@ -246,6 +246,7 @@
 void replica_process::stop(std::function<void()> on_stopped)
 {
     replica_log.note("replica.stopping", {});
+    discovery_->prepare_stop();
     control_endpoint_->prepare_stop();
     if (directory_endpoint_)
     {
@@ -282,6 +283,8 @@
 {
     auto const& node = server_->node();
     replica_load load;
+    load.waiting_readers = static_cast<qint64>(discovery_->waiting_readers());
+    load.lost_replicas = static_cast<qint64>(discovery_->lost_replica_count());
     load.control_connections = control_endpoint_->connection_count();
     load.lookup_connections =
         directory_endpoint_ ? directory_endpoint_->connection_count() : 0;
--- /dev/null
+++ b/tests/unit/delta_cache_test.cpp
@@ -0,0 +1,97 @@
+#include "verbenacove/core/packed_cbor.hpp"
+#include "verbenacove/process/discovery/delta_cache.hpp"
+
+#include <QCborArray>
+
+#include <doctest/doctest.h>
+
+using namespace verbenacove;
+
+namespace
+{
+
+struct cache_fixture
+{
+    void add(int number)
+    {
+        upstream_member record;
+        record.id = QString::number(number);
+        record.started = incarnation(1000);
+        record.sequence = 1;
+        record.phase = member_phase::serving;
+        record.content.address = *parse_socket_address(
+            QStringLiteral("10.0.0.1:%1").arg(1 + number));
+        record.last_heartbeat = clock.now();
+        view.apply_heartbeat(std::move(record));
+    }
+
+    delta_cache::entry_delta const& find(sync_position const& position)
+    {
+        return cache.find(view, position, clock.now());
+    }
+
+    static qsizetype upstreams_in(QCborMap const& delta)
+    {
+        return delta.value(QLatin1String("upstreams")).toArray().size();
+    }
+
+    manual_clock_source clock;
+    membership_view view{7,
+                         failure_detector::self,
+                         clock,
+                         {[](upstream_member const&) {},
+                          [](entry_member const&) {},
+                          [](replica_member const&) {
+                          }}};
+    delta_cache cache;
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(cache_fixture,
+                  "delta cache: a large delta: packed, with the same content")
+{
+    for (int number = 0; number < 100; ++number)
+    {
+        add(number);
+    }
+    auto const delta = find({});
+    REQUIRE_FALSE(delta.packed.isEmpty());
+    auto const unpacked = unpack_cbor(delta.packed);
+    REQUIRE(unpacked);
+    CHECK(*unpacked == delta.plain);
+    CHECK(upstreams_in(*unpacked) == 100);
+}
+
+TEST_CASE_FIXTURE(cache_fixture, "delta cache: a small delta: not packed")
+{
+    add(1);
+    CHECK(find({}).packed.isEmpty());
+    CHECK(upstreams_in(find({}).plain) == 1);
+}
+
+// Entries that come from other replicas at once made each the whole view anew.
+TEST_CASE_FIXTURE(cache_fixture,
+                  "delta cache: readers of other views: one delta for all")
+{
+    add(1);
+    sync_position position;
+    for (qint64 view_id = 100; view_id < 200; ++view_id)
+    {
+        position.view_id = view_id;
+        position.upstreams = view_id * 3;
+        auto const* const first = &find({}).plain;
+        CHECK(&find(position).plain == first);
+    }
+}
+
+TEST_CASE_FIXTURE(cache_fixture,
+                  "delta cache: the view has changed: the new state is given")
+{
+    add(1);
+    auto const before = parse_sync_position(
+        find({}).plain.value(QLatin1String("next")).toMap());
+    add(2);
+    CHECK(upstreams_in(find({}).plain) == 2);
+    CHECK(upstreams_in(find(before).plain) == 1);
+}
--- a/tests/unit/membership_view_test.cpp
+++ b/tests/unit/membership_view_test.cpp
@@ -23,6 +23,9 @@
     return record;
 }
 
+view_reader const changes{};
+view_reader const heartbeats{.wants_heartbeats = true};
+
 struct view_fixture
 {
     membership_view make(qint64 view_id, failure_detector detector)
@@ -167,12 +170,12 @@
 {
     auto reader = make(8, failure_detector::self);
     apply_heartbeat(upstream("a", 1000, 1));
-    auto position = reader.merge(membership.updates_since({}, true));
+    auto position = reader.merge(membership.updates_since({}, heartbeats));
     CHECK(reader.upstreams().records().size() == 1);
-    CHECK_FALSE(membership.has_updates_since(position));
+    CHECK_FALSE(membership.has_updates_since(position, changes));
     apply_heartbeat(upstream("a", 1000, 2));
-    CHECK_FALSE(membership.has_updates_since(position));
-    auto const delta = membership.updates_since(position, true);
+    CHECK_FALSE(membership.has_updates_since(position, changes));
+    auto const delta = membership.updates_since(position, heartbeats);
     reader.merge(delta);
     CHECK(reader.upstreams().find(QStringLiteral("a"))->sequence == 2);
     CHECK(delta.value(QLatin1String("upstreams")).isUndefined());
@@ -184,12 +187,12 @@
     auto entry = make(0, failure_detector::source);
     auto other = make(9, failure_detector::self);
     apply_heartbeat(upstream("a", 1000, 1));
-    entry.merge(membership.updates_since({}, false));
+    entry.merge(membership.updates_since({}, changes));
     auto elsewhere = upstream("b", 1000, 1);
     elsewhere.content.address.port = 81;
     elsewhere.last_heartbeat = clock.now();
     other.apply_heartbeat(elsewhere);
-    entry.merge(other.updates_since({}, false));
+    entry.merge(other.updates_since({}, changes));
     entry.expire();
     CHECK_FALSE(entry.upstreams().find(QStringLiteral("a"))->is_silent);
     clock.advance(std::chrono::seconds(9));
--- a/tests/unit/rate_limit_test.cpp
+++ b/tests/unit/rate_limit_test.cpp
@@ -89,7 +89,7 @@
         QCborMap request;
         reporter.add_to(request, position.view_id);
         rate_limit_reporter::apply(request, *replica, clock.now());
-        position = entry.merge(replica->updates_since(position, false));
+        position = entry.merge(replica->updates_since(position, {}));
         reporter.confirm();
     }
 
