Check that a relayed response belongs to the request

Reported by other operators: a second copy of an answer, late, on a connection in use again; the next caller got it.

A relayed response that an upstream has given must bear the request's id; a refusal by the other entry, which bears none, may lack it.

--- a/source/verbenacove/request/routed_request.hpp
+++ b/source/verbenacove/request/routed_request.hpp
@@ -141,6 +141,7 @@
     void wait_for_upstream(pool_shortage shortage);
     void send_to(pool_choice choice);
     attempt_request make_attempt_request(pool_choice const& choice);
+    bool is_own_relay_response(http_response const& head) const;
     bool is_own_response(http_response const& head, connection_age age) const;
     void handle_result(attempt_result result);
     void handle_response(attempt_result const& result,
--- a/source/verbenacove/request/routed_request_relay.cpp
+++ b/source/verbenacove/request/routed_request_relay.cpp
@@ -45,9 +45,24 @@
     services_.header_codec.set_time_left(result.headers, time_left());
     set_relay_headers(result.headers,
                       relay_request{route_.maximum_attempts - sent_attempts_});
+    result.is_own_response = [this](http_response const& head, connection_age)
+    {
+        return is_own_relay_response(head);
+    };
     return result;
 }
 
+// A response that the upstream has given bears the id of its request. A refusal
+// by the other entry bears none.
+bool routed_request::is_own_relay_response(http_response const& head) const
+{
+    auto const information = read_relay_response(head.headers);
+    auto const id = services_.header_codec.read_response(head).request_id;
+    bool const may_lack_id =
+        !information || information->verdict != run_verdict::ran;
+    return id == metadata_.id || (may_lack_id && id.isEmpty());
+}
+
 void routed_request::handle_relay_result(entry_id const& entry,
                                          attempt_result result)
 {
--- a/tests/platform/relay_test.cpp
+++ b/tests/platform/relay_test.cpp
@@ -7,6 +7,8 @@
 #include "verbenacove/process/routing/route_traffic.hpp"
 
 #include <QCoreApplication>
+#include <QTcpServer>
+#include <QTcpSocket>
 
 using namespace verbenacove;
 using namespace verbenacove::support;
@@ -60,6 +62,20 @@
     /** Replaces the upstreams and the entries that it may relay to. */
     void update(std::vector<socket_address> const& upstreams,
                 std::vector<traffic_entry const*> const& relays)
+    {
+        std::vector<entry_view> views;
+        for (auto const* relay : relays)
+        {
+            entry_view entry;
+            entry.id = relay->name_;
+            entry.address = relay->address_;
+            views.push_back(entry);
+        }
+        update_views(upstreams, std::move(views));
+    }
+
+    void update_views(std::vector<socket_address> const& upstreams,
+                      std::vector<entry_view> relays)
     {
         auto view = std::make_shared<routing_view>();
         view->routes = configuration();
@@ -76,13 +92,7 @@
             member.health_path = QStringLiteral("/health");
             members.push_back(member);
         }
-        for (auto const* relay : relays)
-        {
-            entry_view entry;
-            entry.id = relay->name_;
-            entry.address = relay->address_;
-            view->relays.push_back(entry);
-        }
+        view->relays = std::move(relays);
         run([this, &view] { traffic_->update(view); });
     }
 
@@ -141,6 +151,88 @@
     std::unique_ptr<route_traffic> traffic_;
 };
 
+/** An entry to relay to whose link repeats what it has carried: before the
+    answer to a request on a kept connection comes another copy of the answer
+    before it. On a thread of its own. */
+class repeating_entry
+{
+public:
+    repeating_entry()
+    {
+        thread_.start();
+        server_.moveToThread(&thread_);
+        QMetaObject::invokeMethod(
+            &server_,
+            [this]
+            {
+                QObject::connect(&server_, &QTcpServer::newConnection, &server_,
+                                 [this] { take_connection(); });
+                REQUIRE(server_.listen(QHostAddress::LocalHost));
+            },
+            Qt::BlockingQueuedConnection);
+    }
+
+    ~repeating_entry()
+    {
+        QMetaObject::invokeMethod(
+            &server_,
+            [this]
+            {
+                server_.close();
+                for (auto* socket : server_.findChildren<QTcpSocket*>())
+                {
+                    delete socket;
+                }
+            },
+            Qt::BlockingQueuedConnection);
+        thread_.quit();
+        thread_.wait();
+    }
+
+    repeating_entry(repeating_entry const&) = delete;
+    repeating_entry& operator=(repeating_entry const&) = delete;
+
+    entry_view view() const
+    {
+        entry_view result;
+        result.id = entry_id(QStringLiteral("repeating"));
+        result.address = local(server_.serverPort());
+        return result;
+    }
+
+    /** Returns how many copies it has sent. */
+    int copies() const { return copies_; }
+
+private:
+    void take_connection()
+    {
+        auto* const socket = server_.nextPendingConnection();
+        auto const last = std::make_shared<QByteArray>();
+        QObject::connect(
+            socket, &QTcpSocket::readyRead, socket,
+            [this, socket, last]
+            {
+                auto const request = socket->readAll();
+                auto const name = QByteArray("Verbenacove-Request-Id: ");
+                auto const begin = request.indexOf(name) + name.size();
+                auto const id =
+                    request.mid(begin, request.indexOf('\r', begin) - begin);
+                copies_ += last->isEmpty() ? 0 : 1;
+                socket->write(*last);
+                auto const body = "graded for " + id;
+                *last = "HTTP/1.1 200 OK\r\nVerbenacove-Request-Id: " + id +
+                        "\r\nVerbenacove-Response-Signature: s-" + id +
+                        "\r\nRelay-Verdict: ran\r\nContent-Length: " +
+                        QByteArray::number(body.size()) + "\r\n\r\n" + body;
+                socket->write(*last);
+            });
+    }
+
+    QThread thread_;
+    QTcpServer server_;
+    std::atomic<int> copies_ = 0;
+};
+
 /** An entry that reaches no upstream, and one that reaches one. */
 struct relay_fixture
 {
@@ -272,6 +364,26 @@
     CHECK(cut_off.call("grade-2").is(200));
 }
 
+TEST_CASE_FIXTURE(relay_fixture,
+                  "entry without a path to any upstream: the entry that it "
+                  "relays to answers twice: no caller gets another's answer")
+{
+    std::vector<socket_address> const closed(upstream_count,
+                                             local(free_port()));
+    repeating_entry repeating;
+    cut_off.update_views(closed, {repeating.view()});
+    int served = 0;
+    for (int number = 0; number < 20; ++number)
+    {
+        auto const id = "grade-" + QByteArray::number(number);
+        auto const answer = cut_off.call(id);
+        served += answer.is(200) ? 1 : 0;
+        CHECK((!answer.is(200) || answer.body == "graded for " + id));
+    }
+    CHECK(repeating.copies() > 0);
+    CHECK(served > 0);
+}
+
 int main(int argc, char** argv)
 {
     QCoreApplication const application(argc, argv);
