Pack large changes only once all replicas can read them

Known fault: replicas of a build before packed changes skip such a change, so that with one replica of the later build replaced, a change of more than 64 routes left the others with other routes (form_version_test, which could not be compiled before).

A replica says in its replies to the leader which form of commands it can read.

A replica that meets a command or a state of a later build takes no part any more and says so once, in place of skipping it (raft_node_test). verbenactl status shows the form in use and what each reads.

--- a/source/verbenacove/process/control_server.cpp
+++ b/source/verbenacove/process/control_server.cpp
@@ -26,6 +26,7 @@
 raft_settings seeded(raft_settings settings)
 {
     settings.seed = std::random_device{}();
+    settings.readable_form = static_cast<int>(control_state::form::latest);
     return settings;
 }
 
@@ -222,6 +223,7 @@
     // Also notes when the log's time was last seen to move.
     next_log_time();
     reports_.forget_old();
+    raise_form();
     auto const leader = node_.leader();
     if (!leader || node_.is_leader())
     {
@@ -236,6 +238,28 @@
     }
 }
 
+void control_server::raise_form()
+{
+    auto const common = node_.common_form();
+    if (is_raising_form_ || common <= static_cast<int>(state_.used_form()))
+    {
+        return;
+    }
+    is_raising_form_ = true;
+    submit(
+        control_state::form_command(static_cast<control_state::form>(common)),
+        [this, common](raft_node::proposal_end end, QCborMap const&)
+        {
+            is_raising_form_ = false;
+            control_log.info(
+                QStringLiteral("Form %1 for all replicas: %2.")
+                    .arg(common)
+                    .arg(end == raft_node::proposal_end::committed
+                             ? QStringLiteral("in use")
+                             : QStringLiteral("not put into use")));
+        });
+}
+
 QCborMap control_server::status() const
 {
     QCborArray replicas;
@@ -251,13 +275,15 @@
                      {QLatin1String("role"),
                       QLatin1String(peer.is_voter ? "follower" : "learner")},
                      {QLatin1String("applied"), peer.match.value()},
-                     {QLatin1String("heard"), peer.is_heard}});
+                     {QLatin1String("heard"), peer.is_heard},
+                     {QLatin1String("reads"), peer.readable_form}});
     }
     return {
         {QLatin1String("outcome"), QLatin1String("found")},
         {QLatin1String("leader"), settings_.name},
         {QLatin1String("term"), node_.term().value()},
         {QLatin1String("config_version"), state_.config().version().value()},
+        {QLatin1String("form"), static_cast<int>(state_.used_form())},
         {QLatin1String("claims"), state_.claims().claim_count()},
         {QLatin1String("replicas"), replicas},
         {QLatin1String("entries"), reports_.entries()},
--- a/source/verbenacove/process/control_server.hpp
+++ b/source/verbenacove/process/control_server.hpp
@@ -96,6 +96,9 @@
     void answer_sync(QCborMap const& request, reply_function const& reply);
     void handle_report(QCborMap const& request, reply_function const& reply);
     void send_report();
+    /** On the leader, puts the latest form into use that all replicas can
+        read. */
+    void raise_form();
     void handle_grants(QCborMap const& request, reply_function const& reply);
     void abandon_former(QCborMap const& request);
     void schedule_flush();
@@ -120,6 +123,7 @@
     entry_reports reports_;
     grant_service grants_;
     bool is_flush_due_ = false;
+    bool is_raising_form_ = false;
     QObject context_;
 };
 
--- a/source/verbenacove/process/control_state.cpp
+++ b/source/verbenacove/process/control_state.cpp
@@ -5,6 +5,7 @@
 #include "verbenacove/core/packed_cbor.hpp"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 #include <variant>
 
@@ -16,6 +17,7 @@
 
 log_part const state_log{"state"};
 
+auto const form_key = QLatin1String("form");
 auto const change_key = QLatin1String("change");
 auto const claim_key_name = QLatin1String("claim");
 auto const route_key = QLatin1String("route");
@@ -32,6 +34,11 @@
 
 } // namespace
 
+QCborMap control_state::form_command(form used)
+{
+    return {{form_key, static_cast<int>(used)}};
+}
+
 QCborMap control_state::change_command(QCborMap const& change)
 {
     return {{change_key, change}};
@@ -42,15 +49,28 @@
     return {{claim_key_name, command}};
 }
 
-QCborMap control_state::route_command(route_change const& change)
+QCborMap control_state::route_command(route_change const& change, form used)
 {
-    if (change.routes.size() + change.services.size() <= maximum_plain_items)
+    bool const is_small =
+        change.routes.size() + change.services.size() <= maximum_plain_items;
+    if (is_small || used < form::packed_routes)
     {
         return {{route_key, to_cbor(change)}};
     }
     return {{packed_route_key, pack_cbor(to_cbor(change))}};
 }
 
+QCborMap control_state::in_form(QCborMap const& command, form used)
+{
+    if (used >= form::packed_routes || !command.contains(packed_route_key))
+    {
+        return command;
+    }
+    auto const change =
+        unpack_cbor(command.value(packed_route_key).toByteArray());
+    return change ? QCborMap{{route_key, *change}} : command;
+}
+
 bool control_state::is_route_command(QCborMap const& command)
 {
     return command.contains(route_key) || command.contains(packed_route_key);
@@ -64,8 +84,29 @@
                       {QLatin1String("is_evacuated"), is_evacuated}}}};
 }
 
+bool control_state::can_apply(QCborMap const& command) const
+{
+    if (command.contains(form_key))
+    {
+        return command.value(form_key).toInteger() <=
+               static_cast<int>(form::latest);
+    }
+    static std::array<QLatin1String, 5> const known{change_key, claim_key_name,
+                                                    route_key, packed_route_key,
+                                                    evacuation_key};
+    return std::any_of(known.begin(), known.end(),
+                       [&command](QLatin1String key)
+                       { return command.contains(key); });
+}
+
 QCborMap control_state::apply(QCborMap const& command, log_index index)
 {
+    if (command.contains(form_key))
+    {
+        auto const used = command.value(form_key).toInteger();
+        form_ = std::max(form_, static_cast<form>(used));
+        return {};
+    }
     if (command.contains(change_key))
     {
         auto const result =
@@ -173,7 +214,8 @@
                          {claims_key, claims_.snapshot()},
                          {routes_key, routes_.snapshot()},
                          {holders_key, holders},
-                         {caps_key, caps}};
+                         {caps_key, caps},
+                         {form_key, static_cast<int>(form_)}};
     return state.toCborValue().toCbor();
 }
 
@@ -185,6 +227,16 @@
         return false;
     }
     auto const& map = *parsed;
+    auto const used = cbor_number(map, "form", static_cast<int>(form::first));
+    if (used > static_cast<int>(form::latest))
+    {
+        state_log.error(
+            QStringLiteral("The state has form %1, which a later version has "
+                           "written; this version reads up to %2.")
+                .arg(used)
+                .arg(static_cast<int>(form::latest)));
+        return false;
+    }
     auto config = config_store::restore(map.value(config_key).toMap());
     auto claims = claim_table::restore(map.value(claims_key).toByteArray());
     if (!config || !claims)
@@ -198,6 +250,7 @@
     {
         return false;
     }
+    form_ = static_cast<form>(used);
     routes_ = std::move(routes);
     config_ = std::move(*config);
     claims_ = std::move(*claims);
--- a/source/verbenacove/process/control_state.hpp
+++ b/source/verbenacove/process/control_state.hpp
@@ -22,6 +22,20 @@
 class control_state : public state_machine
 {
 public:
+    /** The forms of commands and snapshots, each of which includes all before
+        it. A form is used once all replicas have said that they can read it. */
+    enum class form : int
+    {
+        /** That of builds which say nothing about forms. */
+        first = 1,
+        /** Changes of many routes are packed. */
+        packed_routes = 2,
+        latest = packed_routes
+    };
+
+    /** Returns the log command that puts a form into use. */
+    static QCborMap form_command(form used);
+
     /** Returns the log command of an operator's change. */
     static QCborMap change_command(QCborMap const& change);
 
@@ -30,7 +44,11 @@
 
     /** Returns the log command of a change of the routes; applying it gives
         an order_result. */
-    static QCborMap route_command(route_change const& change);
+    static QCborMap route_command(route_change const& change, form used);
+
+    /** Returns a change of the routes in a form that may be used; other
+        commands as they are. */
+    static QCborMap in_form(QCborMap const& command, form used);
 
     /** Returns whether a log command is a change of the routes. */
     static bool is_route_command(QCborMap const& command);
@@ -39,10 +57,14 @@
     static QCborMap evacuation_command(zone_name const& zone,
                                        bool is_evacuated);
 
+    bool can_apply(QCborMap const& command) const override;
     QCborMap apply(QCborMap const& command, log_index index) override;
     QByteArray snapshot() const override;
     bool restore(QByteArray const& state) override;
 
+    /** Returns the form that all replicas can read. */
+    form used_form() const { return form_; }
+
     config_store const& config() const { return config_; }
     claim_table const& claims() const { return claims_; }
     route_store const& routes() const { return routes_; }
@@ -67,6 +89,7 @@
     void note_holder(entry_id const& entry);
     void refresh_limits();
 
+    form form_ = form::first;
     config_store config_;
     claim_table claims_;
     route_store routes_;
--- a/source/verbenacove/process/raft_election.cpp
+++ b/source/verbenacove/process/raft_election.cpp
@@ -211,6 +211,10 @@
 
 bool raft_node::is_current() const
 {
+    if (is_halted_)
+    {
+        return false;
+    }
     if (is_leader())
     {
         return has_live_leader() && storage_.term_at(commit_index_) == term();
--- a/source/verbenacove/process/raft_node.cpp
+++ b/source/verbenacove/process/raft_node.cpp
@@ -23,7 +23,7 @@
     auto const& snapshot = storage_.snapshot();
     if (!snapshot.state.isEmpty() && !machine_.restore(snapshot.state))
     {
-        raft_log.error(QStringLiteral("The stored snapshot cannot be read."));
+        halt(QStringLiteral("The stored snapshot cannot be read."));
     }
     commit_index_ = snapshot.index;
     applied_index_ = snapshot.index;
@@ -120,6 +120,10 @@
 void raft_node::tick()
 {
     auto const now = clock_.now();
+    if (is_halted_)
+    {
+        return;
+    }
     allow_for_own_pause(now);
     if (is_leader())
     {
@@ -166,6 +170,10 @@
 QCborMap raft_node::handle(QCborMap const& message)
 {
     auto const kind = cbor_text(message, "m");
+    if (is_halted_)
+    {
+        return reply(false);
+    }
     if (kind == QLatin1String("raft.join"))
     {
         return handle_join(message);
@@ -203,6 +211,22 @@
 
 // What the node knows.
 
+int raft_node::common_form() const
+{
+    if (!is_leader())
+    {
+        return 1;
+    }
+    int result = settings_.readable_form;
+    for (auto const& [id, peer] : peers_)
+    {
+        bool const is_heard = elapsed(peer.acknowledged, clock_.now()) <
+                              settings_.election_timeout;
+        result = std::min(result, is_heard ? peer.readable_form : 1);
+    }
+    return result;
+}
+
 bool raft_node::is_voter() const
 {
     return has_identity(members_, identity());
@@ -220,20 +244,53 @@
     {
         bool const is_heard = elapsed(peer.acknowledged, clock_.now()) <
                               settings_.election_timeout;
-        result.push_back({peer.member, peer.match, peer.is_voter, is_heard});
+        result.push_back({peer.member, peer.match, peer.is_voter, is_heard,
+                          peer.readable_form});
     }
     return result;
 }
 
 // Both roles.
 
+bool raft_node::can_apply(raft_entry const& entry) const
+{
+    bool const is_known_kind = entry.kind == raft_entry_kind::command ||
+                               entry.kind == raft_entry_kind::members ||
+                               entry.kind == raft_entry_kind::no_operation;
+    return is_known_kind && (entry.kind != raft_entry_kind::command ||
+                             machine_.can_apply(entry.content));
+}
+
+// What this build cannot read must not be skipped: the states of the replicas
+// would differ from then on.
+void raft_node::halt(QString const& reason)
+{
+    if (is_halted_)
+    {
+        return;
+    }
+    raft_log.error(reason + QStringLiteral(" This replica takes no part."));
+    is_halted_ = true;
+    if (is_leader())
+    {
+        step_down(term(), std::nullopt);
+    }
+}
+
 void raft_node::apply_committed()
 {
     while (applied_index_ < commit_index_)
     {
-        applied_index_ = next_index(applied_index_);
         // Copied: a callback may compact the log.
-        auto const entry = storage_.entry_at(applied_index_);
+        auto const entry = storage_.entry_at(next_index(applied_index_));
+        if (!can_apply(entry))
+        {
+            halt(QStringLiteral("Entry %1 of the log was written by a later "
+                                "version. Upgrade this VM.")
+                     .arg(entry.index.value()));
+            return;
+        }
+        applied_index_ = entry.index;
         QCborMap result;
         if (entry.kind == raft_entry_kind::command)
         {
@@ -306,6 +363,7 @@
 QCborMap raft_node::reply(bool is_ok) const
 {
     return {{QLatin1String("ok"), is_ok},
+            {QLatin1String("reads"), settings_.readable_form},
             {QLatin1String("term"), term().value()}};
 }
 
--- a/source/verbenacove/process/raft_node.hpp
+++ b/source/verbenacove/process/raft_node.hpp
@@ -48,6 +48,8 @@
     int maximum_pending_proposals = 8192;
     /** Names that may take part; empty lets any take part. */
     QSet<QString> known_names;
+    /** The form of commands that this build can read; told to the leader. */
+    int readable_form = 1;
     /** The most voting replicas; further ones learn, and replace a voter that
         was lost. */
     std::size_t maximum_voters = 7;
@@ -123,6 +125,8 @@
         log_index match;
         bool is_voter = false;
         bool is_heard = false;
+        /** The form of commands that it says it can read. */
+        int readable_form = 1;
     };
 
     /** All parts handed in must outlive the node. */
@@ -162,6 +166,15 @@
         settings_.known_addresses = std::move(addresses);
     }
 
+    /** Returns the form of commands that all replicas can read: the lowest that
+        one of them has told, while each voter answers. On a follower the
+        first one. */
+    int common_form() const;
+
+    /** Returns whether this replica takes no part, because it has met what a
+        later build has written. */
+    bool is_halted() const { return is_halted_; }
+
     // Driving the node.
 
     /** Acts on the time that has passed. */
@@ -220,6 +233,7 @@
         monotonic_time acknowledged{};
         /** When a learner last asked to join. */
         monotonic_time asked{};
+        int readable_form = 1;
         std::shared_ptr<raft_snapshot const> snapshot;
         qint64 snapshot_offset = 0;
     };
@@ -307,6 +321,8 @@
     void propose_members(raft_members members);
     void refresh_members();
 
+    bool can_apply(raft_entry const& entry) const;
+    void halt(QString const& reason);
     void apply_committed();
     void compact();
     void fail_pending(proposal_end end);
@@ -345,6 +361,7 @@
     std::deque<std::pair<raft_entry, proposal_callback>> queued_;
     std::map<log_index, pending_proposal> pending_;
     std::vector<pending_confirmation> confirmations_;
+    bool is_halted_ = false;
     bool is_handing_over_ = false;
     monotonic_time hand_over_until_{};
     /** What was committed at the tick before; see promote_learners. */
--- a/source/verbenacove/process/raft_replication.cpp
+++ b/source/verbenacove/process/raft_replication.cpp
@@ -225,6 +225,7 @@
         return false;
     }
     peer.acknowledged = std::max(peer.acknowledged, sent);
+    peer.readable_form = static_cast<int>(cbor_number(*answer, "reads", 1));
     return true;
 }
 
--- a/source/verbenacove/process/route_service.cpp
+++ b/source/verbenacove/process/route_service.cpp
@@ -65,7 +65,7 @@
 void route_service::change(route_change const& change, order_callback done)
 {
     auto const items = change.routes.size() + change.services.size();
-    order(control_state::route_command(change),
+    order(control_state::route_command(change, server_.state().used_form()),
           longest_call + longest_call_per_item * static_cast<qint64>(items),
           std::move(done));
 }
@@ -193,7 +193,9 @@
 void route_service::handle_order(QCborMap const& request,
                                  reply_function const& reply)
 {
-    auto const command = cbor_map(request, "command");
+    // A replica of an earlier build packs changes whatever the others can read.
+    auto const command = control_state::in_form(cbor_map(request, "command"),
+                                                server_.state().used_form());
     auto const key = key_of(command);
     auto& waiting = undecided_[key];
     if (waiting.size() >= maximum_waiting_calls)
--- a/source/verbenacove/process/state_machine.hpp
+++ b/source/verbenacove/process/state_machine.hpp
@@ -20,6 +20,14 @@
 public:
     virtual ~state_machine() = default;
 
+    /** Returns whether this build knows what a command means. One that it does
+        not know was written by a later build and must not be applied. */
+    virtual bool can_apply(QCborMap const& command) const
+    {
+        Q_UNUSED(command)
+        return true;
+    }
+
     /** Carries out a committed command and returns its result. */
     virtual QCborMap apply(QCborMap const& command, log_index index) = 0;
 
--- a/tests/platform/platform_documents_test.cpp
+++ b/tests/platform/platform_documents_test.cpp
@@ -206,9 +206,9 @@
         {
             continue;
         }
-        raft_entry const entry{log_index(1), log_term(1),
-                               raft_entry_kind::command,
-                               control_state::route_command(*change)};
+        raft_entry const entry{
+            log_index(1), log_term(1), raft_entry_kind::command,
+            control_state::route_command(*change, control_state::form::latest)};
         QCborMap const record{
             {QLatin1String("append"), QCborArray{to_cbor(entry)}}};
         CHECK_MESSAGE(parse_cbor_map(record.toCborValue().toCbor()), "nested ",
--- /dev/null
+++ b/tests/unit/form_version_test.cpp
@@ -0,0 +1,95 @@
+#include "verbenacove/core/cbor.hpp"
+#include "verbenacove/process/control_state.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace verbenacove;
+
+namespace
+{
+
+constexpr int route_count = 1400;
+
+route_change large_change()
+{
+    route_change change;
+    change.version = route_version(7);
+    change.is_whole = true;
+    change.signature = "signature";
+    routed_service service;
+    service.name = service_name(QStringLiteral("grades"));
+    change.services.push_back(service);
+    for (int number = 0; number < route_count; ++number)
+    {
+        route_record route;
+        route.name = QStringLiteral("r-%1").arg(number);
+        route.host = QStringLiteral("g.example");
+        route.path_prefix = QStringLiteral("/lots/%1/").arg(number);
+        route.split = {{service.name, 1}};
+        change.routes.push_back(route);
+    }
+    return change;
+}
+
+bool is_packed(QCborMap const& command)
+{
+    return command.contains(QLatin1String("packed_route"));
+}
+
+} // namespace
+
+// Replicas of an earlier build skipped packed changes, so that their routes
+// differed from the others' from then on.
+TEST_CASE("forms: a large change before all replicas read packed ones: plain")
+{
+    control_state state;
+    auto const command =
+        control_state::route_command(large_change(), state.used_form());
+    CHECK_FALSE(is_packed(command));
+    CHECK(parse_order_result(state.apply(command, log_index(1))).outcome ==
+          order_outcome::accepted);
+}
+
+TEST_CASE("forms: the form is raised: large changes are packed, also after a "
+          "snapshot")
+{
+    control_state state;
+    state.apply(control_state::form_command(control_state::form::packed_routes),
+                log_index(1));
+    control_state restored;
+    REQUIRE(restored.restore(state.snapshot()));
+    auto const command =
+        control_state::route_command(large_change(), restored.used_form());
+    CHECK(is_packed(command));
+    CHECK(parse_order_result(restored.apply(command, log_index(2))).outcome ==
+          order_outcome::accepted);
+}
+
+TEST_CASE("forms: a packed change from a replica of an earlier build: proposed "
+          "in the form in use")
+{
+    auto const packed = control_state::route_command(
+        large_change(), control_state::form::latest);
+    auto const plain =
+        control_state::in_form(packed, control_state::form::first);
+    CHECK_FALSE(is_packed(plain));
+    CHECK(plain == control_state::route_command(large_change(),
+                                                control_state::form::first));
+    CHECK(is_packed(
+        control_state::in_form(packed, control_state::form::latest)));
+}
+
+TEST_CASE("forms: a command or a state of a later build: cannot be read")
+{
+    control_state state;
+    CHECK_FALSE(state.can_apply({{QLatin1String("later"), 1}}));
+    CHECK_FALSE(state.can_apply({{QLatin1String("form"), 1000}}));
+    CHECK(state.can_apply(
+        control_state::form_command(control_state::form::latest)));
+    auto later = *parse_cbor_map(state.snapshot());
+    later[QLatin1String("form")] = 1000;
+    CHECK_FALSE(state.restore(later.toCborValue().toCbor()));
+    later.remove(QLatin1String("form"));
+    CHECK(state.restore(later.toCborValue().toCbor()));
+    CHECK(state.used_form() == control_state::form::first);
+}
--- a/tests/unit/packed_cbor_test.cpp
+++ b/tests/unit/packed_cbor_test.cpp
@@ -67,8 +67,8 @@
 
 TEST_CASE("large change of routes: as a command of the log: small, and applied")
 {
-    auto const command =
-        control_state::route_command(change_of(large_change_items));
+    auto const command = control_state::route_command(
+        change_of(large_change_items), control_state::form::latest);
     CHECK(command.toCborValue().toCbor().size() < maximum_large_change_bytes);
     control_state state;
     auto const result = parse_order_result(state.apply(command, log_index(1)));
@@ -78,7 +78,8 @@
 
 TEST_CASE("small change of routes: as a command of the log: as before")
 {
-    auto const command = control_state::route_command(change_of(2));
+    auto const command =
+        control_state::route_command(change_of(2), control_state::form::latest);
     CHECK(command.contains(QLatin1String("route")));
     control_state state;
     auto const result = parse_order_result(state.apply(command, log_index(1)));
--- a/tests/unit/raft_node_test.cpp
+++ b/tests/unit/raft_node_test.cpp
@@ -23,6 +23,11 @@
 class number_list : public state_machine
 {
 public:
+    bool can_apply(QCborMap const& command) const override
+    {
+        return cbor_number(command, "n") != unreadable;
+    }
+
     QCborMap apply(QCborMap const& command, log_index) override
     {
         numbers.push_back(cbor_number(command, "n"));
@@ -50,6 +55,8 @@
     }
 
     std::vector<qint64> numbers;
+    /** A number that this build cannot read. */
+    qint64 unreadable = -1;
 };
 
 /** Some replicas in one process: a queue of messages in place of a network,
@@ -104,6 +111,8 @@
         settings.known_addresses = addresses_;
         settings.snapshot_after_bytes = snapshot_after_bytes;
         settings.maximum_voters = maximum_voters;
+        settings.readable_form =
+            readable_forms.count(i) > 0 ? readable_forms[i] : latest_form;
         auto storage = raft_storage::open(at.folder);
         REQUIRE(storage);
         at.storage = std::move(*storage);
@@ -131,6 +140,10 @@
 
     std::size_t maximum_voters = 7;
 
+    static constexpr int latest_form = 2;
+    /** The forms that replicas of earlier builds read. */
+    std::map<int, int> readable_forms;
+
     void stop(int i)
     {
         replicas[std::size_t(i)]->node.reset();
@@ -877,6 +890,64 @@
     raft.commit(2);
 }
 
+// A replica of an earlier build skipped what it could not read, and its state
+// differed from then on.
+TEST_CASE("raft: an entry that one replica cannot read: it takes no part any "
+          "more, and the others go on")
+{
+    raft_fixture cluster(3);
+    cluster.commit(1);
+    auto const leader = cluster.index_of(&cluster.elect());
+    auto const earlier = std::size_t(leader + 1) % 3;
+    auto& halted = *cluster.replicas[earlier];
+    halted.machine.unreadable = 2;
+    cluster.commit(2);
+    cluster.commit(3);
+    cluster.run(milliseconds(2000));
+    CHECK(halted.node->is_halted());
+    CHECK_FALSE(halted.node->is_current());
+    CHECK(halted.machine.numbers == std::vector<qint64>{1});
+    cluster.commit(4);
+    CHECK(cluster.elect().machine.numbers == std::vector<qint64>{1, 2, 3, 4});
+}
+
+TEST_CASE("raft: a leader that cannot read an entry of its log: another leads")
+{
+    raft_fixture cluster(3);
+    cluster.commit(1);
+    auto& former = cluster.elect();
+    former.machine.unreadable = 2;
+    cluster.propose(former, 2);
+    cluster.run(milliseconds(3000));
+    CHECK(former.node->is_halted());
+    CHECK_FALSE(former.node->is_leader());
+    cluster.commit(3);
+    CHECK(cluster.elect().machine.numbers == std::vector<qint64>{1, 2, 3});
+}
+
+TEST_CASE(
+    "raft: replicas of several builds: the common form is the lowest, and "
+    "the first while one does not answer")
+{
+    raft_fixture cluster(3);
+    cluster.commit(1);
+    cluster.run(milliseconds(500));
+    CHECK(cluster.elect().node->common_form() == raft_fixture::latest_form);
+    auto const earlier = (cluster.index_of(&cluster.elect()) + 1) % 3;
+    cluster.stop(earlier);
+    cluster.run(milliseconds(1000));
+    CHECK(cluster.elect().node->common_form() == 1);
+    cluster.readable_forms[earlier] = 1;
+    cluster.start(earlier);
+    cluster.run(milliseconds(1000));
+    CHECK(cluster.elect().node->common_form() == 1);
+    cluster.stop(earlier);
+    cluster.readable_forms.clear();
+    cluster.start(earlier);
+    cluster.run(milliseconds(1000));
+    CHECK(cluster.elect().node->common_form() == raft_fixture::latest_form);
+}
+
 TEST_CASE("raft: seeded cuts and restarts: what was committed stays")
 {
     for (quint64 seed = 1; seed <= 40; ++seed)
