--- a/source/verbenacove/process/routing/route_entry_settings.cpp
+++ b/source/verbenacove/process/routing/route_entry_settings.cpp
@@ -8,6 +8,8 @@
 
 /** The upper limit of each setting that is a duration. */
 constexpr milliseconds maximum_duration{60000};
+/** In megabits per second. */
+constexpr double maximum_link_rate = 1000000;
 constexpr qint64 one_mebibyte = 1024 * 1024;
 
 void parse_steering(setting_reader& reader, steering_settings& steering)
@@ -110,6 +112,12 @@
         reader.size("limits", "held_bytes", settings.limits.maximum_held_bytes,
                     one_mebibyte, 1024 * one_mebibyte);
     parse_steering(reader, settings.steering);
+    auto const link = reader.fraction("limits", "link_mbit_per_second", 0, 0,
+                                      maximum_link_rate);
+    if (link > 0)
+    {
+        settings.link = megabits_per_second(link);
+    }
     settings.steering.zone = settings.zone;
     settings.steering.region = settings.region;
     BOOST_LEAF_CHECK(reader.finish());
--- a/source/verbenacove/process/routing/route_entry_settings.hpp
+++ b/source/verbenacove/process/routing/route_entry_settings.hpp
@@ -32,6 +32,9 @@
     QHash<zone_name, region_name> zones;
     http_limits limits;
     steering_settings steering;
+    /** The rate of the VM's link in each direction; absent if it is not
+        known. */
+    std::optional<megabits_per_second> link;
     /** The maximum time from the stop request to the exit of the process. */
     milliseconds stop_grace{6000};
     /** The time for which callers may cache a look-up response. */
--- a/source/verbenacove/process/routing/route_traffic.cpp
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -46,6 +46,7 @@
                     { handle_reachability_change(is_cut_off); })
     , relays_(clock_, settings_.region,
               QRandomGenerator::system()->generate64())
+    , link_(settings_.link, clock_)
     , caller_endpoint_(settings_.limits, [this](exchange_ptr const& exchange)
                        { handle_request(exchange); })
     , readiness_endpoint_(internal_endpoint_limits(settings_),
@@ -174,6 +175,7 @@
             request_quarantine_,
             reachability_,
             relays_,
+            link_,
             [this](routed_request_result const& result)
             { record_result(result); },
             calls_.rate_limit,
--- a/source/verbenacove/process/routing/route_traffic.hpp
+++ b/source/verbenacove/process/routing/route_traffic.hpp
@@ -117,6 +117,7 @@
     region_shift_limit region_shift_;
     upstream_reachability reachability_;
     relay_selector relays_;
+    link_budget link_;
     split_chooser split_chooser_;
     routing_view_ptr view_ = std::make_shared<routing_view const>();
     bool is_refusing_ = false;
--- /dev/null
+++ b/source/verbenacove/request/link_budget.hpp
@@ -0,0 +1,68 @@
+#ifndef VERBENACOVE_REQUEST_LINK_BUDGET_HPP
+#define VERBENACOVE_REQUEST_LINK_BUDGET_HPP
+
+#include "verbenacove/core/clock.hpp"
+#include "verbenacove/core/ids.hpp"
+
+#include <optional>
+
+namespace verbenacove
+{
+
+/** Admits requests as far as the VM's link can carry them in time.
+
+    A link that gets more than it carries delays each request and each response
+    by its whole queue, so that all of them come late. This happens when callers
+    of other entries come here, or other entries relay to this one. The budget
+    is a token bucket of bytes for each direction; what a request is expected to
+    take is reserved when it is admitted. Must be used from one thread only.
+*/
+class link_budget
+{
+public:
+    /** Bytes in each direction. */
+    struct traffic
+    {
+        qint64 received = 0;
+        qint64 sent = 0;
+    };
+
+    /** Creates a budget.
+
+        @param rate   rate of the link in each direction; absent if it is not
+                      known, in which case all requests are admitted
+        @param clock  must outlive the budget
+    */
+    link_budget(std::optional<megabits_per_second> rate,
+                clock_source const& clock);
+
+    /** Reserves what a request is expected to take.
+
+        @return  false if the link cannot carry it in time; nothing is reserved
+                 then
+    */
+    bool admit(traffic const& expected);
+
+    /** Corrects a reservation once it is known what the request has taken, or
+        counts what was not reserved. */
+    void add(traffic const& difference);
+
+    /** Returns the time until the link can carry a request like the last one
+        that was not admitted. */
+    milliseconds time_until_room() const;
+
+private:
+    void refill();
+
+    clock_source const& clock_;
+    /** Bytes per second that may be used; absent if there is no limit. */
+    std::optional<double> rate_;
+    double received_left_ = 0;
+    double sent_left_ = 0;
+    double missing_ = 0;
+    monotonic_time refilled_{};
+};
+
+} // namespace verbenacove
+
+#endif
--- a/source/verbenacove/request/routed_pool.hpp
+++ b/source/verbenacove/request/routed_pool.hpp
@@ -9,6 +9,26 @@
 namespace verbenacove
 {
 
+/** The average size of a service's responses. */
+class response_size_average
+{
+public:
+    void record(qint64 bytes)
+    {
+        bytes_ += weight * (static_cast<double>(bytes) - bytes_);
+    }
+
+    /** Returns the average in bytes. */
+    qint64 bytes() const { return static_cast<qint64>(bytes_); }
+
+private:
+    /** Weight of a new response in the average. */
+    static constexpr double weight = 0.05;
+
+    /** Begins with the size of a small response. */
+    double bytes_ = 1000;
+};
+
 /** The upstreams and the retry budget of one service at this entry, shared by
     all routes to the service. */
 struct routed_pool
@@ -35,6 +55,7 @@
                                           int region_entries, int all_entries);
 
     service_name service;
+    response_size_average response_size;
     upstream_pool upstreams;
     retry_budget retries;
 
--- a/source/verbenacove/request/routed_request.cpp
+++ b/source/verbenacove/request/routed_request.cpp
@@ -1,3 +1,4 @@
+#include "verbenacove/core/stable_hash.hpp"
 #include "verbenacove/request/routed_request_detail.hpp"
 
 #include <algorithm>
@@ -30,8 +31,22 @@
     shortage lasts for seconds, and early retries would add to it. */
 constexpr milliseconds rate_limit_delay{500};
 
-/** Returns the retry delay that a refusal for this reason asks for. */
-milliseconds retry_delay_after(char const* reason)
+/** The reason of refusals for want of room on the VM's link. */
+constexpr char link_full[] = "link full";
+
+qint64 size_of(std::vector<http_header> const& headers)
+{
+    // Name and value are followed by a colon, a space and a line break.
+    constexpr qint64 separators = 4;
+    qint64 result = 0;
+    for (auto const& header : headers)
+    {
+        result += header.name.size() + header.value.size() + separators;
+    }
+    return result;
+}
+
+milliseconds fixed_retry_delay(char const* reason)
 {
     struct reason_delay
     {
@@ -112,9 +127,53 @@
         services_.sample_one_in);
     span_.note("route", route_.name);
     exchange_->on_cancelled([self = shared_from_this()] { self->cancel(); });
+    if (!reserve_link())
+    {
+        respond_not_run(link_full);
+        return;
+    }
     try_next();
 }
 
+bool routed_request::reserve_link()
+{
+    auto const& request = exchange_->request();
+    request_bytes_ = size_of(request.headers) + request.path.size() +
+                     request.query.size() + request.body.size();
+    auto const expected = pool_->response_size.bytes();
+    if (!services_.link.admit({expected, request_bytes_ + expected}))
+    {
+        return false;
+    }
+    reserved_response_bytes_ = expected;
+    return true;
+}
+
+void routed_request::settle_link(link_budget::traffic const& responses)
+{
+    auto const reserved = std::exchange(reserved_response_bytes_, 0);
+    auto const further_attempts = std::max(0, started_attempts_ - 1);
+    services_.link.add(
+        {responses.received - reserved,
+         responses.sent - reserved + further_attempts * request_bytes_});
+}
+
+// Spread by the request's id, so that callers which were refused together do
+// not return together.
+milliseconds routed_request::retry_delay_after(char const* reason) const
+{
+    auto const delay = fixed_retry_delay(reason);
+    if (qstrcmp(reason, link_full) != 0)
+    {
+        return delay;
+    }
+    auto const spread =
+        static_cast<double>(stable_hash(metadata_.id, reason) % 1000) / 1000;
+    auto const longest = std::max(delay, services_.link.time_until_room());
+    return milliseconds(static_cast<qint64>(
+        static_cast<double>(longest.count()) * (1 + spread)));
+}
+
 milliseconds routed_request::time_left() const
 {
     return elapsed(services_.clock.now(), deadline_);
@@ -209,6 +268,7 @@
         return;
     }
     has_ended_ = true;
+    settle_link({});
     retry_timer_.cancel();
     if (running_attempt_)
     {
@@ -266,6 +326,13 @@
                       {"took_ms", qint64{duration.count()}},
                       {"left_ms", qint64{time_left().count()}}});
     span_.end();
+    auto const bytes = size_of(response.headers) + response.body.size();
+    bool const is_from_upstream = verdict == run_verdict::ran;
+    settle_link({is_from_upstream ? bytes : 0, bytes});
+    if (is_from_upstream)
+    {
+        pool_->response_size.record(bytes);
+    }
     if (relayed_from_)
     {
         auto const last =
--- a/source/verbenacove/request/routed_request.hpp
+++ b/source/verbenacove/request/routed_request.hpp
@@ -6,6 +6,7 @@
 #include "verbenacove/core/timer_service.hpp"
 #include "verbenacove/core/trace.hpp"
 #include "verbenacove/core/verdict.hpp"
+#include "verbenacove/request/link_budget.hpp"
 #include "verbenacove/request/quarantine.hpp"
 #include "verbenacove/request/relay_headers.hpp"
 #include "verbenacove/request/relay_selector.hpp"
@@ -47,6 +48,7 @@
     quarantine& request_quarantine;
     upstream_reachability& reachability;
     relay_selector& relays;
+    link_budget& link;
     /** Called with the result of each request that gets a response, to update
         metrics. */
     std::function<void(routed_request_result const&)> on_result;
@@ -116,6 +118,12 @@
                    request_metadata metadata, request_destination destination);
 
     void begin();
+    /** Reserves what the request is expected to take of the VM's link; returns
+        false if there is no room. */
+    bool reserve_link();
+    /** Corrects that by the responses to the request that the link has
+        carried. */
+    void settle_link(link_budget::traffic const& responses);
     void try_next();
     /** Returns the request for an attempt, whether at an upstream or at another
         entry. */
@@ -158,6 +166,8 @@
     bool can_retry(execution last_attempt);
     void cancel();
     void respond_not_run(char const* reason);
+    /** Returns the retry delay that a refusal for this reason asks for. */
+    milliseconds retry_delay_after(char const* reason) const;
     void respond_may_have_run(int status, char const* reason);
     void respond(http_response response, run_verdict verdict,
                  char const* reason);
@@ -187,6 +197,11 @@
     timer_service::subscription retry_timer_;
     trace_span span_;
     trace_span attempt_span_;
+    /** Size of the request as it was read, in bytes. */
+    qint64 request_bytes_ = 0;
+    /** Size of the response that the link's reservation assumes, in bytes; 0
+        without a reservation. */
+    qint64 reserved_response_bytes_ = 0;
     /** Number of attempts that may have reached an upstream. */
     int sent_attempts_ = 0;
     /** Number of attempts started, including failed connections. */
