--- a/source/verbenacove/process/routing/route_entry_settings.cpp
+++ b/source/verbenacove/process/routing/route_entry_settings.cpp
@@ -8,6 +8,8 @@
 
 /** The upper limit of each setting that is a duration. */
 constexpr milliseconds maximum_duration{60000};
+/** In megabits per second. */
+constexpr double maximum_link_rate = 1000000;
 constexpr qint64 one_mebibyte = 1024 * 1024;
 
 void parse_steering(setting_reader& reader, steering_settings& steering)
@@ -41,8 +43,8 @@
                         steering.maximum_region_shift, 0.01, 1);
     steering.retry_ratio =
         reader.fraction("steering", "retry_ratio", steering.retry_ratio, 0, 10);
-    steering.retry_slack = static_cast<int>(reader.number(
-        "steering", "retry_slack", steering.retry_slack, 0, 1000000));
+    steering.retry_slack = reader.fraction("steering", "retry_slack",
+                                           steering.retry_slack, 0, 1000000);
     steering.retry_window =
         reader.duration("steering", "retry_window", steering.retry_window,
                         milliseconds(100), maximum_duration);
@@ -110,6 +112,12 @@
         reader.size("limits", "held_bytes", settings.limits.maximum_held_bytes,
                     one_mebibyte, 1024 * one_mebibyte);
     parse_steering(reader, settings.steering);
+    auto const link = reader.fraction("limits", "link_mbit_per_second", 0, 0,
+                                      maximum_link_rate);
+    if (link > 0)
+    {
+        settings.link = megabits_per_second(link);
+    }
     settings.steering.zone = settings.zone;
     settings.steering.region = settings.region;
     BOOST_LEAF_CHECK(reader.finish());
--- a/tests/unit/membership_view_test.cpp
+++ b/tests/unit/membership_view_test.cpp
@@ -23,6 +23,9 @@
     return record;
 }
 
+view_reader const changes{};
+view_reader const heartbeats{.wants_heartbeats = true};
+
 struct view_fixture
 {
     membership_view make(qint64 view_id, failure_detector detector)
@@ -94,6 +97,63 @@
     CHECK(phase("b") == member_phase::serving);
 }
 
+TEST_CASE_FIXTURE(view_fixture,
+                  "discovery: an upstream moves: its former address is free")
+{
+    auto at_port = [](char const* id, qint64 started, qint64 sequence, int port)
+    {
+        auto record = upstream(id, started, sequence);
+        record.content.address.port = static_cast<quint16>(port);
+        return record;
+    };
+    apply_heartbeat(at_port("a", 2000, 1, 80));
+    apply_heartbeat(at_port("a", 2000, 2, 81));
+    CHECK(apply_heartbeat(at_port("b", 1000, 1, 80)) == update_result::changed);
+    CHECK(phase("a") == member_phase::serving);
+    CHECK(apply_heartbeat(at_port("c", 3000, 1, 81)) == update_result::changed);
+    CHECK(phase("a") == member_phase::gone);
+    CHECK(phase("b") == member_phase::serving);
+}
+
+// A replica whose view took longer per heartbeat the more upstreams there were
+// had no time left for agreement at 1,350 upstreams.
+TEST_CASE_FIXTURE(
+    view_fixture,
+    "discovery: ten times the upstreams: a heartbeat's cost grows "
+    "far less than tenfold")
+{
+    auto const time_for = [this](int count)
+    {
+        auto view = make(1, failure_detector::self);
+        for (int sequence = 1; sequence <= 2; ++sequence)
+        {
+            for (int i = 0; i < count; ++i)
+            {
+                auto record = upstream("a", 1000, sequence);
+                record.id = QString::number(i);
+                record.content.address.port = static_cast<quint16>(1000 + i);
+                record.last_heartbeat = clock.now();
+                view.apply_heartbeat(std::move(record));
+            }
+        }
+        auto const started = std::chrono::steady_clock::now();
+        for (int i = 0; i < 2000; ++i)
+        {
+            auto record = upstream("a", 1000, 3 + i);
+            record.id = QString::number(i % count);
+            record.content.address.port =
+                static_cast<quint16>(1000 + i % count);
+            record.last_heartbeat = clock.now();
+            view.apply_heartbeat(std::move(record));
+        }
+        return std::chrono::steady_clock::now() - started;
+    };
+    auto const small = std::min({time_for(200), time_for(200), time_for(200)});
+    auto const large =
+        std::min({time_for(2000), time_for(2000), time_for(2000)});
+    CHECK(large < small * 3);
+}
+
 TEST_CASE_FIXTURE(view_fixture,
                   "discovery: heartbeats stop, then resume: silent, then not")
 {
@@ -110,12 +170,12 @@
 {
     auto reader = make(8, failure_detector::self);
     apply_heartbeat(upstream("a", 1000, 1));
-    auto position = reader.merge(membership.updates_since({}, true));
+    auto position = reader.merge(membership.updates_since({}, heartbeats));
     CHECK(reader.upstreams().records().size() == 1);
-    CHECK_FALSE(membership.has_updates_since(position));
+    CHECK_FALSE(membership.has_updates_since(position, changes));
     apply_heartbeat(upstream("a", 1000, 2));
-    CHECK_FALSE(membership.has_updates_since(position));
-    auto const delta = membership.updates_since(position, true);
+    CHECK_FALSE(membership.has_updates_since(position, changes));
+    auto const delta = membership.updates_since(position, heartbeats);
     reader.merge(delta);
     CHECK(reader.upstreams().find(QStringLiteral("a"))->sequence == 2);
     CHECK(delta.value(QLatin1String("upstreams")).isUndefined());
@@ -127,12 +187,12 @@
     auto entry = make(0, failure_detector::source);
     auto other = make(9, failure_detector::self);
     apply_heartbeat(upstream("a", 1000, 1));
-    entry.merge(membership.updates_since({}, false));
+    entry.merge(membership.updates_since({}, changes));
     auto elsewhere = upstream("b", 1000, 1);
     elsewhere.content.address.port = 81;
     elsewhere.last_heartbeat = clock.now();
     other.apply_heartbeat(elsewhere);
-    entry.merge(other.updates_since({}, false));
+    entry.merge(other.updates_since({}, changes));
     entry.expire();
     CHECK_FALSE(entry.upstreams().find(QStringLiteral("a"))->is_silent);
     clock.advance(std::chrono::seconds(9));
