--- a/source/verbenacove/process/discovery/discovery_service.hpp
+++ b/source/verbenacove/process/discovery/discovery_service.hpp
@@ -210,8 +210,8 @@
     std::vector<waiting_reader> waiting_;
     /** Routes for entries, of one revision; encoded once for all of them. */
     QByteArray packed_routes_;
-    delta_cache entry_deltas_;
     qint64 packed_revision_ = -1;
+    delta_cache entry_deltas_;
     /** Time of the scheduled responses; absent if there are none. */
     std::optional<monotonic_time> next_responses_;
     monotonic_time last_responses_{};
--- a/tests/unit/form_version_test.cpp
+++ b/tests/unit/form_version_test.cpp
@@ -75,8 +75,8 @@
     CHECK_FALSE(is_packed(plain));
     CHECK(plain == control_state::route_command(large_change(),
                                                 control_state::form::first));
-    CHECK(is_packed(
-        control_state::in_form(packed, control_state::form::latest)));
+    CHECK(
+        is_packed(control_state::in_form(packed, control_state::form::latest)));
 }
 
 TEST_CASE("forms: a command or a state of a later build: cannot be read")
