Remove departed upstreams once their retention period has passed

Contact with the replica that received a departed upstream's heartbeats stood for heartbeats of its own, so that its record was kept for good everywhere else, and a full table takes no new upstreams. Found in the read-through; the new case of delegated_membership_test failed before.

--- a/source/verbenacove/process/discovery/membership_table.hpp
+++ b/source/verbenacove/process/discovery/membership_table.hpp
@@ -168,7 +168,10 @@
         std::vector<record> result;
         for (auto& each : records_)
         {
-            if (!each.is_silent && !each.receiver.isEmpty())
+            bool const is_heard_by_other = !each.is_silent &&
+                                           each.phase != member_phase::gone &&
+                                           !each.receiver.isEmpty();
+            if (is_heard_by_other)
             {
                 each.last_heartbeat =
                     std::max(each.last_heartbeat, last_contact(each));
--- a/tests/unit/delegated_membership_test.cpp
+++ b/tests/unit/delegated_membership_test.cpp
@@ -301,6 +301,21 @@
     CHECK(record(1).phase == member_phase::gone);
 }
 
+// Contact with the receiver kept the record of a departed upstream for good,
+// and a full table takes no new upstreams.
+TEST_CASE_FIXTURE(replicas_fixture,
+                  "delegated membership: an upstream has left for longer than "
+                  "its retention period: its record is removed")
+{
+    qint64 sequence = 1;
+    beat(0, sequence);
+    beat(0, sequence, 1);
+    read_all(reader_with());
+    view(1).mark_upstream_gone(upstream_id(QStringLiteral("1")));
+    pass_time(std::chrono::minutes(4), 0, sequence);
+    CHECK(view(1).upstreams().find(QStringLiteral("1")) == nullptr);
+}
+
 TEST_CASE_FIXTURE(
     replicas_fixture,
     "delegated membership: a reader of an earlier build: gets all "
