Review case 5: check-ins of another writer use up the system's memory

The texts of a check-in have no bound of their own, and a record of a service that no configuration names is kept and passed on to all processes.

--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -36,7 +36,10 @@
 DRAIN = 2.5
 EVACUATION = 5.0
 HEARTBEAT = 1.5
-MEMORY_MB = 260
+# Of entries and replicas.
+MEMORY_MB = {"entry": 260, "replica": 256}
+# LOST: a machine may close so many requests without an answer.
+LOST_BOUND = 3
 HOST = "jepu9.example"
 TIME_LIMIT = 120
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -191,7 +194,7 @@
             "Bootstrap": first, "Zones": ZONES, "Bounds": BOUNDS,
             "DataDir": path + ".data",
             "FaultTolerance": {"Machines": 1, "Zones": 1, "Regions": 1},
-            "Limits": {"MemoryMb": MEMORY_MB, "LinkMbps": 1000.0},
+            "Limits": {"MemoryMb": self.memory_limit(), "LinkMbps": 1000.0},
             "Listen": {"Frontend": listen("callers"),
                        "Readiness": listen("readiness"),
                        "ControlPlane": listen("control"),
@@ -220,6 +223,9 @@
     def is_running(self):
         return self.process is not None and self.process.poll() is None
 
+    def memory_limit(self):
+        return MEMORY_MB[self.role]
+
     def memory_mb(self):
         """Returns how much memory the process uses, as the platform sees
         it."""
@@ -616,6 +622,55 @@
         self.writer = None
 
 
+async def ask_steadily(deployment, entry, method, path, time_limit, outcomes,
+                       pause_s=0.2):
+    """Sends requests one after another on a kept connection."""
+    client = Client(deployment, entry)
+    body = b"bale" if method == "POST" else None
+    while True:
+        request, outcome, was_kept = await client.request(
+            method, path, time_limit, body)
+        outcomes.append((entry, request, outcome, was_kept))
+        await asyncio.sleep(pause_s)
+
+
+async def limit_memory(deployment, machines, peaks):
+    """Ends a process that uses more than its machine's memory, as the
+    platform does, and starts it again."""
+    while True:
+        for machine in machines:
+            used = machine.memory_mb()
+            peaks[machine.name] = max(peaks.get(machine.name, 0), round(used))
+            if used > machine.memory_limit():
+                machine.kill()
+                machine.ends += 1
+                deployment.say("%s used %.0f MB of %d and is ended"
+                               % (machine.name, used, machine.memory_limit()))
+                await asyncio.sleep(0.3)
+                machine.start()
+        await asyncio.sleep(0.05)
+
+
+def count_lost(deployment, outcomes, sound, unsound=()):
+    """Returns the highest number, over the entries, of requests of kept
+    connections that reached a sound backend and no other one, and whose
+    connection was closed without an answer."""
+    reached = {request for backend in sound
+               for _, request in backend.arrivals}
+    reached -= {request for backend in unsound
+                for _, request in backend.arrivals}
+    worst = 0
+    for entry in deployment.entries:
+        lost = [request for where, request, outcome, was_kept in outcomes
+                if where is entry and was_kept and outcome == "closed"
+                and request in reached]
+        deployment.say("%s ended %d times; requests of kept connections that "
+                       "had reached a sound backend and were closed without "
+                       "an answer: %d" % (entry.name, entry.ends, len(lost)))
+        worst = max(worst, len(lost))
+    return worst
+
+
 def route(service, kind, prefix, timeout="4000ms", attempts=2, objective=None):
     return {"Hostname": HOST, "PathPrefix": prefix, "Kind": kind,
             "Timeout": timeout, "TargetLatency": objective or "600ms",
