Refuse an evacuation order that its opposite has overtaken

Cause: nothing bound an order to the time at which its caller waited for it. The log's command bore nothing by which a late copy could be told from a new order. A change of the configuration names its base version; an evacuation has none.

Change: the replica that takes an order asks the leader, confirmed by a majority, how many evacuation orders have been carried out, then checks that the caller's connection is still open, and sends the count with the order. The order is a conflict when the zone's last order is later than that count and was the opposite; the replica then begins again while its caller waits. An order that changes nothing counts too, so a withdrawal that was acknowledged is final for orders from before it.

--- a/source/verbenacove/process/control_state.cpp
+++ b/source/verbenacove/process/control_state.cpp
@@ -23,6 +23,7 @@
 auto const route_key = QLatin1String("route");
 auto const packed_route_key = QLatin1String("packed_route");
 auto const evacuation_key = QLatin1String("evacuation");
+auto const seen_orders_key = QLatin1String("seen_orders");
 auto const routes_key = QLatin1String("routes");
 auto const config_key = QLatin1String("config");
 auto const claims_key = QLatin1String("claims");
@@ -62,6 +63,12 @@
 
 QCborMap control_state::in_form(QCborMap const& command, form used)
 {
+    if (used < form::counted_orders && command.contains(evacuation_key))
+    {
+        auto order = command.value(evacuation_key).toMap();
+        order.remove(seen_orders_key);
+        return {{evacuation_key, order}};
+    }
     if (used >= form::packed_routes || !command.contains(packed_route_key))
     {
         return command;
@@ -77,11 +84,22 @@
 }
 
 QCborMap control_state::evacuation_command(zone_name const& zone,
-                                           bool is_evacuated)
+                                           bool is_evacuated,
+                                           std::optional<order_count> seen)
 {
-    return {{evacuation_key,
-             QCborMap{{QLatin1String("zone"), zone.value()},
-                      {QLatin1String("is_evacuated"), is_evacuated}}}};
+    QCborMap order{{QLatin1String("zone"), zone.value()},
+                   {QLatin1String("is_evacuated"), is_evacuated}};
+    if (seen)
+    {
+        order[seen_orders_key] = seen->value();
+    }
+    return {{evacuation_key, order}};
+}
+
+bool control_state::is_uncounted_order(QCborMap const& command)
+{
+    return command.contains(evacuation_key) &&
+           !command.value(evacuation_key).toMap().contains(seen_orders_key);
 }
 
 bool control_state::can_apply(QCborMap const& command) const
@@ -103,8 +121,7 @@
 {
     if (command.contains(form_key))
     {
-        auto const used = command.value(form_key).toInteger();
-        form_ = std::max(form_, static_cast<form>(used));
+        apply_form(static_cast<form>(command.value(form_key).toInteger()));
         return {};
     }
     if (command.contains(change_key))
@@ -126,13 +143,33 @@
     }
     if (command.contains(evacuation_key))
     {
-        auto const order = command.value(evacuation_key).toMap();
-        return to_cbor(routes_.evacuate(zone_name(cbor_text(order, "zone")),
-                                        cbor_flag(order, "is_evacuated")));
+        return apply_evacuation(command.value(evacuation_key).toMap());
     }
     return apply_claim(command, index);
 }
 
+void control_state::apply_form(form used)
+{
+    // Replicas of earlier builds have not counted, nor those that got their
+    // state from one.
+    if (form_ < form::counted_orders && used >= form::counted_orders)
+    {
+        routes_.reset_evacuation_orders();
+    }
+    form_ = std::max(form_, used);
+}
+
+QCborMap control_state::apply_evacuation(QCborMap const& order)
+{
+    std::optional<order_count> seen;
+    if (order.contains(seen_orders_key))
+    {
+        seen = order_count(order.value(seen_orders_key).toInteger());
+    }
+    return to_cbor(routes_.evacuate(zone_name(cbor_text(order, "zone")),
+                                    cbor_flag(order, "is_evacuated"), seen));
+}
+
 QCborMap control_state::apply_route(QCborMap const& change, log_index index)
 {
     auto const parsed = parse_route_change(change);
--- a/source/verbenacove/process/control_state.hpp
+++ b/source/verbenacove/process/control_state.hpp
@@ -9,6 +9,7 @@
 #include "verbenacove/version/route_store.hpp"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace verbenacove
@@ -30,7 +31,10 @@
         first = 1,
         /** Changes of many routes are packed. */
         packed_routes = 2,
-        latest = packed_routes
+        /** Evacuation orders are counted, and name the count at a time when
+            their caller was still waiting. */
+        counted_orders = 3,
+        latest = counted_orders
     };
 
     /** Returns the log command that puts a form into use. */
@@ -46,16 +50,22 @@
         an order_result. */
     static QCborMap route_command(route_change const& change, form used);
 
-    /** Returns a change of the routes in a form that may be used; other
-        commands as they are. */
+    /** Returns a command of an operator in a form that may be used. */
     static QCborMap in_form(QCborMap const& command, form used);
 
     /** Returns whether a log command is a change of the routes. */
     static bool is_route_command(QCborMap const& command);
 
-    /** Returns the log command that evacuates a zone, or ends that. */
-    static QCborMap evacuation_command(zone_name const& zone,
-                                       bool is_evacuated);
+    /** Returns the log command that evacuates a zone, or ends that.
+
+        @see route_store::evacuate
+    */
+    static QCborMap evacuation_command(zone_name const& zone, bool is_evacuated,
+                                       std::optional<order_count> seen);
+
+    /** Returns whether a command is an evacuation order that does not name the
+        count of orders; a late copy of it cannot be recognised. */
+    static bool is_uncounted_order(QCborMap const& command);
 
     bool can_apply(QCborMap const& command) const override;
     QCborMap apply(QCborMap const& command, log_index index) override;
@@ -86,6 +96,8 @@
 private:
     QCborMap apply_claim(QCborMap const& command, log_index index);
     QCborMap apply_route(QCborMap const& change, log_index index);
+    QCborMap apply_evacuation(QCborMap const& order);
+    void apply_form(form used);
     void note_holder(entry_id const& entry);
     void refresh_limits();
 
--- a/source/verbenacove/process/route_service.cpp
+++ b/source/verbenacove/process/route_service.cpp
@@ -23,6 +23,9 @@
 /** Maximum number of calls that wait for the same order. */
 constexpr std::size_t maximum_waiting_calls = 256;
 constexpr milliseconds retry_interval{30};
+/** Time after which the end of a caller's connection has been read: a partition
+    that has held up both lets the call through one round trip earlier. */
+constexpr milliseconds caller_check_delay{100};
 /** How soon a change that came by the log is seen. */
 constexpr milliseconds watch_interval{20};
 
@@ -66,24 +69,91 @@
 {
     auto const items = change.routes.size() + change.services.size();
     order(control_state::route_command(change, server_.state().used_form()),
-          longest_call + longest_call_per_item * static_cast<qint64>(items),
+          clock_.now() + longest_call +
+              longest_call_per_item * static_cast<qint64>(items),
           std::move(done));
 }
 
 void route_service::evacuate(zone_name const& zone, bool is_evacuated,
-                             order_callback done)
+                             caller_check is_awaited, order_callback done)
 {
-    order(control_state::evacuation_command(zone, is_evacuated), longest_call,
-          std::move(done));
+    auto const now = clock_.now();
+    begin_evacuation(std::make_shared<pending_evacuation>(
+        pending_evacuation{zone, is_evacuated, std::move(is_awaited),
+                           std::move(done), now, now + longest_call}));
+}
+
+void route_service::begin_evacuation(
+    std::shared_ptr<pending_evacuation> const& order)
+{
+    auto call = std::make_shared<pending_call>();
+    call->request = {{QLatin1String("m"), QLatin1String("routes")},
+                     {QLatin1String("revision_only"), true}};
+    call->until = order->until;
+    call->done = [this, order](std::optional<QCborMap> const& reply)
+    {
+        if (!reply)
+        {
+            order->done(std::nullopt);
+            return;
+        }
+        // Not while a replica of an earlier build takes part.
+        auto const count = reply->value(QLatin1String("evacuation_orders"));
+        send_evacuation(order,
+                        count.isInteger()
+                            ? std::optional(order_count(count.toInteger()))
+                            : std::nullopt);
+    };
+    call_leader(call);
 }
 
-void route_service::order(QCborMap command, milliseconds limit,
+void route_service::send_evacuation(
+    std::shared_ptr<pending_evacuation> const& order,
+    std::optional<order_count> seen)
+{
+    auto const now = clock_.now();
+    auto const wait = caller_check_delay - elapsed(order->received, now);
+    if (wait.count() > 0)
+    {
+        QTimer::singleShot(wait, &context_,
+                           [this, order, seen]
+                           { send_evacuation(order, seen); });
+        return;
+    }
+    if (!order->is_awaited())
+    {
+        route_log.note(
+            "order.abandoned",
+            {{"zone", order->zone.value()},
+             {"is_evacuated", order->is_evacuated},
+             {"waited_ms", qint64{elapsed(order->received, now).count()}}});
+        order->done(std::nullopt);
+        return;
+    }
+    this->order(control_state::evacuation_command(order->zone,
+                                                  order->is_evacuated, seen),
+                order->until,
+                [this, order](std::optional<order_result> const& result)
+                {
+                    if (result && result->outcome == order_outcome::conflict)
+                    {
+                        // The opposite was ordered at the same time.
+                        QTimer::singleShot(retry_interval, &context_,
+                                           [this, order]
+                                           { begin_evacuation(order); });
+                        return;
+                    }
+                    order->done(result);
+                });
+}
+
+void route_service::order(QCborMap command, monotonic_time until,
                           order_callback done)
 {
     auto call = std::make_shared<pending_call>();
     call->request = {{QLatin1String("m"), QLatin1String("order")},
                      {QLatin1String("command"), std::move(command)}};
-    call->until = clock_.now() + limit;
+    call->until = until;
     call->done = [done = std::move(done)](std::optional<QCborMap> const& reply)
     {
         if (!reply)
@@ -194,8 +264,21 @@
                                  reply_function const& reply)
 {
     // A replica of an earlier build packs changes whatever the others can read.
-    auto const command = control_state::in_form(cbor_map(request, "command"),
-                                                server_.state().used_form());
+    auto const form = server_.state().used_form();
+    auto const command =
+        control_state::in_form(cbor_map(request, "command"), form);
+    // Sent before the form was raised, which may be long ago.
+    if (form >= control_state::form::counted_orders &&
+        control_state::is_uncounted_order(command))
+    {
+        order_result const refusal{
+            order_outcome::conflict,
+            server_.state().routes().current()->version,
+            QStringLiteral("the order names no count of orders")};
+        reply({{QLatin1String("status"), QLatin1String("ok")},
+               {QLatin1String("result"), to_cbor(refusal)}});
+        return;
+    }
     auto const key = key_of(command);
     auto& waiting = undecided_[key];
     if (waiting.size() >= maximum_waiting_calls)
@@ -266,6 +349,12 @@
             auto const& routes = server_.state().routes();
             QCborMap answer{{QLatin1String("status"), QLatin1String("ok")},
                             {QLatin1String("revision"), routes.revision()}};
+            if (server_.state().used_form() >=
+                control_state::form::counted_orders)
+            {
+                answer[QLatin1String("evacuation_orders")] =
+                    routes.evacuation_orders().value();
+            }
             if (!is_revision_only)
             {
                 answer[QLatin1String("configuration")] =
--- a/source/verbenacove/process/route_service.hpp
+++ b/source/verbenacove/process/route_service.hpp
@@ -43,9 +43,16 @@
     /** Changes the configuration. */
     void change(route_change const& change, order_callback done);
 
-    /** Evacuates a zone, or ends that. */
+    /** Returns whether the caller of an order still waits for the result. */
+    using caller_check = std::function<bool()>;
+
+    /** Evacuates a zone, or ends that.
+
+        The order is dropped when its caller has left: it may have gone to
+        another replica and ordered the opposite since.
+    */
     void evacuate(zone_name const& zone, bool is_evacuated,
-                  order_callback done);
+                  caller_check is_awaited, order_callback done);
 
     /** Reads the configuration that was newest when this was called. */
     void read(read_callback done);
@@ -61,6 +68,22 @@
         std::function<void(std::optional<QCborMap>)> done;
     };
 
+    /** An evacuation order whose result is not known yet. */
+    struct pending_evacuation
+    {
+        zone_name zone;
+        bool is_evacuated = false;
+        caller_check is_awaited;
+        order_callback done;
+        monotonic_time received;
+        monotonic_time until;
+    };
+
+    /** Reads how many orders have been carried out; what is sent then is
+        refused when the opposite is ordered in between. */
+    void begin_evacuation(std::shared_ptr<pending_evacuation> const& order);
+    void send_evacuation(std::shared_ptr<pending_evacuation> const& order,
+                         std::optional<order_count> seen);
     void handle_order(QCborMap const& request, reply_function const& reply);
     /** Replies to all that have sent the same order. */
     void finish_order(QByteArray const& key, QCborMap const& answer);
@@ -68,8 +91,8 @@
         other order one of its own. */
     QByteArray key_of(QCborMap const& command);
     void handle_read(QCborMap const& request, reply_function const& reply);
-    /** @param limit  time after which the result counts as unknown */
-    void order(QCborMap command, milliseconds limit, order_callback done);
+    /** @param until  time after which the result counts as unknown */
+    void order(QCborMap command, monotonic_time until, order_callback done);
     void call_leader(std::shared_ptr<pending_call> const& call);
     /** Gives the own configuration once it is of the revision that was newest
         at the leader. */
--- a/source/verbenacove/version/route_store.cpp
+++ b/source/verbenacove/version/route_store.cpp
@@ -2,6 +2,8 @@
 
 #include "verbenacove/core/cbor.hpp"
 
+#include <algorithm>
+
 namespace verbenacove
 {
 
@@ -47,8 +49,16 @@
     return {order_outcome::accepted, current_->version, {}};
 }
 
-order_result route_store::evacuate(zone_name const& zone, bool is_evacuated)
+order_result route_store::evacuate(zone_name const& zone, bool is_evacuated,
+                                   std::optional<order_count> seen)
 {
+    auto const last = last_orders_.value(zone, last_forgotten_order_);
+    bool const is_change = is_evacuated != evacuated_.contains(zone);
+    if (seen && *seen < last && is_change)
+    {
+        return {order_outcome::conflict, current_->version,
+                QStringLiteral("a later order of the zone is in force")};
+    }
     bool const is_over = is_evacuated && !evacuated_.contains(zone) &&
                          evacuated_.size() >= maximum_evacuated_zones;
     if (is_over)
@@ -56,10 +66,8 @@
         return {order_outcome::invalid, current_->version,
                 QStringLiteral("too many zones are evacuated")};
     }
-    if (is_evacuated != evacuated_.contains(zone))
-    {
-        ++revision_;
-    }
+    revision_ += is_change ? 1 : 0;
+    count_order(zone);
     if (is_evacuated)
     {
         evacuated_.insert(zone);
@@ -71,6 +79,28 @@
     return {order_outcome::accepted, current_->version, {}};
 }
 
+// Orders that change nothing count as well: after one that was acknowledged, no
+// earlier order may change the zone.
+void route_store::count_order(zone_name const& zone)
+{
+    orders_ = order_count(orders_.value() + 1);
+    last_orders_[zone] = orders_;
+    if (last_orders_.size() > maximum_ordered_zones)
+    {
+        auto const oldest =
+            std::min_element(last_orders_.begin(), last_orders_.end());
+        last_forgotten_order_ = std::max(last_forgotten_order_, *oldest);
+        last_orders_.erase(oldest);
+    }
+}
+
+void route_store::reset_evacuation_orders()
+{
+    orders_ = order_count();
+    last_orders_.clear();
+    last_forgotten_order_ = order_count();
+}
+
 void route_store::remember(QByteArray const& signature)
 {
     accepted_.insert(signature, current_->version);
@@ -82,6 +112,30 @@
     }
 }
 
+QCborMap route_store::orders_to_cbor() const
+{
+    QCborMap zones;
+    for (auto item = last_orders_.begin(); item != last_orders_.end(); ++item)
+    {
+        zones[item.key().value()] = item.value().value();
+    }
+    return {{QLatin1String("count"), orders_.value()},
+            {QLatin1String("forgotten"), last_forgotten_order_.value()},
+            {QLatin1String("zones"), zones}};
+}
+
+void route_store::restore_orders(QCborMap const& orders)
+{
+    orders_ = order_count(cbor_number(orders, "count"));
+    last_forgotten_order_ = order_count(cbor_number(orders, "forgotten"));
+    last_orders_.clear();
+    for (auto const& zone : cbor_map(orders, "zones"))
+    {
+        last_orders_.insert(zone_name(zone.first.toString()),
+                            order_count(zone.second.toInteger()));
+    }
+}
+
 QCborMap route_store::snapshot() const
 {
     QCborArray zones;
@@ -97,6 +151,7 @@
     return {{QLatin1String("configuration"),
              to_cbor(*current_, route_detail::with_source)},
             {QLatin1String("evacuated"), zones},
+            {QLatin1String("evacuation_orders"), orders_to_cbor()},
             {QLatin1String("revision"), revision_},
             {QLatin1String("signatures"), signatures}};
 }
@@ -117,6 +172,8 @@
     {
         evacuated_.insert(zone_name(zone.toString()));
     }
+    // A snapshot of an earlier build holds none.
+    restore_orders(cbor_map(state, "evacuation_orders"));
     accepted_.clear();
     accepted_order_.clear();
     for (auto const& signature : cbor_array(state, "signatures"))
--- a/tests/unit/form_version_test.cpp
+++ b/tests/unit/form_version_test.cpp
@@ -79,6 +79,41 @@
         is_packed(control_state::in_form(packed, control_state::form::latest)));
 }
 
+TEST_CASE("forms: a replica of an earlier build takes part: evacuation orders "
+          "do not name the count of orders")
+{
+    zone_name const zone(QStringLiteral("wcape-a"));
+    auto const counted =
+        control_state::evacuation_command(zone, true, order_count(4));
+    auto const plain =
+        control_state::in_form(counted, control_state::form::packed_routes);
+    CHECK_FALSE(control_state::is_uncounted_order(counted));
+    CHECK(control_state::is_uncounted_order(plain));
+    CHECK(control_state::in_form(counted, control_state::form::latest) ==
+          counted);
+}
+
+TEST_CASE("forms: the form is raised: replicas that have counted orders and "
+          "those that have not agree")
+{
+    zone_name const zone(QStringLiteral("wcape-a"));
+    control_state counting;
+    counting.apply(control_state::evacuation_command(zone, true, std::nullopt),
+                   log_index(1));
+    auto earlier = *parse_cbor_map(counting.snapshot());
+    auto routes = cbor_map(earlier, "routes");
+    routes.remove(QLatin1String("evacuation_orders"));
+    earlier[QLatin1String("routes")] = routes;
+    control_state restored;
+    REQUIRE(restored.restore(earlier.toCborValue().toCbor()));
+    auto const raise_form =
+        control_state::form_command(control_state::form::counted_orders);
+    counting.apply(raise_form, log_index(2));
+    restored.apply(raise_form, log_index(2));
+    CHECK(counting.snapshot() == restored.snapshot());
+    CHECK(restored.routes().evacuated().contains(zone));
+}
+
 TEST_CASE("forms: a command or a state of a later build: cannot be read")
 {
     control_state state;
--- a/tests/unit/route_service_test.cpp
+++ b/tests/unit/route_service_test.cpp
@@ -76,6 +76,44 @@
                        });
     }
 
+    /** Orders an evacuation, or its end, and waits for the result. */
+    std::optional<order_result> order(bool is_evacuated, bool is_awaited)
+    {
+        std::optional<std::optional<order_result>> result;
+        routes->evacuate(
+            zone(), is_evacuated, [is_awaited] { return is_awaited; },
+            [&](std::optional<order_result> const& end) { result = end; });
+        REQUIRE(wait_until([&] { return result.has_value(); }));
+        return *result;
+    }
+
+    /** Sends an order as another replica does. */
+    std::optional<QCborMap> order_from_replica(QCborMap const& command)
+    {
+        rpc_client client(address());
+        std::optional<std::optional<QCborMap>> response;
+        client.call({{QLatin1String("m"), QLatin1String("order")},
+                     {QLatin1String("command"), command}},
+                    milliseconds(2000),
+                    [&](std::optional<QCborMap> const& reply)
+                    { response = reply; });
+        REQUIRE(wait_until([&] { return response.has_value(); }));
+        return *response;
+    }
+
+    bool is_evacuated() const
+    {
+        return server->state().routes().evacuated().contains(zone());
+    }
+
+    bool has_counted_orders() const
+    {
+        return server->state().used_form() >=
+               control_state::form::counted_orders;
+    }
+
+    static zone_name zone() { return zone_name(QStringLiteral("wcape-a")); }
+
     socket_address const& address() const { return address_; }
 
     std::unique_ptr<control_server> server;
@@ -123,3 +161,48 @@
     REQUIRE(wait_until([&] { return read.has_value(); }));
     CHECK(read->routes.size() == route_count);
 }
+
+TEST_CASE_FIXTURE(route_service_fixture,
+                  "route service: the caller of an order has left: not carried "
+                  "out")
+{
+    CHECK(order(true, true));
+    CHECK_FALSE(order(false, false));
+    CHECK(is_evacuated());
+    CHECK(order(false, true));
+    CHECK_FALSE(is_evacuated());
+}
+
+// A cut between two replicas held up a withdrawal, which then ended the
+// evacuation that had been acknowledged since.
+TEST_CASE_FIXTURE(
+    route_service_fixture,
+    "route service: an order of another replica arrives after its "
+    "opposite: not carried out")
+{
+    REQUIRE(wait_until([&] { return has_counted_orders(); }));
+    CHECK(order(true, true));
+    auto const late = control_state::evacuation_command(
+        zone(), false, server->state().routes().evacuation_orders());
+    CHECK(order(false, true));
+    CHECK(order(true, true));
+    auto const reply = order_from_replica(late);
+    REQUIRE(reply);
+    CHECK(parse_order_result(cbor_map(*reply, "result")).outcome ==
+          order_outcome::conflict);
+    CHECK(is_evacuated());
+}
+
+TEST_CASE_FIXTURE(route_service_fixture,
+                  "route service: an order that does not name the count of "
+                  "orders arrives after the form was raised: not carried out")
+{
+    REQUIRE(wait_until([&] { return has_counted_orders(); }));
+    CHECK(order(true, true));
+    auto const reply = order_from_replica(
+        control_state::evacuation_command(zone(), false, std::nullopt));
+    REQUIRE(reply);
+    CHECK(parse_order_result(cbor_map(*reply, "result")).outcome ==
+          order_outcome::conflict);
+    CHECK(is_evacuated());
+}
--- a/tests/unit/route_store_test.cpp
+++ b/tests/unit/route_store_test.cpp
@@ -157,6 +157,63 @@
     CHECK(restored.evacuated().isEmpty());
 }
 
+// An order that a cut had held up for seconds ended an evacuation that had been
+// acknowledged since.
+TEST_CASE_FIXTURE(store_fixture,
+                  "route store: an order arrives after its opposite: a "
+                  "conflict, also after a snapshot")
+{
+    zone_name const zone(QStringLiteral("wcape-a"));
+    store.evacuate(zone, true);
+    auto const seen = store.evacuation_orders();
+    store.evacuate(zone, false, seen);
+    store.evacuate(zone, true, store.evacuation_orders());
+    CHECK(store.evacuate(zone, false, seen).outcome == order_outcome::conflict);
+    CHECK(store.evacuated().contains(zone));
+    route_store restored;
+    REQUIRE(restored.restore(store.snapshot()));
+    CHECK(restored.evacuate(zone, false, seen).outcome ==
+          order_outcome::conflict);
+    CHECK(
+        restored.evacuate(zone, false, restored.evacuation_orders()).outcome ==
+        order_outcome::accepted);
+}
+
+TEST_CASE_FIXTURE(store_fixture,
+                  "route store: an order arrives again, or after one for "
+                  "another zone: accepted")
+{
+    zone_name const zone(QStringLiteral("wcape-a"));
+    auto const seen = store.evacuation_orders();
+    store.evacuate(zone_name(QStringLiteral("ecape-a")), true, seen);
+    CHECK(store.evacuate(zone, true, seen).outcome == order_outcome::accepted);
+    CHECK(store.evacuate(zone, true, seen).outcome == order_outcome::accepted);
+}
+
+TEST_CASE_FIXTURE(store_fixture,
+                  "route store: a withdrawal that changes nothing is "
+                  "acknowledged: an earlier evacuation order is a conflict")
+{
+    zone_name const zone(QStringLiteral("wcape-a"));
+    auto const seen = store.evacuation_orders();
+    CHECK(store.evacuate(zone, false, seen).outcome == order_outcome::accepted);
+    CHECK(store.evacuate(zone, true, seen).outcome == order_outcome::conflict);
+}
+
+TEST_CASE_FIXTURE(store_fixture,
+                  "route store: orders for more zones than are remembered: an "
+                  "early order is still a conflict")
+{
+    zone_name const zone(QStringLiteral("wcape-a"));
+    auto const seen = store.evacuation_orders();
+    store.evacuate(zone, false, seen);
+    for (int number = 0; number < route_store::maximum_ordered_zones; ++number)
+    {
+        store.evacuate(zone_name(QStringLiteral("z-%1").arg(number)), false);
+    }
+    CHECK(store.evacuate(zone, true, seen).outcome == order_outcome::conflict);
+}
+
 TEST_CASE("route configuration: CBOR and back: source only when asked for")
 {
     auto const change = whole_change(0, 3);
