Keep departures of upstreams on disk before they are acknowledged

Cause: a departure was held by a majority of the replicas in memory only. Replicas that start again know nothing of an upstream whose heartbeats have ended, and an entry keeps a record that the new view lacks for 8 s.

Change: departure_log stores what is leaving or gone, with one sync for all that comes meanwhile, before a replica counts as a copy. A replica reads it when it starts, and entries get it with the first view.

The same cause on related paths: - A departure that arrives when no replica knows the upstream (all have just started) was refused by the others as malformed and got no acknowledgement. It is now a record without an address, of the latest start that the upstream can have had. - A departure between two replicas that came late marked any later start under the same id as gone; it now names a start. A departure of a caller that has left is dropped for the same reason.

--- a/source/verbenacove/process/discovery/discovery_push.cpp
+++ b/source/verbenacove/process/discovery/discovery_push.cpp
@@ -1,6 +1,9 @@
 #include "verbenacove/core/cbor.hpp"
 #include "verbenacove/process/discovery/discovery_service_detail.hpp"
 
+#include <QDateTime>
+#include <QTimer>
+
 #include <utility>
 
 namespace verbenacove
@@ -13,9 +16,93 @@
 
 /** Below the 1 s for which an upstream waits for its acknowledgement. */
 constexpr milliseconds push_timeout{800};
+/** Time after which the end of a caller's connection has been read: a partition
+    that has held up both lets the call through one round trip earlier. */
+constexpr milliseconds caller_check_delay{100};
 
 } // namespace
 
+void discovery_service::handle_leave(upstream_id const& id,
+                                     std::function<bool()> is_awaited,
+                                     acknowledge_callback done)
+{
+    QTimer::singleShot(
+        caller_check_delay, &context_,
+        [this, id, is_awaited = std::move(is_awaited), done = std::move(done)]
+        {
+            if (!is_awaited())
+            {
+                discovery_log.note("departure.abandoned",
+                                   {{"upstream", id.value()}});
+                done(false);
+                return;
+            }
+            leave(id, done);
+        });
+}
+
+void discovery_service::leave(upstream_id const& id, acknowledge_callback done)
+{
+    // A replica that has just started may not know the upstream, but others
+    // and entries may.
+    upstream_member departed;
+    departed.id = id.value();
+    departed.started = incarnation(QDateTime::currentMSecsSinceEpoch());
+    departed.phase = member_phase::gone;
+    departed.last_heartbeat = clock_.now();
+    membership_.apply_relayed(departed);
+    auto const* known = membership_.upstreams().find(id.value());
+    push(known != nullptr ? *known : departed, std::move(done));
+}
+
+void discovery_service::restore_departures()
+{
+    for (auto& record : departures_.open(clock_.now()))
+    {
+        membership_.apply_relayed(std::move(record));
+    }
+}
+
+void discovery_service::store_departure(upstream_member const& record,
+                                        acknowledge_callback done)
+{
+    if (departures_.has(record))
+    {
+        done(true);
+        return;
+    }
+    unstored_departures_.push_back({record, std::move(done)});
+    if (unstored_departures_.size() == 1)
+    {
+        // After the events at hand, so that they share one sync.
+        QMetaObject::invokeMethod(
+            &context_, [this] { flush_departures(); }, Qt::QueuedConnection);
+    }
+}
+
+void discovery_service::flush_departures()
+{
+    auto const waiting = std::exchange(unstored_departures_, {});
+    std::vector<upstream_member> records;
+    for (auto const& each : waiting)
+    {
+        records.push_back(each.record);
+    }
+    auto const now = clock_.now();
+    bool const is_stored = departures_.store(records, now);
+    for (auto const& each : waiting)
+    {
+        each.done(is_stored);
+    }
+    if (departures_.is_rewrite_due())
+    {
+        departures_.rewrite(membership_.upstreams().select(
+                                [](upstream_member const& each)
+                                { return each.phase > member_phase::serving; }),
+                            now);
+    }
+}
+
 void discovery_service::handle_push(QCborMap const& request,
                                     reply_function const& reply)
 {
@@ -26,16 +113,15 @@
         reply({{QLatin1String("status"), QLatin1String("malformed")}});
         return;
     }
-    upstream_id const id(record.id);
-    if (record.started.value() == 0 && record.phase == member_phase::gone)
-    {
-        membership_.mark_upstream_gone(id);
-    }
-    else
-    {
-        membership_.apply_relayed(std::move(record));
-    }
-    reply({{QLatin1String("status"), QLatin1String("ok")}});
+    auto const stored = record;
+    membership_.apply_relayed(std::move(record));
+    store_departure(stored,
+                    [reply](bool is_stored)
+                    {
+                        reply({{QLatin1String("status"),
+                                is_stored ? QLatin1String("ok")
+                                          : QLatin1String("not-stored")}});
+                    });
 }
 
 void discovery_service::push(upstream_member const& record,
@@ -77,7 +163,7 @@
     {
         if (member.address == settings_.self.address)
         {
-            count_reply(true);
+            store_departure(record, count_reply);
             continue;
         }
         server_.call(member.address, request, push_timeout,
--- a/source/verbenacove/process/discovery/discovery_service.cpp
+++ b/source/verbenacove/process/discovery/discovery_service.cpp
@@ -84,6 +84,7 @@
                    }})
     , started_(QDateTime::currentMSecsSinceEpoch())
     , created_(clock_.now())
+    , departures_(settings_.data_folder)
 {
     server_.add_handler(
         QStringLiteral("news"),
@@ -97,6 +98,7 @@
 
 void discovery_service::start()
 {
+    restore_departures();
     record_own_heartbeat();
     add_sources();
     tick_ = timers_.call_every(tick_interval, [this] { handle_tick(); });
@@ -118,17 +120,6 @@
     done(true);
 }
 
-void discovery_service::handle_leave(upstream_id const& id,
-                                     acknowledge_callback done)
-{
-    membership_.mark_upstream_gone(id);
-    auto const* known = membership_.upstreams().find(id.value());
-    upstream_member unknown;
-    unknown.id = id.value();
-    unknown.phase = member_phase::gone;
-    push(known != nullptr ? *known : unknown, std::move(done));
-}
-
 bool discovery_service::is_current() const
 {
     if (!server_.node().is_current())
--- a/source/verbenacove/process/discovery/discovery_service.hpp
+++ b/source/verbenacove/process/discovery/discovery_service.hpp
@@ -4,6 +4,7 @@
 #include "verbenacove/process/control_server.hpp"
 #include "verbenacove/process/discovery/crash_exchange.hpp"
 #include "verbenacove/process/discovery/delta_cache.hpp"
+#include "verbenacove/process/discovery/departure_log.hpp"
 #include "verbenacove/process/discovery/membership_view.hpp"
 #include "verbenacove/process/discovery/view_settling.hpp"
 
@@ -24,6 +25,8 @@
     replica_content self;
     /** Addresses of some replicas; they may be down or outdated. */
     std::vector<socket_address> seeds;
+    /** Folder on the VM's disk for the departures of upstreams. */
+    QString data_folder;
 };
 
 /** Provides discovery of upstreams, entries and other replicas in a control
@@ -31,9 +34,9 @@
 
     Upstreams send heartbeats to it and entries poll it for updates; replicas
     read each other's membership views. The departure of an upstream is
-    acknowledged only once a majority of the voting replicas has recorded it,
-    so that each entry that reads a replica of this majority receives it as
-    well.
+    acknowledged only once a majority of the voting replicas has it on their
+    disks, so that entries receive it also when all replicas are killed right
+    afterwards.
 */
 class discovery_service
 {
@@ -68,10 +71,15 @@
     /** Handles the departure of an upstream that announced it without a
         heartbeat.
 
-        @param done  called once it is known whether a majority has recorded
-                     the departure
+        The departure is dropped when its caller has left: an upstream may have
+        started again under the same id since.
+
+        @param is_awaited  returns whether the caller still waits
+        @param done        called once it is known whether a majority has
+                           recorded the departure
     */
-    void handle_leave(upstream_id const& id, acknowledge_callback done);
+    void handle_leave(upstream_id const& id, std::function<bool()> is_awaited,
+                      acknowledge_callback done);
 
     /** Replaces the seed addresses. */
     void set_seeds(std::vector<socket_address> seeds)
@@ -134,6 +142,13 @@
         reply_function reply;
     };
 
+    /** Departure that is not stored yet. */
+    struct unstored_departure
+    {
+        upstream_member record;
+        acknowledge_callback done;
+    };
+
     /** Replica whose membership view is read. */
     struct source
     {
@@ -185,9 +200,15 @@
     std::size_t live_entries() const;
     void update_settling();
     void log_relayed_changes(monotonic_time now);
+    void leave(upstream_id const& id, acknowledge_callback done);
     /** Sends an upstream's record to all voting replicas and reports whether a
-        majority of them has recorded it. */
+        majority of them has stored it. */
     void push(upstream_member const& record, acknowledge_callback done);
+    void restore_departures();
+    /** Stores a departure together with the others that come meanwhile. */
+    void store_departure(upstream_member const& record,
+                         acknowledge_callback done);
+    void flush_departures();
     void handle_upstream_change(upstream_member const& record);
     void handle_entry_change(entry_member const& record);
     void handle_replica_change(replica_member const& record);
@@ -216,12 +237,15 @@
     std::optional<monotonic_time> next_responses_;
     monotonic_time last_responses_{};
     monotonic_time last_current_{};
+    departure_log departures_;
+    std::vector<unstored_departure> unstored_departures_;
     bool is_stopping_ = false;
     /** Number of relayed changes of upstreams that were not logged yet. */
     int relayed_changes_ = 0;
     monotonic_time last_relayed_log_{};
     timer_service::subscription tick_;
     timer_service::subscription response_timer_;
+    QObject context_;
 };
 
 } // namespace verbenacove
--- a/source/verbenacove/process/discovery/member_content.cpp
+++ b/source/verbenacove/process/discovery/member_content.cpp
@@ -150,8 +150,10 @@
     content.slots = slot_count(static_cast<int>(cbor_number(map, "slots")));
     content.cold_until = upstream_content::warmup_end(
         now, milliseconds(cbor_number(map, "cold")));
+    // The departure of an upstream that its replica did not know has none.
     return header_from_cbor(map, now, record) &&
-           read_address(map, content.address);
+           (read_address(map, content.address) ||
+            record.phase == member_phase::gone);
 }
 
 bool from_cbor(QCborMap const& map, monotonic_time now, entry_member& record)
--- a/source/verbenacove/process/discovery/membership_view.cpp
+++ b/source/verbenacove/process/discovery/membership_view.cpp
@@ -38,6 +38,14 @@
     return detector == failure_detector::self ? own : remote_detection_timeouts;
 }
 
+/** Returns whether an update tells only that the upstream with this id has left
+    that started at this time or earlier. */
+bool is_bare_departure(upstream_member const& update)
+{
+    return update.phase == member_phase::gone &&
+           update.content.address.host.isNull();
+}
+
 /** Maximum number of replicas whose latest contact is kept. */
 constexpr qsizetype maximum_contacts = 256;
 
@@ -74,6 +82,13 @@
         return update_result::ignored;
     }
     auto const id = update.id;
+    auto const* known = upstreams_.find(id);
+    if (known != nullptr && is_bare_departure(update))
+    {
+        return known->started <= update.started
+                   ? mark_upstream_gone(upstream_id(id))
+                   : update_result::ignored;
+    }
     auto const change =
         upstreams_.merge(std::move(update), origin, clock_.now());
     if (change == update_result::changed)
--- a/source/verbenacove/process/routing/replica_process.cpp
+++ b/source/verbenacove/process/routing/replica_process.cpp
@@ -160,7 +160,8 @@
                                                *storage_);
     discovery_ = std::make_unique<discovery_service>(
         discovery_settings{{settings_.listen, settings_.zone, settings_.region},
-                           settings_.seeds},
+                           settings_.seeds,
+                           settings_.data_folder},
         *server_);
     directory_ = std::make_unique<entry_directory>(*discovery_);
     routes_ = std::make_unique<route_service>(
--- /dev/null
+++ b/tests/platform/departure_test.cpp
@@ -0,0 +1,128 @@
+#define DOCTEST_CONFIG_IMPLEMENT
+#include <doctest/doctest.h>
+
+#include "platform/platform_cluster.hpp"
+
+#include <QCoreApplication>
+
+#include <thread>
+
+using namespace verbenacove;
+using namespace verbenacove::support;
+
+namespace
+{
+
+constexpr int replica_count = 3;
+/** Time after which processes that run have contact again. */
+constexpr milliseconds contact{4000};
+constexpr milliseconds observation_time{1500};
+
+/** Two upstreams, one of which leaves and serves on for a while. */
+class departure_fixture : public platform_cluster
+{
+public:
+    departure_fixture()
+        : platform_cluster(replica_count, 1)
+    {
+        put_until_accepted(3, "safe", "r0");
+        REQUIRE(wait_until([&] { return leaving_.beat(control(0)).is(200); }));
+        REQUIRE(wait_until([&] { return staying_.beat(control(0)).is(200); }));
+        REQUIRE(serves(0));
+        beats_ = std::jthread(
+            [this](std::stop_token const& stop)
+            {
+                for (int round = 0; !stop.stop_requested(); ++round)
+                {
+                    staying_.beat(control(round % replica_count));
+                    std::this_thread::sleep_for(milliseconds(300));
+                }
+            });
+    }
+
+    /** Sends the departure without any heartbeat before it. */
+    http_answer leave(int replica)
+    {
+        return call_http({control(replica),
+                          "DELETE",
+                          "/api/instances/" + leaving_.id(),
+                          {},
+                          {}});
+    }
+
+    void kill_all_replicas()
+    {
+        for (int replica = 0; replica < replica_count; ++replica)
+        {
+            replica_process(replica).kill_now();
+        }
+    }
+
+    void start_all_replicas()
+    {
+        for (int replica = 0; replica < replica_count; ++replica)
+        {
+            start_replica(replica, false);
+        }
+    }
+
+    /** Sends requests for a while and returns how many the upstream that has
+        left got. */
+    int requests_after_departure()
+    {
+        int const before = leaving_.all_runs();
+        wait_until(
+            [&]
+            {
+                // Objects are spread over the upstreams.
+                auto const number = QByteArray::number(++requests_);
+                call(0, "after-" + number, "GET", "/grades/" + number, number);
+                return false;
+            },
+            observation_time);
+        return leaving_.all_runs() - before;
+    }
+
+private:
+    platform_upstream leaving_{QStringLiteral("i-leaving")};
+    platform_upstream staying_{QStringLiteral("i-staying")};
+    int requests_ = 0;
+    std::jthread beats_;
+};
+
+} // namespace
+
+// A departure was known in memory alone: entries that had not heard of it sent
+// requests for ten more seconds.
+TEST_CASE_FIXTURE(departure_fixture,
+                  "departure: all replicas are killed right after the "
+                  "acknowledgement: entries hear of it from those that start")
+{
+    REQUIRE(requests_after_departure() > 0);
+    entry_process(0).freeze();
+    CHECK(leave(0).is(200));
+    kill_all_replicas();
+    entry_process(0).thaw();
+    start_all_replicas();
+    std::this_thread::sleep_for(contact);
+    CHECK(requests_after_departure() == 0);
+}
+
+// The same moment, seen from the other side: no replica knows the upstream.
+TEST_CASE_FIXTURE(departure_fixture,
+                  "departure: replicas have just started and know nothing of "
+                  "the upstream: acknowledged, and entries hear of it")
+{
+    REQUIRE(requests_after_departure() > 0);
+    kill_all_replicas();
+    start_all_replicas();
+    CHECK(wait_until([&] { return leave(1).is(200); }));
+    std::this_thread::sleep_for(contact);
+    CHECK(requests_after_departure() == 0);
+}
+
+int main(int argc, char** argv)
+{
+    QCoreApplication const application(argc, argv);
+    return doctest::Context(argc, argv).run();
+}
--- a/tests/platform/platform_cluster.hpp
+++ b/tests/platform/platform_cluster.hpp
@@ -139,14 +139,16 @@
 
     http_answer call(int entry, QByteArray const& id,
                      QByteArray const& method = "GET",
-                     QByteArray const& target = "/grades/7")
+                     QByteArray const& target = "/grades/7",
+                     QByteArray const& affinity_key = "17")
     {
         return call_http(
             {local(entries_[static_cast<std::size_t>(entry)].callers),
              method,
              target,
              {"Host: g.example", "Verbenacove-Request-Id: " + id,
-              "Verbenacove-Affinity-Key: 17", "Verbenacove-Deadline-Ms: 2500"},
+              "Verbenacove-Affinity-Key: " + affinity_key,
+              "Verbenacove-Deadline-Ms: 2500"},
              method == "POST" ? "bale of " + id : QByteArray()});
     }
 
--- a/tests/unit/leader_search_test.cpp
+++ b/tests/unit/leader_search_test.cpp
@@ -51,7 +51,7 @@
         settings.listen = address_;
         server_ = std::make_unique<control_server>(settings, *storage_);
         discovery_ = std::make_unique<discovery_service>(
-            discovery_settings{{address_, {}, {}}, {}}, *server_);
+            discovery_settings{{address_, {}, {}}, {}, folder}, *server_);
         for (int number = 0; number < upstream_count; ++number)
         {
             add_upstream(number);
