Replace a lost voter within the time that a new machine may take

Cause: a voter that is lost gave its place to a learner 10 s after the leader at hand had last heard of it, and each new leader counted from its own start. Where machines are replaced every 10 s, the leader's among them, no leader lived long enough. After three of five voters were gone, no majority was left for good. A new machine counts as lost for CatchUp only (4 s here).

Change: the time is half of the new setting `catch_up` (2 s where it is not set). A leader names the voters that are silent, and since when, in its messages; the next leader counts on from there, and counts the former leader from its last message. A new identity at the address of a former one is taken in 2 s after that one was last heard, not 5 s. A voter that was only cut off returns as a learner and takes the next free place; changes are still made one at a time, each committed by a majority.

Evidence: three raft_node tests failed on (no leader after the third replacement; the lost voter kept its place through three leaders; an emptied disk had no vote after 4 s) and pass now.

--- a/source/verbenacove/process/raft_election.cpp
+++ b/source/verbenacove/process/raft_election.cpp
@@ -120,6 +120,7 @@
     committed_before_ = storage_.last_index();
     peers_.clear();
     refresh_progress();
+    inherit_silent_voters();
     queued_.clear();
     queued_.emplace_back(
         raft_entry{log_index(0), term(), raft_entry_kind::no_operation, {}},
--- a/source/verbenacove/process/raft_follower.cpp
+++ b/source/verbenacove/process/raft_follower.cpp
@@ -31,12 +31,31 @@
     return true;
 }
 
+void raft_node::take_silent_voters(QCborMap const& message)
+{
+    auto const now = clock_.now();
+    auto const silent = cbor_map(message, "silent");
+    silent_voters_.clear();
+    for (auto const& member : members_)
+    {
+        auto const silence =
+            cbor_number(silent, member.identity.value().toUtf8().constData());
+        if (silence > 0)
+        {
+            silent_voters_[member.identity] =
+                now - std::min(milliseconds(silence), longest_silence);
+        }
+    }
+    silent_voters_[leader_->identity] = now;
+}
+
 QCborMap raft_node::handle_append(QCborMap const& message)
 {
     if (!accept_leader(message))
     {
         return reply(false);
     }
+    take_silent_voters(message);
     log_index const previous(cbor_number(message, "previous_index"));
     log_term const previous_term(cbor_number(message, "previous_term"));
     bool const is_covered = previous < storage_.snapshot().index;
--- a/source/verbenacove/process/raft_node.hpp
+++ b/source/verbenacove/process/raft_node.hpp
@@ -54,8 +54,9 @@
         was lost. */
     std::size_t maximum_voters = 7;
     /** A voter that was not heard for so long gives its place to a learner
-        that is ready; longer than a restart or a partition usually takes. */
-    milliseconds replace_after{10000};
+        that is ready; longer than a restart. A voter that was only cut off
+        learns again and takes the next place. */
+    milliseconds replace_after{2000};
     /** Where a replica without a vote asks to be taken in. */
     std::vector<socket_address> known_addresses;
     quint64 seed = 0;
@@ -302,11 +303,16 @@
     monotonic_time majority_acknowledged() const;
     void answer_confirmations();
     void check_majority();
+    /** Names the voters that do not answer, for the next leader. */
+    void add_silent_voters(QCborMap& message) const;
 
     // Replication by a follower.
     QCborMap handle_append(QCborMap const& message);
     QCborMap handle_snapshot(QCborMap const& message);
     bool accept_leader(QCborMap const& message);
+    void take_silent_voters(QCborMap const& message);
+    /** Counts the silence of voters from before this replica led. */
+    void inherit_silent_voters();
     bool store_entries(QCborMap const& message);
     QCborMap refuse_entries(log_index previous) const;
     bool take_over_snapshot(raft_snapshot snapshot);
@@ -342,6 +348,9 @@
     raft_role role_ = raft_role::follower;
     std::optional<raft_member> leader_;
     monotonic_time leader_heard_{};
+    /** When voters that were silent were last heard, as far as leaders have
+        told; the former leader among them. */
+    std::map<replica_id, monotonic_time> silent_voters_;
     /** When all that the leader had committed was applied here. */
     monotonic_time caught_up_{};
     monotonic_time election_deadline_{};
--- a/source/verbenacove/process/raft_node_detail.hpp
+++ b/source/verbenacove/process/raft_node_detail.hpp
@@ -15,7 +15,10 @@
 
 constexpr milliseconds join_interval{500};
 constexpr milliseconds learner_expiry{5000};
-constexpr milliseconds name_in_use_for{5000};
+/** A replica that answers does so with each heartbeat. */
+constexpr milliseconds name_in_use_for{2000};
+/** Silence of a voter beyond this makes no difference. */
+constexpr milliseconds longest_silence{3600000};
 constexpr milliseconds compaction_interval{1000};
 constexpr int hand_over_timeouts = 2;
 /** A larger message may take longer than a heartbeat may be late. */
--- a/source/verbenacove/process/raft_replication.cpp
+++ b/source/verbenacove/process/raft_replication.cpp
@@ -126,6 +126,7 @@
         entries.append(entry);
     }
     message[QLatin1String("entries")] = entries;
+    add_silent_voters(message);
     std::weak_ptr<bool> const alive = is_alive_;
     send_content(peer, std::move(message), bytes,
                  [this, alive, id = peer.member.identity, sent = clock_.now(),
@@ -383,6 +384,35 @@
     return times[times.size() / 2];
 }
 
+void raft_node::add_silent_voters(QCborMap& message) const
+{
+    QCborMap silent;
+    for (auto const& [id, peer] : peers_)
+    {
+        auto const silence = elapsed(peer.acknowledged, clock_.now());
+        if (peer.is_voter && silence > settings_.election_timeout)
+        {
+            silent[id.value()] = qint64{silence.count()};
+        }
+    }
+    if (!silent.isEmpty())
+    {
+        message[QLatin1String("silent")] = silent;
+    }
+}
+
+void raft_node::inherit_silent_voters()
+{
+    for (auto& [id, peer] : peers_)
+    {
+        auto const silent = silent_voters_.find(id);
+        if (silent != silent_voters_.end() && !votes_.granted.contains(id))
+        {
+            peer.acknowledged = std::min(peer.acknowledged, silent->second);
+        }
+    }
+}
+
 void raft_node::answer_confirmations()
 {
     auto const confirmed = majority_acknowledged();
--- a/source/verbenacove/process/routing/replica_process.cpp
+++ b/source/verbenacove/process/routing/replica_process.cpp
@@ -133,6 +133,13 @@
     settings.raft.election_timeout = reader.duration(
         "replica", "election_timeout", settings.raft.election_timeout,
         settings.raft.heartbeat * 3, maximum_duration);
+    // Half of the time is left for an election, the change of the voters and
+    // the transfer of what the new one has missed.
+    settings.raft.replace_after = std::max(
+        reader.duration("replica", "catch_up", settings.raft.replace_after * 2,
+                        milliseconds(100), maximum_duration) /
+            2,
+        settings.raft.election_timeout * 2);
     settings.raft.snapshot_after_bytes =
         reader.size("replica", "snapshot_after", 4 * one_mebibyte, 4096,
                     1024 * one_mebibyte);
--- a/tests/unit/raft_node_test.cpp
+++ b/tests/unit/raft_node_test.cpp
@@ -18,6 +18,8 @@
 {
 
 constexpr milliseconds step{10};
+/** Time after its start in which a replica must have its vote. */
+constexpr milliseconds catch_up{4000};
 
 /** Remembers the numbers it was given, in order. */
 class number_list : public state_machine
@@ -130,6 +132,7 @@
         added.name = name;
         added.address = {QHostAddress::LocalHost, quint16(number + 1)};
         added.folder = folder_.filePath(name);
+        addresses_.push_back(added.address);
         REQUIRE(raft_storage::create(added.folder, replica_id(name), {}));
         start(number);
         return number;
@@ -524,6 +527,72 @@
     CHECK(raft.run_until([&] { return raft.all_hold({1, 2}); }));
 }
 
+// Each new leader counted the silence of voters from its own start, so machines
+// that were replaced one after the other were never given up, until no majority
+// was left.
+TEST_CASE(
+    "raft: the leader's machine is replaced again and again: each new one "
+    "votes before the next is replaced")
+{
+    raft_fixture raft(3);
+    raft.admit_all();
+    raft.maximum_voters = 5;
+    for (int i = 0; i < 3; ++i)
+    {
+        raft.stop(i);
+        raft.start(i);
+    }
+    raft.add_stranger(QStringLiteral("first"));
+    raft.add_stranger(QStringLiteral("second"));
+    REQUIRE(raft.run_until(
+        [&] { return raft.elect().node->members().size() == 5; }));
+    constexpr int replacements = 8;
+    for (int number = 1; number <= replacements; ++number)
+    {
+        CAPTURE(number);
+        raft.stop(raft.index_of(&raft.elect()));
+        auto const added = raft.add_stranger(QString::number(number));
+        raft.run(catch_up);
+        CHECK(raft.replicas[std::size_t(added)]->node->is_voter());
+        raft.commit(number);
+    }
+}
+
+TEST_CASE("raft: leaders change while a voter is lost: its silence counts from "
+          "before")
+{
+    raft_fixture raft(3);
+    raft.admit_all();
+    raft.maximum_voters = 3;
+    for (int i = 0; i < 3; ++i)
+    {
+        raft.stop(i);
+        raft.start(i);
+    }
+    raft.commit(1);
+    auto const stranger = raft.add_stranger(QStringLiteral("stranger"));
+    raft.run(milliseconds(2000));
+    raft.stop((raft.index_of(&raft.elect()) + 1) % 3);
+    for (int change = 0; change < 3; ++change)
+    {
+        raft.run(milliseconds(1000));
+        raft.hand_over();
+    }
+    raft.run(milliseconds(1000));
+    CHECK(raft.replicas[std::size_t(stranger)]->node->is_voter());
+}
+
+TEST_CASE("raft: a disk is replaced at once: the new replica votes within the "
+          "time that a machine may take")
+{
+    raft_fixture raft(3);
+    raft.commit(1);
+    auto const lost = (raft.index_of(&raft.elect()) + 1) % 3;
+    raft.replace(lost, QStringLiteral("emptied"));
+    raft.run(catch_up);
+    CHECK(raft.replicas[std::size_t(lost)]->node->is_voter());
+}
+
 TEST_CASE("raft: a voter returns after it was replaced: learns again")
 {
     raft_fixture raft(3);
