Read replicas that respond before those that are gone

Cause: while a leader is elected, an entry leaves all live replicas within a second. It chose the next one by the time of the last failure first, so machines that were replaced long before, which had not failed of late, came before all replicas that had just elected a leader, and each cost 1.1 s.

Change: silent replicas, and seeds that no replica knows, are tried once per 1.5 s while others respond, each one before any of them again.

Evidence: the replica_selector test "no leader for a moment, and replicas that are gone" failed on (it chose replicas that were gone four times) and passes now; another one shows that silent replicas are still all tried.

--- a/source/verbenacove/process/discovery/replica_link.cpp
+++ b/source/verbenacove/process/discovery/replica_link.cpp
@@ -193,7 +193,8 @@
         add_crashes(message, own_crashes_, confirmed_crashes_);
     rate_limits_.add_to(message, position_.view_id);
     client_of(*current_).call(
-        std::move(message), {hold + read_margin, maximum_read_duration},
+        std::move(message),
+        {requested_hold + read_margin, maximum_read_duration},
         [this, from = *current_, number,
          sent_crashes](std::optional<QCborMap> const& reply)
         {
--- a/source/verbenacove/process/discovery/replica_selector.cpp
+++ b/source/verbenacove/process/discovery/replica_selector.cpp
@@ -10,18 +10,10 @@
 {
 
 /** Distance of a replica whose location is unknown: one more than the maximum
-    network distance. Also added to the distance of silent replicas. */
+    network distance. */
 constexpr int unknown_distance =
     static_cast<int>(network_distance::other_region) + 1;
 
-struct candidate
-{
-    socket_address address;
-    /** Time of its last failure; the clock's zero when it has not failed. */
-    monotonic_time failed_at{};
-    int rank = 0;
-};
-
 } // namespace
 
 replica_selector::replica_selector(location self, quint64 seed)
@@ -33,37 +25,60 @@
 std::optional<socket_address>
 replica_selector::choose(membership_view const& membership, monotonic_time now)
 {
-    std::vector<candidate> candidates;
-    auto const add = [&](socket_address const& address, int penalty)
+    auto all = candidates(membership, now);
+    std::shuffle(all.begin(), all.end(), random_);
+    auto const precedes = [](candidate const& a, candidate const& b)
+    {
+        return std::tie(a.failed_at, a.distance) <
+               std::tie(b.failed_at, b.distance);
+    };
+    auto const silent =
+        std::partition(all.begin(), all.end(),
+                       [](candidate const& each) { return !each.is_silent; });
+    auto const live = std::min_element(all.begin(), silent, precedes);
+    bool const is_first_try =
+        live != silent && live->failed_at == monotonic_time{};
+    bool const has_choice = live != silent && silent != all.end();
+    bool const is_silent_due =
+        !is_first_try && next_silent_ && now >= *next_silent_;
+    if (live == silent || (has_choice && is_silent_due))
+    {
+        next_silent_ = now + silent_interval;
+        auto const best = std::min_element(silent, all.end(), precedes);
+        return best == all.end() ? std::nullopt : std::optional(best->address);
+    }
+    return live->address;
+}
+
+std::vector<replica_selector::candidate>
+replica_selector::candidates(membership_view const& membership,
+                             monotonic_time now) const
+{
+    std::vector<candidate> result;
+    auto const add = [&](socket_address const& address, bool is_silent)
     {
-        auto const failed_at = has_failed(address, now)
+        auto const failed_at = is_silent || has_failed(address, now)
                                    ? failures_.value(address)
                                    : monotonic_time{};
-        candidates.push_back(
-            {address, failed_at, distance_of(address, membership) + penalty});
+        result.push_back(
+            {address, failed_at, distance_of(address, membership), is_silent});
     };
-    for (auto const& known : membership.replicas().records())
+    auto const& known = membership.replicas().records();
+    for (auto const& replica : known)
     {
         // A silent replica stays a candidate: the replica that was read last
         // may only have been partitioned from it.
-        add(known.content.address, known.is_silent ? unknown_distance : 0);
+        add(replica.content.address, replica.is_silent);
     }
     for (auto const& seed : seeds_)
     {
+        // No replica that was read has heard of it for long.
         if (membership.replicas().find(seed.text()) == nullptr)
         {
-            add(seed, 0);
+            add(seed, !known.isEmpty());
         }
     }
-    std::shuffle(candidates.begin(), candidates.end(), random_);
-    auto const best =
-        std::min_element(candidates.begin(), candidates.end(),
-                         [](candidate const& a, candidate const& b) {
-                             return std::tie(a.failed_at, a.rank) <
-                                    std::tie(b.failed_at, b.rank);
-                         });
-    return best == candidates.end() ? std::nullopt
-                                    : std::optional(best->address);
+    return result;
 }
 
 std::size_t
@@ -99,14 +114,16 @@
                                       monotonic_time now)
 {
     failures_[replica] = now;
+    next_silent_ = next_silent_.value_or(now + silent_interval);
     failures_.removeIf(
         [now](auto const& item)
-        { return elapsed(item.value(), now) > failure_retention; });
+        { return elapsed(item.value(), now) > silent_failure_retention; });
 }
 
 void replica_selector::record_success(socket_address const& replica)
 {
     failures_.remove(replica);
+    next_silent_.reset();
 }
 
 int replica_selector::distance_of(socket_address const& replica,
--- a/source/verbenacove/process/discovery/replica_selector.hpp
+++ b/source/verbenacove/process/discovery/replica_selector.hpp
@@ -20,8 +20,10 @@
 
     Replicas that failed are retried only after all others, in the order of
     their failures: nearby replicas on the minority side of a partition must not
-    keep an entry from distant replicas of the majority. Must be used from one
-    thread only.
+    keep an entry from distant replicas of the majority. Replicas that are
+    silent are tried now and then only while none has a leader: most of them are
+    gone, and each costs the time of a read that is not answered. Must be used
+    from one thread only.
 */
 class replica_selector
 {
@@ -30,6 +32,14 @@
         again. */
     static constexpr milliseconds failure_retention{6000};
 
+    /** Retention period of a failure of a silent replica, so that all of them
+        are tried before one is tried again. */
+    static constexpr milliseconds silent_failure_retention{60000};
+
+    /** Minimum interval between attempts to read silent replicas while others
+        respond. */
+    static constexpr milliseconds silent_interval{1500};
+
     /** Creates a selector for an entry.
 
         @param self  location of the entry
@@ -69,6 +79,19 @@
                     membership_view const& membership) const;
 
 private:
+    /** A replica that may be chosen. */
+    struct candidate
+    {
+        socket_address address;
+        /** Time of its last failure; the clock's zero when it has not failed.
+         */
+        monotonic_time failed_at;
+        int distance = 0;
+        bool is_silent = false;
+    };
+
+    std::vector<candidate> candidates(membership_view const& membership,
+                                      monotonic_time now) const;
     bool has_failed(socket_address const& replica, monotonic_time now) const;
 
     location self_;
@@ -76,6 +99,9 @@
     std::vector<socket_address> seeds_;
     /** Time of the last failure of each replica that failed recently. */
     QHash<socket_address, monotonic_time> failures_;
+    /** Time from which a silent replica may be chosen; absent while the last
+        read was successful. */
+    std::optional<monotonic_time> next_silent_;
 };
 
 } // namespace verbenacove
--- a/tests/unit/replica_selector_test.cpp
+++ b/tests/unit/replica_selector_test.cpp
@@ -17,12 +17,13 @@
             QStringLiteral("10.0.0.%1:7000").arg(number));
     }
 
-    void add(int number, char const* region, char const* zone)
+    void add(int number, char const* region, char const* zone,
+             qint64 sequence = 1)
     {
         replica_member record;
         record.id = address(number).text();
         record.started = incarnation(1);
-        record.sequence = 1;
+        record.sequence = sequence;
         record.phase = member_phase::serving;
         record.content = {address(number), zone_name(QString::fromLatin1(zone)),
                           region_name(QString::fromLatin1(region))};
@@ -120,3 +121,58 @@
     selector.set_seeds({address(9)});
     CHECK(selector.choose(membership, clock.now()) == address(9));
 }
+
+// Entries tried machines that had been replaced long ago, one after the other,
+// while those that had just elected a leader waited for their turn.
+TEST_CASE_FIXTURE(
+    selector_fixture,
+    "replica selection: no leader for a moment, and replicas that "
+    "are gone: those that respond are read again first")
+{
+    for (int gone = 5; gone <= 8; ++gone)
+    {
+        add(gone, "gauteng", "gauteng-a");
+    }
+    clock.advance(std::chrono::seconds(4));
+    membership.expire();
+    for (int live = 1; live <= 4; ++live)
+    {
+        add(live, "wcape", "wcape-a");
+    }
+    constexpr milliseconds election{600};
+    auto const begin = clock.now();
+    while (elapsed(begin, clock.now()) < election)
+    {
+        auto const chosen = selector.choose(membership, clock.now());
+        REQUIRE(chosen);
+        CHECK(selector.distance_of(*chosen, membership) == 2);
+        clock.advance(milliseconds(80));
+        selector.record_failure(*chosen, clock.now());
+    }
+    CHECK(selector.distance_of(*selector.choose(membership, clock.now()),
+                               membership) == 2);
+}
+
+TEST_CASE_FIXTURE(selector_fixture,
+                  "replica selection: those that respond have no leader for "
+                  "long: silent ones are tried in turn")
+{
+    for (int silent = 5; silent <= 8; ++silent)
+    {
+        add(silent, "gauteng", "gauteng-a");
+    }
+    clock.advance(std::chrono::seconds(4));
+    membership.expire();
+    add(1, "wcape", "wcape-a");
+    std::set<QString> tried;
+    constexpr int rounds = 100;
+    for (int round = 0; round < rounds; ++round)
+    {
+        auto const chosen = selector.choose(membership, clock.now());
+        REQUIRE(chosen);
+        tried.insert(chosen->text());
+        clock.advance(milliseconds(80));
+        selector.record_failure(*chosen, clock.now());
+    }
+    CHECK(tried.size() == 5);
+}
