Bound the memory of all unfinished responses together

Cause: each response was bounded (16 MiB), the sum of all was not.

Change: upstream_client counts the memory of the bodies that it collects. Beyond 48 MiB it ends the attempt with the largest one, which is an endless one as long as ordinary answers are smaller. Such an end is no sign that the request crashed the upstream, so it is no longer counted as one.

--- a/source/verbenacove/connection/upstream_answer.hpp
+++ b/source/verbenacove/connection/upstream_answer.hpp
@@ -42,6 +42,9 @@
     /** Returns why an answer that has ended is not whole, or nothing. */
     QString fault() const;
 
+    /** Returns the memory that the body takes, in bytes. */
+    qint64 held_bytes() const { return response_.body.capacity(); }
+
     /** Moves the answer out, without hop-by-hop headers. */
     http_response take_response();
 
--- a/source/verbenacove/connection/upstream_attempt.cpp
+++ b/source/verbenacove/connection/upstream_attempt.cpp
@@ -41,11 +41,12 @@
 upstream_attempt::upstream_attempt(attempt_request request,
                                    upstream_client::callback call,
                                    upstream_sockets& sockets,
-                                   monotonic_time now)
+                                   response_memory& memory, monotonic_time now)
     : request_(std::move(request))
     , call_(std::move(call))
     , start_(now)
     , sockets_(sockets)
+    , memory_(memory)
     , answer_(request_.method == "HEAD", request_.maximum_response_bytes)
     , handle_(curl_easy_init())
     , last_progress_(now)
@@ -70,6 +71,7 @@
 
 upstream_attempt::~upstream_attempt()
 {
+    count_held_bytes(0);
     curl_easy_cleanup(handle_);
     curl_slist_free_all(header_lines_);
 }
@@ -275,9 +277,16 @@
     self.last_progress_ = std::chrono::steady_clock::now();
     bool const is_taken =
         self.answer_.take_body({bytes, static_cast<qsizetype>(length)});
+    self.count_held_bytes(self.answer_.held_bytes());
     return is_taken ? length : 0;
 }
 
+void upstream_attempt::count_held_bytes(qint64 bytes)
+{
+    memory_.held += bytes - held_bytes_;
+    held_bytes_ = bytes;
+}
+
 attempt_result upstream_attempt::finish(CURLcode code, monotonic_time now)
 {
     attempt_result result;
@@ -353,6 +362,8 @@
     result.reason = reason;
     result.connected = connected_;
     result.duration = elapsed(start_, now);
+    answer_.take_response();
+    count_held_bytes(0);
     return result;
 }
 
--- a/source/verbenacove/connection/upstream_attempt.hpp
+++ b/source/verbenacove/connection/upstream_attempt.hpp
@@ -12,6 +12,15 @@
 namespace verbenacove
 {
 
+/** The memory that the bodies of unfinished responses take together. */
+struct response_memory
+{
+    /** Bytes held now. */
+    qint64 held = 0;
+    /** Maximum number of bytes. */
+    qint64 maximum = 0;
+};
+
 /** One request on its way by libcurl: the easy handle, what it is told, and
     what came back.
 
@@ -23,9 +32,11 @@
     /** Prepares the request; it is not sent yet.
 
         @param sockets  must outlive all connections of the multi interface
+        @param memory   counts what the response takes; must outlive the attempt
     */
     upstream_attempt(attempt_request request, upstream_client::callback call,
-                     upstream_sockets& sockets, monotonic_time now);
+                     upstream_sockets& sockets, response_memory& memory,
+                     monotonic_time now);
     ~upstream_attempt();
     upstream_attempt(upstream_attempt const&) = delete;
     upstream_attempt& operator=(upstream_attempt const&) = delete;
@@ -49,7 +60,11 @@
     /** Returns the result that libcurl's code stands for. */
     attempt_result finish(CURLcode code, monotonic_time now);
 
-    /** Returns the result of an attempt that is given up. */
+    /** Returns the memory that the response takes so far, in bytes. */
+    qint64 held_response_bytes() const { return held_bytes_; }
+
+    /** Returns the result of an attempt that is given up, and drops what it has
+        received. */
     attempt_result give_up(attempt_end end, QString const& reason,
                            monotonic_time now);
 
@@ -85,6 +100,7 @@
     void append_header_line(QByteArray const& line);
     hold_back check_before_send(int local_port);
     bool take_header_line(QByteArrayView line);
+    void count_held_bytes(qint64 bytes);
     attempt_end end_of(CURLcode code) const;
     QString reason_of(CURLcode code) const;
 
@@ -92,7 +108,10 @@
     upstream_client::callback call_;
     monotonic_time const start_;
     upstream_sockets& sockets_;
+    response_memory& memory_;
     upstream_answer answer_;
+    /** What is counted in `memory_`. */
+    qint64 held_bytes_ = 0;
     CURL* handle_;
     curl_slist* header_lines_ = nullptr;
     char error_text_[CURL_ERROR_SIZE] = {};
--- a/source/verbenacove/connection/upstream_client.cpp
+++ b/source/verbenacove/connection/upstream_client.cpp
@@ -36,7 +36,8 @@
 class upstream_client::core
 {
 public:
-    core()
+    explicit core(qint64 maximum_held_bytes)
+        : memory_{0, maximum_held_bytes}
     {
         start_library();
         multi_ = curl_multi_init();
@@ -76,7 +77,8 @@
         attempt_id const id(++last_id_);
         bool const has_time = request.time_left.count() > 0;
         auto attempt = std::make_unique<upstream_attempt>(
-            std::move(request), std::move(call), open_sockets_, clock_.now());
+            std::move(request), std::move(call), open_sockets_, memory_,
+            clock_.now());
         auto& started = *attempt;
         attempts_.emplace(id.value(), std::move(attempt));
         if (attempts_.size() > maximum_attempts)
@@ -186,6 +188,36 @@
         int running = 0;
         curl_multi_socket_action(multi_, socket, events, &running);
         take_ended();
+        end_largest();
+    }
+
+    // Responses without end grow to be the largest; ordinary ones stay.
+    void end_largest()
+    {
+        while (memory_.held > memory_.maximum)
+        {
+            upstream_attempt const* largest = nullptr;
+            attempt_id id;
+            for (auto const& [number, attempt] : attempts_)
+            {
+                bool const is_larger =
+                    largest == nullptr || attempt->held_response_bytes() >
+                                              largest->held_response_bytes();
+                if (ids_.contains(attempt->handle()) && is_larger)
+                {
+                    largest = attempt.get();
+                    id = attempt_id(number);
+                }
+            }
+            if (largest == nullptr || largest->held_response_bytes() == 0)
+            {
+                // All of it is of responses that are about to be handed on.
+                return;
+            }
+            end_later(
+                id, attempt_end::oversized,
+                QStringLiteral("The responses in hand are over the bound."));
+        }
     }
 
     void take_ended()
@@ -313,6 +345,7 @@
     }
 
     upstream_sockets open_sockets_;
+    response_memory memory_;
     QObject context_;
     QTimer timer_;
     QTimer ended_timer_;
@@ -335,8 +368,8 @@
            end != attempt_end::cancelled_before_send;
 }
 
-upstream_client::upstream_client()
-    : core_(std::make_unique<core>())
+upstream_client::upstream_client(qint64 maximum_held_bytes)
+    : core_(std::make_unique<core>(maximum_held_bytes))
 {
 }
 
--- a/source/verbenacove/connection/upstream_client.hpp
+++ b/source/verbenacove/connection/upstream_client.hpp
@@ -31,7 +31,7 @@
     timed_out_after_send,
     cancelled_before_send,
     cancelled_after_send,
-    /** The answer was over the bound. */
+    /** The answer, or all unfinished ones together, were over the bound. */
     oversized,
     /** The response belongs to another request. */
     foreign_response
@@ -108,10 +108,21 @@
     /** What is called with an attempt's result. */
     using callback = std::function<void(attempt_result)>;
 
+    /** Default bound of the memory for unfinished responses, in bytes. */
+    static constexpr qint64 default_maximum_held_bytes =
+        qint64{48} * 1024 * 1024;
+
     /** Identifies a started attempt. */
     using attempt_id = strong_type<struct attempt_id_tag, quint64>;
 
-    upstream_client();
+    /** Creates a client.
+
+        @param maximum_held_bytes  bound of the memory that the bodies of all
+                                   unfinished responses take together; beyond
+                                   it the attempt with the largest one ends
+    */
+    explicit upstream_client(
+        qint64 maximum_held_bytes = default_maximum_held_bytes);
 
     /** Closes all connections; nobody is called back. */
     ~upstream_client();
--- a/source/verbenacove/request/routed_request_attempt.cpp
+++ b/source/verbenacove/request/routed_request_attempt.cpp
@@ -135,6 +135,7 @@
         // Only a broken connection may indicate a crashed process.
         bool const is_connection_intact =
             result.end == attempt_end::timed_out_after_send ||
+            result.end == attempt_end::oversized ||
             result.end == attempt_end::foreign_response;
         handle_failure(result, is_connection_intact
                                    ? upstream_outcome::failure
--- a/tests/unit/upstream_client_test.cpp
+++ b/tests/unit/upstream_client_test.cpp
@@ -675,3 +675,47 @@
     CHECK(reply->error() != QNetworkReply::NoError);
     CHECK(upstream.requests == 2);
 }
+
+// Answers without end of several upstreams used up an entry's memory, each one
+// within its own bound.
+TEST_CASE_FIXTURE(client_fixture,
+                  "upstream client: answers without end, of several upstreams: "
+                  "one ends at the bound for all, an ordinary one is whole")
+{
+    constexpr int endless_count = 8;
+    constexpr qint64 bound = qint64{48} * 1024 * 1024;
+    qint64 sent = 0;
+    QByteArray const piece = "10000\r\n" + QByteArray(65536, 'a') + "\r\n";
+    raw_upstream endless(
+        [&](QTcpSocket& socket, QByteArray const&)
+        {
+            socket.write("HTTP/1.1 200 OK\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n");
+            QObject::connect(&socket, &QTcpSocket::bytesWritten, &socket,
+                             [&](qint64)
+                             {
+                                 if (socket.bytesToWrite() == 0)
+                                 {
+                                     sent += piece.size();
+                                     socket.write(piece);
+                                 }
+                             });
+        });
+    raw_upstream ordinary([](QTcpSocket& socket, QByteArray const&)
+                          { socket.write(whole_answer); });
+    std::vector<attempt_result> ended;
+    auto request = get_from(endless.address());
+    request.maximum_response_bytes = bound;
+    for (int i = 0; i < endless_count; ++i)
+    {
+        client.start(request, [&](attempt_result const& result)
+                     { ended.push_back(result); });
+    }
+    REQUIRE(wait_for([&] { return !ended.empty(); }));
+    CHECK(ended.front().end == attempt_end::oversized);
+    // What is on its way is not held here.
+    constexpr qint64 in_transit = qint64{16} * 1024 * 1024;
+    CHECK(sent < bound + in_transit);
+    CHECK(run_attempt(client, get_from(ordinary.address())).end ==
+          attempt_end::answered);
+}
