--- a/tests/platform/platform_documents_test.cpp
+++ b/tests/platform/platform_documents_test.cpp
@@ -247,6 +247,19 @@
     }
 }
 
+// Replicas kept texts of any length and sent them to all entries.
+TEST_CASE("platform documents: heartbeats with long texts: refused")
+{
+    QString const longest(128, QLatin1Char('a'));
+    CHECK(heartbeat_of(heartbeat_with("Service", longest)));
+    for (auto const* key : {"Service", "Zone", "Address", "State"})
+    {
+        CAPTURE(std::string(key));
+        CHECK_FALSE(
+            heartbeat_of(heartbeat_with(key, longest + QLatin1Char('a'))));
+    }
+}
+
 TEST_CASE("platform documents: heartbeats with numbers that are too large: "
           "refused")
 {
