Spread voting replicas over regions

Cause: the voters beyond the seeds were those that joined first, wherever they were. With 7 voters among 11 to 19 replicas in three regions, one region may hold four of them.

Change: voter_placement chooses the learner of the region, and there the zone, with the fewest voters. A voter gives up its place when its region alone has a majority and a learner elsewhere is ready; checked once a second, one change at a time, never the leader. Locations come from the replicas' membership view, so no form changes.

--- a/source/verbenacove/process/control_server.cpp
+++ b/source/verbenacove/process/control_server.cpp
@@ -78,6 +78,12 @@
     node_.set_known_addresses(std::move(addresses));
 }
 
+void control_server::set_location_lookup(
+    voter_placement::location_lookup lookup)
+{
+    node_.set_location_lookup(std::move(lookup));
+}
+
 void control_server::stop(std::function<void()> stopped)
 {
     auto const deadline = clock_.now() + longest_hand_over;
--- a/source/verbenacove/process/control_server.hpp
+++ b/source/verbenacove/process/control_server.hpp
@@ -65,6 +65,10 @@
     /** Sets where a replica without a vote asks to be taken in. */
     void set_known_addresses(std::vector<socket_address> addresses);
 
+    /** Sets where the locations of replicas are looked up.
+        @see raft_node::set_location_lookup */
+    void set_location_lookup(voter_placement::location_lookup lookup);
+
     /** Proposes an operator's change; the result is that of config_store.
         @see raft_node::propose */
     void submit_change(QCborMap const& change,
--- a/source/verbenacove/process/discovery/discovery_service.cpp
+++ b/source/verbenacove/process/discovery/discovery_service.cpp
@@ -86,6 +86,8 @@
     , created_(clock_.now())
     , departures_(settings_.data_folder)
 {
+    server_.set_location_lookup([this](raft_member const& member)
+                                { return location_of(member.address); });
     server_.add_handler(
         QStringLiteral("news"),
         [this](QCborMap const& request, reply_function const& reply)
@@ -137,6 +139,15 @@
     return elapsed(created_, now) > sole_replica_timeout;
 }
 
+std::optional<location>
+discovery_service::location_of(socket_address const& replica) const
+{
+    auto const* known = membership_.replicas().find(replica.text());
+    return known == nullptr ? std::nullopt
+                            : std::optional(location{known->content.region,
+                                                     known->content.zone});
+}
+
 std::optional<socket_address>
 discovery_service::heartbeat_receiver(upstream_id const& id,
                                       zone_name const& zone) const
--- a/source/verbenacove/process/discovery/discovery_service.hpp
+++ b/source/verbenacove/process/discovery/discovery_service.hpp
@@ -197,6 +197,7 @@
     /** Returns the routes in force for entries, packed. */
     QByteArray const& packed_routes();
     void merge_crashes(QCborMap const& message);
+    std::optional<location> location_of(socket_address const& replica) const;
     std::size_t live_entries() const;
     void update_settling();
     void log_relayed_changes(monotonic_time now);
--- a/source/verbenacove/process/raft_membership.cpp
+++ b/source/verbenacove/process/raft_membership.cpp
@@ -79,40 +79,60 @@
     {
         return;
     }
+    std::vector<raft_member> learners;
     for (auto const& [id, peer] : peers_)
     {
         // Under constant load a learner is always a message behind.
-        bool const is_ready = !peer.is_voter && peer.match.value() > 0 &&
-                              peer.match >= committed_before_;
-        if (is_ready && promote(peer))
+        if (!peer.is_voter && peer.match.value() > 0 &&
+            peer.match >= committed_before_)
         {
-            return;
+            learners.push_back(peer.member);
         }
     }
-}
-
-bool raft_node::promote(peer_progress const& learner)
-{
-    // The former identity goes first, so that no majority of the old set
-    // misses one of the new set.
-    auto members = members_;
-    auto const removed = std::erase_if(
-        members, [name = learner.member.name](raft_member const& member)
-        { return member.name == name; });
-    if (removed == 0 && members.size() >= settings_.maximum_voters)
+    // A former identity goes first, so that no majority of the old set misses
+    // one of the new set.
+    auto const successor =
+        std::find_if(learners.begin(), learners.end(),
+                     [this](raft_member const& learner)
+                     { return has_name(members_, learner.name); });
+    if (successor != learners.end())
     {
-        return remove_lost_voter();
+        auto members = members_;
+        std::erase_if(members, [&successor](raft_member const& member)
+                      { return member.name == successor->name; });
+        propose_members(std::move(members));
+        return;
+    }
+    if (learners.empty())
+    {
+        return;
+    }
+    if (members_.size() < settings_.maximum_voters)
+    {
+        voter_placement const placement(members_, settings_.maximum_voters,
+                                        location_of_);
+        promote(*placement.choose_learner(learners));
+        return;
     }
-    if (removed == 0)
+    // Makes room for a learner; it is promoted by a change of its own.
+    auto const* voter = lost_voter();
+    voter = voter != nullptr ? voter : surplus_voter(learners);
+    if (voter != nullptr)
     {
-        members.push_back(learner.member);
+        auto members = members_;
+        std::erase(members, *voter);
+        propose_members(std::move(members));
     }
+}
+
+void raft_node::promote(raft_member const& learner)
+{
+    auto members = members_;
+    members.push_back(learner);
     propose_members(std::move(members));
-    return true;
 }
 
-// Makes room for a learner; it is promoted by a change of its own.
-bool raft_node::remove_lost_voter()
+raft_member const* raft_node::lost_voter() const
 {
     auto const lost =
         std::find_if(members_.begin(), members_.end(),
@@ -123,14 +143,21 @@
                                 elapsed(peer->second.acknowledged,
                                         clock_.now()) > settings_.replace_after;
                      });
-    if (lost == members_.end())
+    return lost == members_.end() ? nullptr : &*lost;
+}
+
+raft_member const*
+raft_node::surplus_voter(std::vector<raft_member> const& learners)
+{
+    auto const now = clock_.now();
+    if (elapsed(placement_checked_, now) < placement_interval)
     {
-        return false;
+        return nullptr;
     }
-    auto members = members_;
-    std::erase(members, *lost);
-    propose_members(std::move(members));
-    return true;
+    placement_checked_ = now;
+    voter_placement const placement(members_, settings_.maximum_voters,
+                                    location_of_);
+    return placement.surplus_voter(learners, identity());
 }
 
 void raft_node::propose_members(raft_members members)
--- a/source/verbenacove/process/raft_node.hpp
+++ b/source/verbenacove/process/raft_node.hpp
@@ -5,6 +5,7 @@
 #include "verbenacove/process/raft_storage.hpp"
 #include "verbenacove/process/raft_types.hpp"
 #include "verbenacove/process/state_machine.hpp"
+#include "verbenacove/process/voter_placement.hpp"
 
 #include <QSet>
 
@@ -167,6 +168,13 @@
         settings_.known_addresses = std::move(addresses);
     }
 
+    /** Sets where the location of a replica is looked up, to spread the voting
+        ones; unknown by default. */
+    void set_location_lookup(voter_placement::location_lookup lookup)
+    {
+        location_of_ = std::move(lookup);
+    }
+
     /** Returns the form of commands that all replicas can read: the lowest that
         one of them has told, while each voter answers. On a follower the
         first one. */
@@ -322,8 +330,12 @@
     void ask_to_join();
     void promote_learners();
     bool may_take_part(QString const& name) const;
-    bool promote(peer_progress const& learner);
-    bool remove_lost_voter();
+    void promote(raft_member const& learner);
+    /** Returns a voter that has been silent for too long, or null. */
+    raft_member const* lost_voter() const;
+    /** Returns a voter that makes its region hold a majority, or null; checked
+        at intervals. */
+    raft_member const* surplus_voter(std::vector<raft_member> const& learners);
     void propose_members(raft_members members);
     void refresh_members();
 
@@ -380,6 +392,11 @@
     QByteArray incoming_snapshot_;
     log_index incoming_snapshot_index_;
     monotonic_time join_asked_{};
+    monotonic_time placement_checked_{};
+    voter_placement::location_lookup location_of_ = [](raft_member const&)
+    {
+        return std::optional<location>();
+    };
     std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
 };
 
--- a/source/verbenacove/process/raft_node_detail.hpp
+++ b/source/verbenacove/process/raft_node_detail.hpp
@@ -20,6 +20,7 @@
 /** Silence of a voter beyond this makes no difference. */
 constexpr milliseconds longest_silence{3600000};
 constexpr milliseconds compaction_interval{1000};
+constexpr milliseconds placement_interval{1000};
 constexpr int hand_over_timeouts = 2;
 /** A larger message may take longer than a heartbeat may be late. */
 constexpr qint64 maximum_small_message_bytes = 32 * 1024;
@@ -36,6 +37,13 @@
                        { return member.identity == id; });
 }
 
+inline bool has_name(raft_members const& members, QString const& name)
+{
+    return std::any_of(members.begin(), members.end(),
+                       [&name](raft_member const& member)
+                       { return member.name == name; });
+}
+
 } // namespace verbenacove::raft_detail
 
 #endif
--- a/tests/unit/raft_node_test.cpp
+++ b/tests/unit/raft_node_test.cpp
@@ -122,8 +122,22 @@
         at.node =
             std::make_unique<raft_node>(settings, *at.storage, transport_of(i),
                                         at.machine, clock, at.address, at.name);
+        at.node->set_location_lookup(location_of);
     }
 
+    /** Where replicas with names such as `ecape-a/1` are. */
+    voter_placement::location_lookup location_of =
+        [](raft_member const& member) -> std::optional<location>
+    {
+        if (!member.name.contains(QLatin1Char('/')))
+        {
+            return std::nullopt;
+        }
+        auto const zone = member.name.section(QLatin1Char('/'), 0, 0);
+        return location{region_name(zone.section(QLatin1Char('-'), 0, 0)),
+                        zone_name(zone)};
+    };
+
     /** Adds a replica that nobody's settings name, with an empty disk. */
     int add_stranger(QString const& name)
     {
@@ -593,6 +607,43 @@
     CHECK(raft.replicas[std::size_t(lost)]->node->is_voter());
 }
 
+// Voters were those that joined first, so that one region could have a majority
+// of them, and its loss stopped all orders and reads.
+TEST_CASE("raft: most of those that join first are of one region: voters are "
+          "spread, and its loss leaves a majority")
+{
+    raft_fixture raft(3);
+    raft.admit_all();
+    raft.maximum_voters = 7;
+    for (int i = 0; i < 3; ++i)
+    {
+        raft.stop(i);
+        raft.start(i);
+    }
+    raft.commit(1);
+    std::vector<int> lost;
+    for (auto const* zone : {"ecape-a", "ecape-b", "ecape-c", "ecape-a"})
+    {
+        auto const number = int(lost.size());
+        lost.push_back(raft.add_stranger(
+            QStringLiteral("%1/%2").arg(QLatin1String(zone)).arg(number)));
+    }
+    REQUIRE(raft.run_until(
+        [&] { return raft.elect().node->members().size() == 7; }));
+    for (auto const* zone : {"wcape-a/1", "gauteng-a/1"})
+    {
+        raft.add_stranger(QString::fromLatin1(zone));
+    }
+    raft.run(milliseconds(10000));
+    CHECK(raft.elect().node->members().size() == 7);
+    for (auto const replica : lost)
+    {
+        raft.stop(replica);
+    }
+    raft.run(milliseconds(1000));
+    raft.commit(2);
+}
+
 TEST_CASE("raft: a voter returns after it was replaced: learns again")
 {
     raft_fixture raft(3);
