--- a/tests/platform/departure_test.cpp
+++ b/tests/platform/departure_test.cpp
@@ -41,14 +41,7 @@
     }
 
     /** Sends the departure without any heartbeat before it. */
-    http_answer leave(int replica)
-    {
-        return call_http({control(replica),
-                          "DELETE",
-                          "/api/instances/" + leaving_.id(),
-                          {},
-                          {}});
-    }
+    http_answer leave(int replica) { return depart(replica, leaving_.id()); }
 
     void kill_all_replicas()
     {
--- a/tests/platform/evacuation_order_test.cpp
+++ b/tests/platform/evacuation_order_test.cpp
@@ -35,16 +35,6 @@
                               { send_heartbeats(stop); });
     }
 
-    http_answer order(int replica, char const* method, milliseconds timeout)
-    {
-        return call_http({control(replica),
-                          method,
-                          "/api/evacuate/wcape-a",
-                          {},
-                          {},
-                          timeout});
-    }
-
     /** Sends an order to all replicas but one, until it is acknowledged. */
     void order_elsewhere(int except, char const* method)
     {
@@ -54,7 +44,8 @@
             {
                 next = (next + 1) % replica_count;
                 return next != except &&
-                       order(next, method, milliseconds(1000)).is(200);
+                       order_evacuation(next, method, milliseconds(1000))
+                           .is(200);
             }));
     }
 
@@ -114,7 +105,7 @@
         CAPTURE(replica);
         order_elsewhere(replica, "POST");
         freeze(replica);
-        CHECK(order(replica, "DELETE", operator_patience).error ==
+        CHECK(order_evacuation(replica, "DELETE", operator_patience).error ==
               call_error::timed_out);
         order_elsewhere(replica, "DELETE");
         order_elsewhere(replica, "POST");
@@ -135,7 +126,7 @@
     {
         CAPTURE(replica);
         freeze(replica);
-        CHECK(order(replica, "POST", operator_patience).error ==
+        CHECK(order_evacuation(replica, "POST", operator_patience).error ==
               call_error::timed_out);
         order_elsewhere(replica, "POST");
         order_elsewhere(replica, "DELETE");
--- a/tests/platform/platform_cluster.hpp
+++ b/tests/platform/platform_cluster.hpp
@@ -110,6 +110,25 @@
                           body});
     }
 
+    /** Orders the evacuation of the zone (POST), or its end (DELETE). */
+    http_answer order_evacuation(int replica, char const* method,
+                                 milliseconds patience)
+    {
+        return call_http({control(replica),
+                          method,
+                          "/api/evacuate/wcape-a",
+                          {},
+                          {},
+                          patience});
+    }
+
+    /** Sends the departure of an upstream. */
+    http_answer depart(int replica, QByteArray const& id)
+    {
+        return call_http(
+            {control(replica), "DELETE", "/api/instances/" + id, {}, {}});
+    }
+
     static QByteArray configuration(int version, char const* kind)
     {
         return R"({"Version":"r)" + QByteArray::number(version) +
--- a/tests/soak/platform_soak.cpp
+++ b/tests/soak/platform_soak.cpp
@@ -16,9 +16,9 @@
 
 // A randomized run of the real programs under faults from outside: processes
 // that are stopped, paused, killed and restarted, and connections to upstreams
-// that are delayed, reset, cut or silenced. It checks what callers and
-// upstreams see. VERBENACOVE_SEED draws the faults; VERBENACOVE_SECONDS is
-// their time.
+// that are delayed, reset, cut or silenced, and operators who go on to another
+// replica and order the opposite. It checks what callers and upstreams see.
+// VERBENACOVE_SEED draws the faults; VERBENACOVE_SECONDS is their time.
 
 namespace
 {
@@ -29,6 +29,13 @@
 constexpr int caller_count = 4;
 /** From the acknowledgement of a leaving upstream to its last request. */
 constexpr milliseconds drain_bound{2500};
+/** From the acknowledgement of an evacuation to the last request. */
+constexpr milliseconds evacuation_bound{5000};
+/** From the start of processes to their contact with the others. */
+constexpr milliseconds contact_bound{4000};
+/** Time for which an operator waits for a replica. */
+constexpr milliseconds operator_patience{250};
+constexpr milliseconds observation_time{700};
 
 int number_from_environment(char const* name, int fallback)
 {
@@ -113,17 +120,30 @@
         std::this_thread::sleep_for(milliseconds(50 + draw(longest_ms)));
     }
 
+    /** Checks a condition; logs are kept when one does not hold. */
+    void expect(bool holds)
+    {
+        CHECK(holds);
+        is_sound_ = is_sound_ && holds;
+    }
+
     // Faults.
 
     void inject()
     {
         using fault = void (soak_fixture::*)();
-        static std::array<fault, 9> const faults{
-            &soak_fixture::kill_entry,     &soak_fixture::stop_entry,
-            &soak_fixture::freeze_entry,   &soak_fixture::kill_replica,
-            &soak_fixture::freeze_replica, &soak_fixture::kill_all_replicas,
-            &soak_fixture::harm_link,      &soak_fixture::change_routes,
-            &soak_fixture::drain_upstream};
+        static std::array<fault, 11> const faults{
+            &soak_fixture::kill_entry,
+            &soak_fixture::stop_entry,
+            &soak_fixture::freeze_entry,
+            &soak_fixture::kill_replica,
+            &soak_fixture::freeze_replica,
+            &soak_fixture::kill_all_replicas,
+            &soak_fixture::harm_link,
+            &soak_fixture::change_routes,
+            &soak_fixture::drain_upstream,
+            &soak_fixture::repeat_evacuation,
+            &soak_fixture::depart_and_kill_replicas};
         (this->*faults[static_cast<std::size_t>(draw(int(faults.size())))])();
         pause(400);
     }
@@ -147,8 +167,7 @@
         bool const ends_well =
             code == 0 || (!has_begun && code == dies_of_signal);
         CAPTURE(code);
-        CHECK(ends_well);
-        has_ended_well_ = has_ended_well_ && ends_well;
+        expect(ends_well);
         start_entry(entry);
     }
 
@@ -274,13 +293,94 @@
         chosen.is_leaving = false;
     }
 
+    // An operator leaves a replica that does not answer, and gives the opposite
+    // order elsewhere, more than once; the replica reads all of it late.
+    void repeat_evacuation()
+    {
+        int const silent = draw(replica_count);
+        replica_process(silent).freeze();
+        for (int round = draw(3); round >= 0; --round)
+        {
+            for (auto const* method : {"POST", "DELETE"})
+            {
+                order_evacuation(silent, method, operator_patience);
+                order_evacuation_elsewhere(silent, method);
+            }
+        }
+        bool const is_evacuated = draw(2) == 0;
+        if (is_evacuated)
+        {
+            order_evacuation_elsewhere(silent, "POST");
+            expect(wait_until([&] { return !is_served_for(observation_time); },
+                              evacuation_bound));
+        }
+        replica_process(silent).thaw();
+        std::this_thread::sleep_for(observation_time);
+        if (is_evacuated)
+        {
+            expect(!is_served_for(observation_time));
+            order_evacuation_elsewhere(silent, "DELETE");
+        }
+        expect(serves(0));
+    }
+
+    // An upstream leaves without a heartbeat, and all replicas are killed right
+    // after the acknowledgement.
+    void depart_and_kill_replicas()
+    {
+        auto& chosen =
+            *upstreams_[static_cast<std::size_t>(draw(upstream_count))];
+        chosen.is_leaving = true;
+        REQUIRE(wait_until(
+            [&] {
+                return depart(draw(replica_count), chosen.upstream.id())
+                    .is(200);
+            }));
+        kill_all_replicas();
+        std::this_thread::sleep_for(contact_bound);
+        auto const before = chosen.upstream.all_runs();
+        std::this_thread::sleep_for(observation_time);
+        expect(chosen.upstream.all_runs() == before);
+        chosen.upstream.restart();
+        chosen.is_leaving = false;
+    }
+
+    void order_evacuation_elsewhere(int except, char const* method)
+    {
+        REQUIRE(wait_until(
+            [&]
+            {
+                int const replica =
+                    (except + 1 + draw(replica_count - 1)) % replica_count;
+                return order_evacuation(replica, method, milliseconds(1000))
+                    .is(200);
+            },
+            milliseconds(20000)));
+    }
+
+    int all_runs() const
+    {
+        int result = 0;
+        for (auto const& each : upstreams_)
+        {
+            result += each->upstream.all_runs();
+        }
+        return result;
+    }
+
+    /** Returns whether upstreams get requests within a span of time. */
+    bool is_served_for(milliseconds span)
+    {
+        auto const before = all_runs();
+        std::this_thread::sleep_for(span);
+        return all_runs() != before;
+    }
+
     void recover()
     {
         for (int entry = 0; entry < entry_count; ++entry)
         {
-            bool const is_back = serves(entry);
-            CHECK(is_back);
-            has_recovered_ = has_recovered_ && is_back;
+            expect(serves(entry));
         }
     }
 
@@ -359,8 +459,7 @@
             }));
         CHECK(QJsonDocument(read.json()) == QJsonDocument::fromJson(accepted_));
         bool const holds = doubled == 0 && untrue == 0 &&
-                           wrong_answers_.empty() && served_ > 0 &&
-                           has_recovered_ && has_ended_well_;
+                           wrong_answers_.empty() && served_ > 0 && is_sound_;
         if (!holds)
         {
             keep_folder();
@@ -381,8 +480,8 @@
     std::vector<sent_request> sent_;
     std::vector<QByteArray> wrong_answers_;
     int served_ = 0;
-    bool has_recovered_ = true;
-    bool has_ended_well_ = true;
+    /** Whether all that was expected so far has held. */
+    bool is_sound_ = true;
     std::jthread beats_;
     std::vector<std::jthread> callers_;
 };
