Log the term, the leader and the voters with a replica's load

The users' record of refused reads could not tell a group without a majority from replicas that follow nobody: the load line lacked who votes, who leads and in which term. It has them now.

--- a/source/verbenacove/process/routing/replica_load.cpp
+++ b/source/verbenacove/process/routing/replica_load.cpp
@@ -67,6 +67,9 @@
          {"control_connections", load.control_connections},
          {"lookup_connections", load.lookup_connections},
          {"leader", load.is_leader},
+         {"term", load.term},
+         {"followed_leader", load.followed_leader},
+         {"voters", load.voters.join(QLatin1Char(' '))},
          {"learners", load.learners},
          {"learners_behind", load.learners_behind},
          {"learners_silent", load.learners_silent}});
--- a/source/verbenacove/process/routing/replica_load.hpp
+++ b/source/verbenacove/process/routing/replica_load.hpp
@@ -5,6 +5,7 @@
 #include "verbenacove/core/loop_lag.hpp"
 #include "verbenacove/core/timer_service.hpp"
 
+#include <QStringList>
 #include <QtGlobal>
 
 #include <functional>
@@ -24,6 +25,12 @@
     /** Open connections for look-ups. */
     qint64 lookup_connections = 0;
     bool is_leader = false;
+    /** Term of the replicated log. */
+    qint64 term = 0;
+    /** Name of the leader that this replica follows; empty without one. */
+    QString followed_leader;
+    /** Names of the replicas whose votes count, as far as this one knows. */
+    QStringList voters;
     /** On the leader, replicas without a vote. */
     qint64 learners = 0;
     /** Those of them that have not acknowledged what was committed. */
--- a/source/verbenacove/process/routing/replica_process.cpp
+++ b/source/verbenacove/process/routing/replica_process.cpp
@@ -297,6 +297,12 @@
     load.lookup_connections =
         directory_endpoint_ ? directory_endpoint_->connection_count() : 0;
     load.is_leader = node.is_leader();
+    load.term = node.term().value();
+    load.followed_leader = server_->leader_name();
+    for (auto const& voter : node.members())
+    {
+        load.voters += voter.name;
+    }
     for (auto const& peer : node.peers())
     {
         load.learners += peer.is_voter ? 0 : 1;
