--- a/tests/platform/departure_test.cpp
+++ b/tests/platform/departure_test.cpp
@@ -43,6 +43,8 @@
     /** Sends the departure without any heartbeat before it. */
     http_answer leave(int replica) { return depart(replica, leaving_.id()); }
 
+    void send_late_heartbeat(int replica) { leaving_.beat(control(replica)); }
+
     void kill_all_replicas()
     {
         for (int replica = 0; replica < replica_count; ++replica)
@@ -101,6 +103,28 @@
     CHECK(requests_after_departure() == 0);
 }
 
+// After a restart nothing told a late heartbeat from one of an upstream that
+// serves.
+TEST_CASE_FIXTURE(departure_fixture,
+                  "departure: a heartbeat from before it arrives after all "
+                  "processes have restarted: it is not in use again")
+{
+    REQUIRE(requests_after_departure() > 0);
+    CHECK(leave(0).is(200));
+    kill_all_replicas();
+    entry_process(0).kill_now();
+    start_all_replicas();
+    start_entry(0);
+    REQUIRE(serves(0));
+    std::this_thread::sleep_for(contact);
+    for (int replica = 0; replica < replica_count; ++replica)
+    {
+        send_late_heartbeat(replica);
+    }
+    std::this_thread::sleep_for(milliseconds(1000));
+    CHECK(requests_after_departure() == 0);
+}
+
 // The same moment, seen from the other side: no replica knows the upstream.
 TEST_CASE_FIXTURE(departure_fixture,
                   "departure: replicas have just started and know nothing of "
