Honour the departure of an upstream whose clock is ahead

Callers would have seen requests at an upstream whose departure had been acknowledged. Cause: since departures are kept on disk, the departure of a known upstream was taken for one of an earlier start when that upstream's clock was ahead of the replica's. A known upstream is marked as gone by its record again; only one that no replica knows is judged by the time of day.

Evidence: departure_test "the clock of the upstream is ahead" failed before (82 requests after the departure) and passes now.

--- a/source/verbenacove/process/discovery/discovery_push.cpp
+++ b/source/verbenacove/process/discovery/discovery_push.cpp
@@ -43,7 +43,14 @@
 
 void discovery_service::leave(upstream_id const& id, acknowledge_callback done)
 {
-    // A replica that has just started may not know the upstream, but others
+    membership_.mark_upstream_gone(id);
+    auto const* known = membership_.upstreams().find(id.value());
+    if (known != nullptr)
+    {
+        push(*known, std::move(done));
+        return;
+    }
+    // A replica that has just started does not know the upstream, but others
     // and entries may.
     upstream_member departed;
     departed.id = id.value();
@@ -51,8 +58,7 @@
     departed.phase = member_phase::gone;
     departed.last_heartbeat = clock_.now();
     membership_.apply_relayed(departed);
-    auto const* known = membership_.upstreams().find(id.value());
-    push(known != nullptr ? *known : departed, std::move(done));
+    push(departed, std::move(done));
 }
 
 void discovery_service::restore_departures()
--- a/tests/platform/departure_test.cpp
+++ b/tests/platform/departure_test.cpp
@@ -43,6 +43,12 @@
     /** Sends the departure without any heartbeat before it. */
     http_answer leave(int replica) { return depart(replica, leaving_.id()); }
 
+    void restart_with_clock_ahead(milliseconds ahead)
+    {
+        leaving_.restart_with_clock_ahead(ahead);
+        REQUIRE(wait_until([&] { return leaving_.beat(control(0)).is(200); }));
+    }
+
     void send_late_heartbeat(int replica) { leaving_.beat(control(replica)); }
 
     void kill_all_replicas()
@@ -125,6 +131,19 @@
     CHECK(requests_after_departure() == 0);
 }
 
+// A departure was acknowledged and had no effect, as it seemed to be of an
+// earlier start.
+TEST_CASE_FIXTURE(departure_fixture,
+                  "departure: the clock of the upstream is ahead of the "
+                  "replicas': it gets no more requests")
+{
+    restart_with_clock_ahead(milliseconds(60000));
+    REQUIRE(wait_until([&] { return requests_after_departure() > 0; }));
+    CHECK(leave(0).is(200));
+    std::this_thread::sleep_for(milliseconds(1000));
+    CHECK(requests_after_departure() == 0);
+}
+
 // The same moment, seen from the other side: no replica knows the upstream.
 TEST_CASE_FIXTURE(departure_fixture,
                   "departure: replicas have just started and know nothing of "
--- a/tests/platform/platform_upstream.hpp
+++ b/tests/platform/platform_upstream.hpp
@@ -61,6 +61,13 @@
         sequence_ = 0;
     }
 
+    /** Starts anew with a clock that is ahead of the others. */
+    void restart_with_clock_ahead(milliseconds ahead)
+    {
+        restart();
+        born_ += ahead.count();
+    }
+
     /** Starts anew after a crash of its own, and listens again. */
     void come_back()
     {
