Log a replica's processor time by kind of work

Line replica.work gives time and count by kind of work, and how many whole views and changes were made for entries.

On the users' platform the thread's processor clock runs while the thread waits, so the figures by kind there are shares, not processor time.

--- a/source/verbenacove/process/control_server.cpp
+++ b/source/verbenacove/process/control_server.cpp
@@ -50,7 +50,13 @@
     {
         return false;
     }
-    tick_ = timers_.call_every(tick_interval, [this] { node_.tick(); });
+    tick_ = timers_.call_every(tick_interval,
+                               [this]
+                               {
+                                   work_meter::scope const scope(
+                                       work_, work_kind::consensus);
+                                   node_.tick();
+                               });
     report_ = timers_.call_every(report_interval, [this] { send_report(); });
     return true;
 }
@@ -136,6 +142,7 @@
     auto const name = cbor_text(request, "m");
     if (name.startsWith(QLatin1String("raft.")))
     {
+        work_meter::scope const scope(work_, work_kind::consensus);
         reply(node_.handle(request));
         return;
     }
@@ -348,6 +355,7 @@
         [this]
         {
             is_flush_due_ = false;
+            work_meter::scope const scope(work_, work_kind::consensus);
             node_.flush();
         },
         Qt::QueuedConnection);
--- a/source/verbenacove/process/control_server.hpp
+++ b/source/verbenacove/process/control_server.hpp
@@ -9,6 +9,7 @@
 #include "verbenacove/process/grant_service.hpp"
 #include "verbenacove/process/raft_node.hpp"
 #include "verbenacove/process/raft_rpc_transport.hpp"
+#include "verbenacove/process/work_meter.hpp"
 
 #include <functional>
 #include <memory>
@@ -82,6 +83,9 @@
     raft_node const& node() const { return node_; }
     control_state const& state() const { return state_; }
 
+    /** Returns the meter of the control thread's work. */
+    work_meter& work() { return work_; }
+
     /** Returns the name of the leader, or an empty one. */
     QString leader_name() const;
 
@@ -114,8 +118,9 @@
     control_settings settings_;
     QHash<QString, call_handler> handlers_;
     steady_clock_source clock_;
+    work_meter work_;
     control_state state_;
-    raft_rpc_transport transport_;
+    raft_rpc_transport transport_{work_};
     raft_node node_;
     rpc_server rpc_;
     timer_service timers_;
--- a/source/verbenacove/process/discovery/delta_cache.cpp
+++ b/source/verbenacove/process/discovery/delta_cache.cpp
@@ -61,7 +61,10 @@
         return known->delta;
     }
     entry_delta made{view.updates_since(from, {}), {}};
-    if (record_count(made.plain) >= minimum_packed_records)
+    auto const records = record_count(made.plain);
+    ++(view.is_known(from) ? counts_.changes : counts_.whole_views);
+    counts_.records += records;
+    if (records >= minimum_packed_records)
     {
         made.packed = pack_cbor(made.plain);
     }
--- a/source/verbenacove/process/discovery/delta_cache.hpp
+++ b/source/verbenacove/process/discovery/delta_cache.hpp
@@ -5,6 +5,7 @@
 
 #include <QByteArray>
 
+#include <utility>
 #include <vector>
 
 namespace verbenacove
@@ -37,6 +38,17 @@
     entry_delta const& find(membership_view const& view,
                             sync_position const& position, monotonic_time now);
 
+    /** Numbers of the deltas that were made and of the records in them. */
+    struct made_deltas
+    {
+        qint64 whole_views = 0;
+        qint64 changes = 0;
+        qint64 records = 0;
+    };
+
+    /** Returns what was made since the previous call. */
+    made_deltas take_made() { return std::exchange(counts_, {}); }
+
 private:
     struct cached_delta
     {
@@ -48,6 +60,7 @@
     std::vector<cached_delta> deltas_;
     sync_position state_;
     monotonic_time made_{};
+    made_deltas counts_;
 };
 
 } // namespace verbenacove
--- a/source/verbenacove/process/discovery/discovery_push.cpp
+++ b/source/verbenacove/process/discovery/discovery_push.cpp
@@ -112,6 +112,7 @@
 void discovery_service::handle_push(QCborMap const& request,
                                     reply_function const& reply)
 {
+    work_meter::scope const scope(server_.work(), work_kind::departures);
     auto const now = clock_.now();
     upstream_member record;
     if (!from_cbor(cbor_map(request, "upstream"), now, record))
@@ -139,6 +140,7 @@
         std::size_t outstanding = 0;
         acknowledge_callback done;
     };
+    work_meter::scope const scope(server_.work(), work_kind::departures);
     auto const members = server_.node().members();
     auto const pending = std::make_shared<pending_push>();
     pending->done = std::move(done);
--- a/source/verbenacove/process/discovery/discovery_read.cpp
+++ b/source/verbenacove/process/discovery/discovery_read.cpp
@@ -41,6 +41,7 @@
 
 void discovery_service::handle_tick()
 {
+    work_meter::scope const scope(server_.work(), work_kind::housekeeping);
     auto const now = clock_.now();
     if (elapsed(last_heartbeat_, now) >= heartbeat_interval)
     {
@@ -134,6 +135,7 @@
         return;
     }
     from.is_reading = true;
+    work_meter::scope const scope(server_.work(), work_kind::replica_responses);
     from.client->call(make_read_request(address, from),
                       maximum_hold + read_margin,
                       [this, address](std::optional<QCborMap> const& reply)
@@ -205,6 +207,7 @@
 void discovery_service::handle_response(socket_address const& address,
                                         std::optional<QCborMap> const& reply)
 {
+    work_meter::scope const scope(server_.work(), work_kind::replica_responses);
     // Keeps the source alive, as a callback may remove it.
     auto const from = sources_.value(address);
     if (!from)
--- a/source/verbenacove/process/discovery/discovery_service.cpp
+++ b/source/verbenacove/process/discovery/discovery_service.cpp
@@ -171,6 +171,9 @@
     replica_member replica;
     auto const self = cbor_map(request, "self");
     bool const is_replica = cbor_flag(request, "replica");
+    work_meter::scope const scope(server_.work(),
+                                  is_replica ? work_kind::replica_requests
+                                             : work_kind::entry_requests);
     if (is_replica && from_cbor(self, now, replica))
     {
         membership_.apply_heartbeat(std::move(replica));
@@ -229,6 +232,9 @@
 void discovery_service::respond(waiting_reader const& reader)
 {
     bool const is_replica = cbor_flag(reader.request, "replica");
+    work_meter::scope const scope(server_.work(),
+                                  is_replica ? work_kind::replica_requests
+                                             : work_kind::entry_responses);
     auto response = view_for(reader);
     response[QLatin1String("status")] = QLatin1String("ok");
     if (reader.view.is_delegating)
--- a/source/verbenacove/process/discovery/discovery_service.hpp
+++ b/source/verbenacove/process/discovery/discovery_service.hpp
@@ -108,6 +108,12 @@
     /** Returns the number of readers that wait for updates. */
     std::size_t waiting_readers() const { return waiting_.size(); }
 
+    /** Returns which deltas were made for entries since the previous call. */
+    delta_cache::made_deltas take_made_deltas()
+    {
+        return entry_deltas_.take_made();
+    }
+
     /** Returns the number of replicas whose latest read failed. */
     std::size_t lost_replica_count() const
     {
--- a/source/verbenacove/process/raft_rpc_transport.hpp
+++ b/source/verbenacove/process/raft_rpc_transport.hpp
@@ -3,6 +3,7 @@
 
 #include "verbenacove/connection/rpc_client.hpp"
 #include "verbenacove/process/raft_node.hpp"
+#include "verbenacove/process/work_meter.hpp"
 
 #include <QHash>
 
@@ -16,6 +17,13 @@
 class raft_rpc_transport : public raft_transport
 {
 public:
+    /** @param work  counts the time that the callbacks of `send` and
+                     `send_bulk` take; must outlive this */
+    explicit raft_rpc_transport(work_meter& work)
+        : work_(work)
+    {
+    }
+
     void send(socket_address const& to, QCborMap message, milliseconds timeout,
               callback done) override;
     void send_bulk(socket_address const& to, QCborMap message,
@@ -26,7 +34,10 @@
 
     static rpc_client& client_in(client_table& clients,
                                  socket_address const& address);
+    /** Returns a callback whose time is counted. */
+    callback measured(callback done);
 
+    work_meter& work_;
     client_table clients_;
     client_table bulk_clients_;
 };
--- a/source/verbenacove/process/routing/replica_load.cpp
+++ b/source/verbenacove/process/routing/replica_load.cpp
@@ -2,6 +2,8 @@
 
 #include "verbenacove/core/event_log.hpp"
 
+#include <QJsonObject>
+
 #include <sys/resource.h>
 
 #include <utility>
@@ -74,6 +76,28 @@
          {"learners_behind", load.learners_behind},
          {"learners_silent", load.learners_silent}});
     last_processor_time_ = used;
+    log_work(load);
+}
+
+void replica_load_reporter::log_work(replica_load const& load)
+{
+    QJsonObject processor_time;
+    QJsonObject counts;
+    for (std::size_t kind = 0; kind < load.work.size(); ++kind)
+    {
+        QLatin1String const name(work_kind_name(static_cast<work_kind>(kind)));
+        auto const& amount = load.work.at(kind);
+        processor_time[name] = qint64{
+            std::chrono::duration_cast<milliseconds>(amount.processor_time)
+                .count()};
+        counts[name] = amount.count;
+    }
+    load_log.note("replica.work",
+                  {{"processor_ms", processor_time},
+                   {"count", counts},
+                   {"whole_views_made", load.deltas.whole_views},
+                   {"changes_made", load.deltas.changes},
+                   {"records_made", load.deltas.records}});
 }
 
 } // namespace verbenacove
--- a/source/verbenacove/process/routing/replica_load.hpp
+++ b/source/verbenacove/process/routing/replica_load.hpp
@@ -4,6 +4,8 @@
 #include "verbenacove/core/clock.hpp"
 #include "verbenacove/core/loop_lag.hpp"
 #include "verbenacove/core/timer_service.hpp"
+#include "verbenacove/process/discovery/delta_cache.hpp"
+#include "verbenacove/process/work_meter.hpp"
 
 #include <QStringList>
 #include <QtGlobal>
@@ -37,6 +39,9 @@
     qint64 learners_behind = 0;
     /** Those of them that do not answer. */
     qint64 learners_silent = 0;
+    /** What was done since the previous report. */
+    work_meter::amounts work{};
+    delta_cache::made_deltas deltas;
 };
 
 /** Logs a replica's load at an interval, with the processor time that the
@@ -52,6 +57,7 @@
 
 private:
     void handle_tick();
+    static void log_work(replica_load const& load);
 
     std::function<replica_load()> measure_;
     steady_clock_source clock_;
--- a/source/verbenacove/process/routing/replica_process.cpp
+++ b/source/verbenacove/process/routing/replica_process.cpp
@@ -211,13 +211,16 @@
         http_server::handler handle;
         int maximum_connections = 0;
     };
-    std::vector<endpoint> endpoints{{control_endpoint_, settings_.control,
-                                     std::move(request_handlers.control),
-                                     maximum_control_connections}};
+    std::vector<endpoint> endpoints{
+        {control_endpoint_, settings_.control,
+         measured(work_kind::control_calls,
+                  std::move(request_handlers.control)),
+         maximum_control_connections}};
     if (settings_.directory)
     {
         endpoints.push_back({directory_endpoint_, *settings_.directory,
-                             std::move(request_handlers.directory),
+                             measured(work_kind::lookups,
+                                      std::move(request_handlers.directory)),
                              maximum_lookup_connections});
     }
     if (settings_.metrics)
@@ -246,6 +249,17 @@
     return {};
 }
 
+http_server::handler replica_process::measured(work_kind kind,
+                                               http_server::handler handle)
+{
+    return [this, kind, handle = std::move(handle)](
+               std::shared_ptr<http_exchange> const& exchange)
+    {
+        work_meter::scope const scope(server_->work(), kind);
+        handle(exchange);
+    };
+}
+
 void replica_process::reload(replica_settings settings)
 {
     discovery_->set_seeds(std::move(settings.seeds));
@@ -287,10 +301,12 @@
         });
 }
 
-replica_load replica_process::measure_load() const
+replica_load replica_process::measure_load()
 {
     auto const& node = server_->node();
     replica_load load;
+    load.work = server_->work().take();
+    load.deltas = discovery_->take_made_deltas();
     load.waiting_readers = static_cast<qint64>(discovery_->waiting_readers());
     load.lost_replicas = static_cast<qint64>(discovery_->lost_replica_count());
     load.control_connections = control_endpoint_->connection_count();
--- a/source/verbenacove/process/routing/replica_process.hpp
+++ b/source/verbenacove/process/routing/replica_process.hpp
@@ -101,7 +101,9 @@
     QString open_endpoints(handlers request_handlers);
     void finish_stop(std::function<void()> on_stopped);
     QByteArray metrics_body();
-    replica_load measure_load() const;
+    replica_load measure_load();
+    /** Returns a handler whose time is counted for a kind of work. */
+    http_server::handler measured(work_kind kind, http_server::handler handle);
 
     replica_settings settings_;
     steady_clock_source clock_;
