Share whole views among readers from other replicas while the view changes

Cause: a reader that comes from another replica gets the whole membership view, and a view was made and packed anew whenever it had changed since the last one. After a loss it changes all the time, and each loss of a leader sends all entries of a replica to others: 8 to 12 views of 1,650 records in two seconds at each replica, more than its processor share. Heartbeats of the log came too late, so leaders fell, and their entries moved again.

A whole view is now given for twenty times as long as it took to make, one second at most; its reader reads on from there and gets what has changed since.

--- a/source/verbenacove/process/discovery/delta_cache.cpp
+++ b/source/verbenacove/process/discovery/delta_cache.cpp
@@ -39,10 +39,13 @@
 
 delta_cache::entry_delta const& delta_cache::find(membership_view const& view,
                                                   sync_position const& position,
-                                                  monotonic_time now)
+                                                  clock_source const& clock)
 {
-    // Readers of another view all need the whole of this one.
-    auto const from = view.is_known(position) ? position : sync_position{};
+    if (!view.is_known(position))
+    {
+        return find_whole_view(view, clock);
+    }
+    auto const now = clock.now();
     auto const state = view.position();
     bool const is_outdated =
         !is_same_state(state, state_) || elapsed(made_, now) > maximum_age;
@@ -54,22 +57,53 @@
     }
     auto const known =
         std::find_if(deltas_.begin(), deltas_.end(),
-                     [&from](cached_delta const& each)
-                     { return is_same_state(each.position, from); });
+                     [&position](cached_delta const& each)
+                     { return is_same_state(each.position, position); });
     if (known != deltas_.end())
     {
         return known->delta;
     }
+    ++counts_.changes;
+    deltas_.push_back({position, make(view, position)});
+    return deltas_.back().delta;
+}
+
+delta_cache::entry_delta const&
+delta_cache::find_whole_view(membership_view const& view,
+                             clock_source const& clock)
+{
+    auto const now = clock.now();
+    auto const state = view.position();
+    if (whole_view_)
+    {
+        auto const age = elapsed(whole_view_->made, now);
+        bool const is_same = is_same_state(state, whole_view_->state);
+        bool const is_usable =
+            age < whole_view_->maximum_age || (is_same && age <= maximum_age);
+        if (is_usable)
+        {
+            return whole_view_->delta;
+        }
+    }
+    ++counts_.whole_views;
+    cached_view made{state, make(view, {}), now, milliseconds(0)};
+    made.maximum_age =
+        std::min(maximum_view_age, view_age_factor * elapsed(now, clock.now()));
+    whole_view_ = std::move(made);
+    return whole_view_->delta;
+}
+
+delta_cache::entry_delta delta_cache::make(membership_view const& view,
+                                           sync_position const& from)
+{
     entry_delta made{view.updates_since(from, {}), {}};
     auto const records = record_count(made.plain);
-    ++(view.is_known(from) ? counts_.changes : counts_.whole_views);
     counts_.records += records;
     if (records >= minimum_packed_records)
     {
         made.packed = pack_cbor(made.plain);
     }
-    deltas_.push_back({from, std::move(made)});
-    return deltas_.back().delta;
+    return made;
 }
 
 } // namespace verbenacove
--- a/source/verbenacove/process/discovery/delta_cache.hpp
+++ b/source/verbenacove/process/discovery/delta_cache.hpp
@@ -5,6 +5,7 @@
 
 #include <QByteArray>
 
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -23,6 +24,13 @@
         little. */
     static constexpr qsizetype minimum_packed_records = 16;
 
+    /** A whole view is given for this many times as long as it took to make,
+        so that a loss of replicas, which sends many readers to others while the
+        view changes, takes a small part of the processor time only. */
+    static constexpr int view_age_factor = 20;
+    /** Maximum age of a whole view. */
+    static constexpr milliseconds maximum_view_age{1000};
+
     /** A delta as it is sent. */
     struct entry_delta
     {
@@ -33,10 +41,15 @@
 
     /** Returns the delta after a reader's position.
 
-        The result is valid until the next call.
+        A reader of another view gets the whole of this one, perhaps as it was a
+        while ago; it reads on from there. The result is valid until the next
+        call.
+
+        @param clock  measures how long it takes to make a whole view
     */
     entry_delta const& find(membership_view const& view,
-                            sync_position const& position, monotonic_time now);
+                            sync_position const& position,
+                            clock_source const& clock);
 
     /** Numbers of the deltas that were made and of the records in them. */
     struct made_deltas
@@ -56,6 +69,21 @@
         entry_delta delta;
     };
 
+    /** The whole of a view, as it was in one state. */
+    struct cached_view
+    {
+        sync_position state;
+        entry_delta delta;
+        monotonic_time made{};
+        /** Age at which it is made again once the state has changed. */
+        milliseconds maximum_age{0};
+    };
+
+    entry_delta const& find_whole_view(membership_view const& view,
+                                       clock_source const& clock);
+    entry_delta make(membership_view const& view, sync_position const& from);
+
+    std::optional<cached_view> whole_view_;
     /** The deltas of one state of the view. */
     std::vector<cached_delta> deltas_;
     sync_position state_;
--- a/source/verbenacove/process/discovery/discovery_service.cpp
+++ b/source/verbenacove/process/discovery/discovery_service.cpp
@@ -290,7 +290,7 @@
         return membership_.updates_since(reader.position, reader.view);
     }
     auto const& delta =
-        entry_deltas_.find(membership_, reader.position, clock_.now());
+        entry_deltas_.find(membership_, reader.position, clock_);
     bool const is_packed =
         cbor_flag(request, "packed_view") && !delta.packed.isEmpty();
     return is_packed ? QCborMap{{QLatin1String("packed_view"), delta.packed}}
