Pass on records of a lost replica only while in contact with it

Cause: a replica that cannot read another one names it to all others, and each of them sent all records that it knew of the lost one, whether it had contact itself or not. After the loss of 7 replicas of 19 each of the other 12 got some 500 records from each of 11 sources at once, in the second in which it had to elect a leader.

A source now passes on the records of those lost replicas that it hears itself, and names them in `vouched`; `sends_vouched_only` tells it apart from earlier builds, whose answer counts as before. What is needed of a replica that nobody hears comes with its processes' next heartbeats elsewhere; departures are passed on by all, as before.

--- a/source/verbenacove/process/discovery/discovery_read.cpp
+++ b/source/verbenacove/process/discovery/discovery_read.cpp
@@ -184,19 +184,37 @@
     return names;
 }
 
+bool discovery_service::is_in_contact(source const& from) const
+{
+    return from.was_read && !from.is_lost && from.position.view_id != 0 &&
+           elapsed(from.last_response, clock_.now()) <
+               maximum_hold + read_margin;
+}
+
+QSet<QString>
+discovery_service::heard_replicas(QSet<QString> const& names) const
+{
+    QSet<QString> result;
+    for (auto item = sources_.begin(); item != sources_.end(); ++item)
+    {
+        auto const name = item.key().text();
+        if (names.contains(name) && is_in_contact(*item.value()))
+        {
+            result.insert(name);
+        }
+    }
+    return result;
+}
+
 // Replicas that this one reads and the reader does not.
 QCborArray discovery_service::vouched_replicas(QSet<QString> const& lost) const
 {
     QCborArray result;
-    auto const now = clock_.now();
     for (auto item = sources_.begin(); item != sources_.end(); ++item)
     {
         auto const& from = *item.value();
         auto const name = item.key().text();
-        bool const is_in_contact =
-            from.was_read && !from.is_lost && from.position.view_id != 0 &&
-            elapsed(from.last_response, now) < maximum_hold + read_margin;
-        if (is_in_contact && lost.contains(name))
+        if (lost.contains(name) && is_in_contact(from))
         {
             result.append(QCborArray{name, from.position.view_id});
         }
@@ -240,7 +258,10 @@
         }
     }
     auto const lost = lost_replicas({});
-    from.answered_lost = from.sent_lost & lost;
+    // A replica of an earlier build sends all records that it knows.
+    bool const sends_vouched_only = cbor_flag(reply, "sends_vouched_only");
+    from.answered_lost =
+        sends_vouched_only ? QSet<QString>() : from.sent_lost & lost;
     bool const is_delegate = cbor_flag(reply, "delegates");
     auto const previous_view = from.position.view_id;
     from.position = membership_.merge(reply, {address.text(), is_delegate});
@@ -250,6 +271,7 @@
         auto const name = item.toArray().at(0).toString();
         if (lost.contains(name))
         {
+            from.answered_lost.insert(name);
             membership_.record_contact(name, item.toArray().at(1).toInteger());
         }
     }
--- a/source/verbenacove/process/discovery/discovery_service.cpp
+++ b/source/verbenacove/process/discovery/discovery_service.cpp
@@ -184,12 +184,16 @@
     }
     merge_crashes(request);
     rate_limit_reporter::apply(request, membership_, now);
+    auto view = parse_view_reader(request);
+    // Records of replicas that are gone would come from each source at once.
+    view.lost = heard_replicas(view.lost);
+    view.newly_lost = heard_replicas(view.newly_lost);
     auto const hold = std::clamp(milliseconds(cbor_number(request, "hold")),
                                  milliseconds(0), maximum_hold);
     waiting_reader const reader{
         request,
         parse_sync_position(cbor_map(request, "position")),
-        parse_view_reader(request),
+        std::move(view),
         crash_position::parse(request),
         is_replica ? now + replica_update_interval : now,
         now + hold,
@@ -241,6 +245,7 @@
     {
         response[QLatin1String("delegates")] = true;
         response[QLatin1String("vouched")] = vouched_replicas(reader.view.lost);
+        response[QLatin1String("sends_vouched_only")] = true;
     }
     response[QLatin1String("current")] = is_current();
     response[QLatin1String("settled")] = settling_.is_settled();
--- a/source/verbenacove/process/discovery/discovery_service.hpp
+++ b/source/verbenacove/process/discovery/discovery_service.hpp
@@ -181,6 +181,9 @@
     /** Returns whether a response cannot wait for further changes. */
     bool is_urgent(waiting_reader const& reader) const;
     bool is_response_due(waiting_reader const& reader) const;
+    /** Returns those of the given replicas with which this one has contact. */
+    QSet<QString> heard_replicas(QSet<QString> const& names) const;
+    bool is_in_contact(source const& from) const;
     QCborArray vouched_replicas(QSet<QString> const& lost) const;
     void respond(waiting_reader const& reader);
     /** Returns the part of the membership view that a reader gets. */
--- a/tests/unit/leader_search_test.cpp
+++ b/tests/unit/leader_search_test.cpp
@@ -1,18 +1,10 @@
-#include "support/child_process.hpp"
-#include "support/wait_until.hpp"
-#include "verbenacove/connection/rpc_server.hpp"
-#include "verbenacove/core/cbor.hpp"
-#include "verbenacove/process/discovery/discovery_service.hpp"
+#include "discovery_test_tools.hpp"
 #include "verbenacove/process/discovery/replica_link.hpp"
 
-#include <doctest/doctest.h>
-
-#include <QTemporaryDir>
+#include <array>
 
 using namespace verbenacove;
-using verbenacove::support::ensure_application;
-using verbenacove::support::free_port;
-using verbenacove::support::wait_until;
+using namespace verbenacove::support;
 
 namespace
 {
@@ -21,66 +13,22 @@
 constexpr qsizetype maximum_brief_bytes = 256;
 constexpr milliseconds search_time{1500};
 
-socket_address local_address()
-{
-    return {QHostAddress(QHostAddress::LocalHost), free_port()};
-}
-
 /** A replica that knows many upstreams, in a group of three of which the other
     two never start. */
-class leaderless_replica
+struct leaderless_replica
 {
-public:
     leaderless_replica()
     {
-        ensure_application();
-        raft_members members;
-        for (auto const& address : {address_, local_address(), local_address()})
-        {
-            members.push_back(
-                {address.text(), replica_id(address.text()), address});
-        }
-        auto const folder = folder_.filePath(QStringLiteral("r"));
-        REQUIRE(
-            raft_storage::create(folder, replica_id(address_.text()), members));
-        auto opened = raft_storage::open(folder);
-        REQUIRE(opened);
-        storage_ = std::move(*opened);
-        control_settings settings;
-        settings.name = address_.text();
-        settings.listen = address_;
-        server_ = std::make_unique<control_server>(settings, *storage_);
-        discovery_ = std::make_unique<discovery_service>(
-            discovery_settings{{address_, {}, {}}, {}, folder}, *server_);
         for (int number = 0; number < upstream_count; ++number)
         {
-            add_upstream(number);
+            replica.discovery().handle_heartbeat(make_upstream(number),
+                                                 [](bool) {});
         }
-        REQUIRE(server_->start());
-        discovery_->start();
     }
 
-    socket_address const& address() const { return address_; }
-
-private:
-    void add_upstream(int number)
-    {
-        upstream_member record;
-        record.id = QStringLiteral("upstream-%1").arg(number);
-        record.started = incarnation(1);
-        record.sequence = 1;
-        record.phase = member_phase::serving;
-        record.content.address = {QHostAddress(QHostAddress::LocalHost),
-                                  static_cast<quint16>(1000 + number)};
-        record.last_heartbeat = steady_clock_source().now();
-        discovery_->handle_heartbeat(record, [](bool) {});
-    }
+    socket_address const& address() const { return replica.address(); }
 
-    QTemporaryDir folder_;
-    socket_address address_ = local_address();
-    std::unique_ptr<raft_storage> storage_;
-    std::unique_ptr<control_server> server_;
-    std::unique_ptr<discovery_service> discovery_;
+    test_replica replica{{local_address(), local_address()}};
 };
 
 /** Replicas without a leader that record which reads ask for their view. */
--- /dev/null
+++ b/tests/unit/lost_replicas_test.cpp
@@ -0,0 +1,75 @@
+#include "discovery_test_tools.hpp"
+#include "verbenacove/connection/rpc_client.hpp"
+
+using namespace verbenacove;
+using verbenacove::support::replica_stand_in;
+using verbenacove::support::test_replica;
+using verbenacove::support::wait_until;
+
+namespace
+{
+
+constexpr int upstream_count = 50;
+
+/** A replica that reads another one. */
+struct lost_replica_fixture
+{
+    lost_replica_fixture()
+    {
+        REQUIRE(wait_until(
+            [this]
+            {
+                return replica.discovery()
+                           .membership()
+                           .upstreams()
+                           .records()
+                           .size() == upstream_count;
+            }));
+    }
+
+    /** Reads the replica as one that has lost contact with the other one. */
+    QCborMap read_without_contact()
+    {
+        rpc_client client(replica.address());
+        std::optional<QCborMap> response;
+        QCborArray const lost{other.address().text()};
+        client.call({{QLatin1String("m"), QLatin1String("news")},
+                     {QLatin1String("replica"), true},
+                     {QLatin1String("delegates"), true},
+                     {QLatin1String("lost"), lost},
+                     {QLatin1String("newly_lost"), lost}},
+                    milliseconds(2000),
+                    [&](std::optional<QCborMap> const& reply)
+                    { response = reply; });
+        REQUIRE(wait_until([&] { return response.has_value(); }));
+        return *response;
+    }
+
+    replica_stand_in other{upstream_count};
+    test_replica replica{{other.address()}};
+};
+
+} // namespace
+
+TEST_CASE_FIXTURE(lost_replica_fixture,
+                  "lost replica: it is out of contact with the reader alone: "
+                  "its records are passed on")
+{
+    auto const response = read_without_contact();
+    CHECK(cbor_array(response, "upstreams").size() == upstream_count);
+    CHECK(cbor_array(response, "vouched").size() == 1);
+}
+
+// After the loss of a region each replica got the records of all lost replicas
+// from each of the rest at once.
+TEST_CASE_FIXTURE(lost_replica_fixture,
+                  "lost replica: nobody has contact with it: its records are "
+                  "not passed on")
+{
+    other.stop();
+    REQUIRE(wait_until(
+        [this] { return replica.discovery().lost_replica_count() == 1; }));
+    auto const response = read_without_contact();
+    CHECK(cbor_array(response, "upstreams").isEmpty());
+    CHECK(cbor_array(response, "vouched").isEmpty());
+}
