Ask two replicas for all entries, not all of them

A replica that starts asked each other one for all entries, as long as its view had not settled: with 18 others and 281 entries it read 5,058 records, and when a region came back 7 replicas did so at once. Two at a time send them now; the entries that report to a source come with its own records as before.

--- a/source/verbenacove/process/discovery/discovery_read.cpp
+++ b/source/verbenacove/process/discovery/discovery_read.cpp
@@ -22,6 +22,8 @@
     replica is removed. */
 constexpr milliseconds source_retention{60000};
 constexpr qsizetype maximum_sources = 64;
+/** Maximum number of replicas that are asked for all entries at a time. */
+constexpr int maximum_entry_sources = 2;
 /** Interval between the log lines that count relayed changes. */
 constexpr milliseconds relayed_log_interval{1000};
 
@@ -156,7 +158,9 @@
         {QLatin1String("hold"), qint64{maximum_hold.count()}},
         {QLatin1String("position"), to_cbor(from.position)},
         {QLatin1String("self"), to_cbor(*self, clock_.now())}};
-    if (!settling_.is_settled())
+    from.sends_all_entries =
+        !settling_.is_settled() && may_send_all_entries(from);
+    if (from.sends_all_entries)
     {
         request[QLatin1String("all_entries")] = true;
     }
@@ -184,6 +188,18 @@
     return names;
 }
 
+// One or two suffice: each would send all of them.
+bool discovery_service::may_send_all_entries(source const& from) const
+{
+    auto const others =
+        std::count_if(sources_.begin(), sources_.end(),
+                      [&from](std::shared_ptr<source> const& each) {
+                          return each.get() != &from &&
+                                 each->sends_all_entries && !each->is_lost;
+                      });
+    return others < maximum_entry_sources;
+}
+
 bool discovery_service::is_in_contact(source const& from) const
 {
     return from.was_read && !from.is_lost && from.position.view_id != 0 &&
--- a/source/verbenacove/process/discovery/discovery_service.hpp
+++ b/source/verbenacove/process/discovery/discovery_service.hpp
@@ -170,6 +170,9 @@
         QSet<QString> sent_lost;
         /** Those for which this source has sent what it knows. */
         QSet<QString> answered_lost;
+        /** Whether it is asked for all entries, as long as the view has not
+            settled. */
+        bool sends_all_entries = false;
         monotonic_time next_read;
         /** Time of its last response; before the first, of its addition. */
         monotonic_time last_response;
@@ -184,6 +187,7 @@
     /** Returns those of the given replicas with which this one has contact. */
     QSet<QString> heard_replicas(QSet<QString> const& names) const;
     bool is_in_contact(source const& from) const;
+    bool may_send_all_entries(source const& from) const;
     QCborArray vouched_replicas(QSet<QString> const& lost) const;
     void respond(waiting_reader const& reader);
     /** Returns the part of the membership view that a reader gets. */
--- a/tests/unit/lost_replicas_test.cpp
+++ b/tests/unit/lost_replicas_test.cpp
@@ -1,6 +1,8 @@
 #include "discovery_test_tools.hpp"
 #include "verbenacove/connection/rpc_client.hpp"
 
+#include <array>
+
 using namespace verbenacove;
 using verbenacove::support::replica_stand_in;
 using verbenacove::support::test_replica;
@@ -49,6 +51,14 @@
     test_replica replica{{other.address()}};
 };
 
+struct start_fixture
+{
+    std::array<replica_stand_in, 5> others;
+    test_replica replica{{others[0].address(), others[1].address(),
+                          others[2].address(), others[3].address(),
+                          others[4].address()}};
+};
+
 } // namespace
 
 TEST_CASE_FIXTURE(lost_replica_fixture,
@@ -73,3 +83,18 @@
     CHECK(cbor_array(response, "upstreams").isEmpty());
     CHECK(cbor_array(response, "vouched").isEmpty());
 }
+
+// A replica that started parsed the entries of a whole fleet once for each
+// other replica.
+TEST_CASE_FIXTURE(start_fixture,
+                  "replica start: several others: two are asked for all "
+                  "entries")
+{
+    wait_until([] { return false; }, milliseconds(500));
+    int asked = 0;
+    for (auto const& other : others)
+    {
+        asked += other.reads_of_all_entries > 0 ? 1 : 0;
+    }
+    CHECK(asked == 2);
+}
