Keep upstreams where they are during an election

Cause: a replica without a leader named another replica for each next heartbeat, those first that it could not hear. That is meant for a replica on the wrong side of a partition.

A replica that has contact with a majority of the voters now keeps its upstreams: the leader is missing, not the network.

--- a/source/verbenacove/process/discovery/discovery_read.cpp
+++ b/source/verbenacove/process/discovery/discovery_read.cpp
@@ -222,6 +222,20 @@
     return result;
 }
 
+bool discovery_service::hears_majority() const
+{
+    auto const& voters = server_.node().members();
+    auto const heard =
+        std::count_if(voters.begin(), voters.end(),
+                      [this](raft_member const& voter)
+                      {
+                          auto const from = sources_.value(voter.address);
+                          return voter.address == settings_.self.address ||
+                                 (from && is_in_contact(*from));
+                      });
+    return heard * 2 > static_cast<qint64>(voters.size());
+}
+
 // Replicas that this one reads and the reader does not.
 QCborArray discovery_service::vouched_replicas(QSet<QString> const& lost) const
 {
--- a/source/verbenacove/process/discovery/discovery_service.cpp
+++ b/source/verbenacove/process/discovery/discovery_service.cpp
@@ -155,7 +155,8 @@
     bool const is_leaderless =
         elapsed(last_current_, clock_.now()) > leaderless_time &&
         elapsed(created_, clock_.now()) > leaderless_time;
-    return is_leaderless
+    // During an election all others are without a leader, too.
+    return is_leaderless && !hears_majority()
                ? choose_remote_receiver(membership_, settings_.self.address, id,
                                         heartbeat_sequence_)
                : choose_receiver(membership_, id, zone);
--- a/source/verbenacove/process/discovery/discovery_service.hpp
+++ b/source/verbenacove/process/discovery/discovery_service.hpp
@@ -95,8 +95,9 @@
         of its zone or region, the same one for all replicas with the same view;
         nothing when none is known.
 
-        A replica that has lost contact with a leader names one that it has no
-        contact with itself, which may be on the side of the majority.
+        A replica that has lost contact with a leader and with a majority names
+        one that it has no contact with itself, which may be on the side of the
+        majority.
     */
     std::optional<socket_address>
     heartbeat_receiver(upstream_id const& id, zone_name const& zone) const;
@@ -187,6 +188,9 @@
     /** Returns those of the given replicas with which this one has contact. */
     QSet<QString> heard_replicas(QSet<QString> const& names) const;
     bool is_in_contact(source const& from) const;
+    /** Returns whether this replica has contact with a majority of the voting
+        replicas, so that a leader is missing and not the network. */
+    bool hears_majority() const;
     bool may_send_all_entries(source const& from) const;
     QCborArray vouched_replicas(QSet<QString> const& lost) const;
     void respond(waiting_reader const& reader);
--- a/tests/unit/lost_replicas_test.cpp
+++ b/tests/unit/lost_replicas_test.cpp
@@ -12,6 +12,8 @@
 {
 
 constexpr int upstream_count = 50;
+/** A replica names others to upstreams after 1.5 s without a leader. */
+constexpr milliseconds leaderless_time{2000};
 
 /** A replica that reads another one. */
 struct lost_replica_fixture
@@ -51,6 +53,36 @@
     test_replica replica{{other.address()}};
 };
 
+struct election_fixture
+{
+    static location place(char const* zone)
+    {
+        return {region_name(QStringLiteral("wcape")),
+                zone_name(QString::fromLatin1(zone))};
+    }
+
+    // Returns the replicas that are named for the next heartbeats.
+    QSet<QString> named_receivers()
+    {
+        QSet<QString> result;
+        for (int number = 0; number < 20; ++number)
+        {
+            auto const receiver = replica.discovery().heartbeat_receiver(
+                upstream_id(QString::number(number)),
+                zone_name(QStringLiteral("near")));
+            if (receiver)
+            {
+                result.insert(receiver->text());
+            }
+        }
+        return result;
+    }
+
+    replica_stand_in first;
+    replica_stand_in second;
+    test_replica replica{{first.address(), second.address()}, place("near")};
+};
+
 struct start_fixture
 {
     std::array<replica_stand_in, 5> others;
@@ -84,6 +116,29 @@
     CHECK(cbor_array(response, "vouched").isEmpty());
 }
 
+// During elections upstreams were sent from replica to replica, to those first
+// that were gone.
+TEST_CASE_FIXTURE(election_fixture,
+                  "heartbeat receiver: no leader, but contact with a majority: "
+                  "upstreams stay")
+{
+    wait_until([] { return false; }, leaderless_time);
+    CHECK(named_receivers() == QSet<QString>{replica.address().text()});
+}
+
+TEST_CASE_FIXTURE(election_fixture,
+                  "heartbeat receiver: no leader and no contact with a "
+                  "majority: upstreams are sent to others")
+{
+    wait_until([] { return false; }, milliseconds(500));
+    first.stop();
+    second.stop();
+    wait_until([] { return false; }, leaderless_time);
+    auto const named = named_receivers();
+    CHECK_FALSE(named.isEmpty());
+    CHECK_FALSE(named.contains(replica.address().text()));
+}
+
 // A replica that started parsed the entries of a whole fleet once for each
 // other replica.
 TEST_CASE_FIXTURE(start_fixture,
