Read the replicated log's connections before others when a replica is busy

Cause: a replica does all its work on one loop, in the order in which connections become ready, and looked at its timers after up to 64 of them. So votes and heartbeats of the log waited behind the reads of a whole fleet. What an overload made late was the one thing that could end it.

The dispatcher handles urgent descriptors and timers first, and the others in slices of 5 ms, in the order in which they became ready. Urgent are connections that carry messages of the log; bulk messages have connections of their own.

--- a/source/verbenacove/connection/frame_socket.cpp
+++ b/source/verbenacove/connection/frame_socket.cpp
@@ -1,6 +1,7 @@
 #include "verbenacove/connection/frame_socket.hpp"
 
 #include "verbenacove/core/cbor.hpp"
+#include "verbenacove/core/epoll_event_dispatcher.hpp"
 
 #include <QtEndian>
 
@@ -26,7 +27,13 @@
     QObject::connect(
         socket_.get(), &QTcpSocket::connected,
         [this]
-        { socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1); });
+        {
+            socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+            if (is_urgent_)
+            {
+                epoll_event_dispatcher::set_urgent(socket_->socketDescriptor());
+            }
+        });
     QObject::connect(socket_.get(), &QTcpSocket::disconnected,
                      [this] { close(); });
     QObject::connect(socket_.get(), &QTcpSocket::errorOccurred,
@@ -57,6 +64,15 @@
     socket_->write(frame);
 }
 
+void frame_socket::set_urgent()
+{
+    is_urgent_ = true;
+    if (socket_->state() == QAbstractSocket::ConnectedState)
+    {
+        epoll_event_dispatcher::set_urgent(socket_->socketDescriptor());
+    }
+}
+
 void frame_socket::read_frames()
 {
     auto const bytes = socket_->readAll();
--- a/source/verbenacove/connection/frame_socket.hpp
+++ b/source/verbenacove/connection/frame_socket.hpp
@@ -46,6 +46,10 @@
     /** Sends a message; one that is too long closes the connection. */
     void send(QCborMap const& message);
 
+    /** Lets this connection be read before others when the process is busy.
+        @see epoll_event_dispatcher::set_urgent */
+    void set_urgent();
+
     /** Returns the number of bytes received so far. */
     qint64 received_bytes() const { return received_bytes_; }
 
@@ -57,6 +61,7 @@
     listener calls_;
     QByteArray buffer_;
     qint64 received_bytes_ = 0;
+    bool is_urgent_ = false;
     std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
 };
 
--- a/source/verbenacove/connection/rpc_client.cpp
+++ b/source/verbenacove/connection/rpc_client.cpp
@@ -12,8 +12,9 @@
 
 } // namespace
 
-rpc_client::rpc_client(socket_address address)
+rpc_client::rpc_client(socket_address address, urgency replies)
     : address_(std::move(address))
+    , urgency_(replies)
 {
 }
 
@@ -73,6 +74,10 @@
                     &context_, [this, number] { end_connection(number); },
                     Qt::QueuedConnection);
             }});
+    if (urgency_ == urgency::urgent)
+    {
+        socket_->set_urgent();
+    }
     raw_socket->connectToHost(address_.host, address_.port);
 }
 
--- a/source/verbenacove/connection/rpc_client.hpp
+++ b/source/verbenacove/connection/rpc_client.hpp
@@ -40,7 +40,15 @@
     /** The most calls that may wait for their replies; one more fails. */
     static constexpr int maximum_pending_calls = 4096;
 
-    explicit rpc_client(socket_address address);
+    /** Whether replies are read before other work of a busy process. */
+    enum class urgency
+    {
+        normal,
+        urgent
+    };
+
+    explicit rpc_client(socket_address address,
+                        urgency replies = urgency::normal);
     ~rpc_client();
     rpc_client(rpc_client const&) = delete;
     rpc_client& operator=(rpc_client const&) = delete;
@@ -82,6 +90,7 @@
     void fail_later(callback done);
 
     socket_address address_;
+    urgency urgency_;
     steady_clock_source clock_;
     timer_service timers_;
     std::unique_ptr<frame_socket> socket_;
--- a/source/verbenacove/connection/rpc_server.cpp
+++ b/source/verbenacove/connection/rpc_server.cpp
@@ -56,6 +56,10 @@
 {
     std::weak_ptr<rpc_server*> const self = self_;
     auto const id = request.value(id_key);
+    if (is_urgent_(request))
+    {
+        connections_.value(connection)->set_urgent();
+    }
     handle_(request,
             [self, connection, id](QCborMap reply)
             {
--- a/source/verbenacove/connection/rpc_server.hpp
+++ b/source/verbenacove/connection/rpc_server.hpp
@@ -33,6 +33,13 @@
     rpc_server(rpc_server const&) = delete;
     rpc_server& operator=(rpc_server const&) = delete;
 
+    /** Selects the calls whose connections are read before others when the
+        process is busy; none by default. */
+    void set_urgent_calls(std::function<bool(QCborMap const&)> is_urgent)
+    {
+        is_urgent_ = std::move(is_urgent);
+    }
+
     /** Starts to listen; false when the address cannot be had.
         @see error_text */
     bool listen(socket_address const& address);
@@ -46,6 +53,10 @@
     void send_reply(qint64 connection, QCborMap const& reply);
 
     handler handle_;
+    std::function<bool(QCborMap const&)> is_urgent_ = [](QCborMap const&)
+    {
+        return false;
+    };
     QTcpServer server_;
     QHash<qint64, std::shared_ptr<frame_socket>> connections_;
     qint64 next_connection_ = 1;
--- a/source/verbenacove/core/epoll_event_dispatcher.cpp
+++ b/source/verbenacove/core/epoll_event_dispatcher.cpp
@@ -19,9 +19,10 @@
 namespace
 {
 
-/** Maximum number of descriptors that are handled before timers are looked at
-    again. */
-constexpr int maximum_events = 64;
+/** Maximum number of descriptors that one look at the kernel tells of. */
+constexpr int maximum_events = 256;
+/** Time after which urgent descriptors and timers are looked at again. */
+constexpr std::chrono::milliseconds maximum_slice{5};
 
 constexpr quint32 ended = EPOLLERR | EPOLLHUP;
 
@@ -114,6 +115,8 @@
         // Fails when the descriptor has been closed, which also removed it.
         ::epoll_ctl(epoll_, EPOLL_CTL_DEL, descriptor, &event);
         descriptors_.remove(descriptor);
+        urgent_.remove(descriptor);
+        ready_.remove(descriptor);
         return;
     }
     int const first = watched.is_added ? EPOLL_CTL_MOD : EPOLL_CTL_ADD;
@@ -123,9 +126,20 @@
                        ::epoll_ctl(epoll_, second, descriptor, &event) == 0;
 }
 
+void epoll_event_dispatcher::set_urgent(qintptr descriptor)
+{
+    auto* const current = dynamic_cast<epoll_event_dispatcher*>(
+        QAbstractEventDispatcher::instance());
+    if (current != nullptr &&
+        current->descriptors_.contains(static_cast<int>(descriptor)))
+    {
+        current->urgent_.insert(static_cast<int>(descriptor));
+    }
+}
+
 int epoll_event_dispatcher::wait_time(bool may_wait, bool handles_timers) const
 {
-    if (!may_wait)
+    if (!may_wait || !queue_.empty())
     {
         return 0;
     }
@@ -140,10 +154,28 @@
 }
 
 int epoll_event_dispatcher::handle_sockets(int timeout, bool handles_sockets)
+{
+    int handled = poll(timeout, handles_sockets);
+    auto const end = clock::now() + maximum_slice;
+    while (handles_sockets && !queue_.empty() && !is_interrupted_)
+    {
+        int const descriptor = queue_.front();
+        queue_.pop_front();
+        handled += handle_ready(descriptor);
+        if (clock::now() >= end)
+        {
+            break;
+        }
+    }
+    return handled;
+}
+
+int epoll_event_dispatcher::poll(int timeout, bool handles_sockets)
 {
     std::array<epoll_event, maximum_events> events{};
     auto const count =
         ::epoll_wait(epoll_, events.data(), maximum_events, timeout);
+    std::vector<int> urgent;
     int handled = 0;
     for (int i = 0; i < count; ++i)
     {
@@ -159,19 +191,40 @@
             continue;
         }
         int const descriptor = event.data.fd;
-        if ((event.events & EPOLLPRI) != 0U)
-        {
-            handled += notify(descriptor, QSocketNotifier::Exception) ? 1 : 0;
-        }
-        if ((event.events & (EPOLLIN | ended)) != 0U)
+        bool const is_queued = ready_.contains(descriptor);
+        ready_[descriptor] |= event.events;
+        if (urgent_.contains(descriptor))
         {
-            handled += notify(descriptor, QSocketNotifier::Read) ? 1 : 0;
+            urgent.push_back(descriptor);
         }
-        if ((event.events & (EPOLLOUT | ended)) != 0U)
+        else if (!is_queued)
         {
-            handled += notify(descriptor, QSocketNotifier::Write) ? 1 : 0;
+            queue_.push_back(descriptor);
         }
     }
+    for (auto const descriptor : urgent)
+    {
+        handled += handle_ready(descriptor);
+    }
+    return handled;
+}
+
+int epoll_event_dispatcher::handle_ready(int descriptor)
+{
+    auto const events = ready_.take(descriptor);
+    int handled = 0;
+    if ((events & EPOLLPRI) != 0U)
+    {
+        handled += notify(descriptor, QSocketNotifier::Exception) ? 1 : 0;
+    }
+    if ((events & (EPOLLIN | ended)) != 0U)
+    {
+        handled += notify(descriptor, QSocketNotifier::Read) ? 1 : 0;
+    }
+    if ((events & (EPOLLOUT | ended)) != 0U)
+    {
+        handled += notify(descriptor, QSocketNotifier::Write) ? 1 : 0;
+    }
     return handled;
 }
 
--- a/source/verbenacove/core/epoll_event_dispatcher.hpp
+++ b/source/verbenacove/core/epoll_event_dispatcher.hpp
@@ -3,10 +3,12 @@
 
 #include <QAbstractEventDispatcher>
 #include <QHash>
+#include <QSet>
 #include <QSocketNotifier>
 
 #include <atomic>
 #include <chrono>
+#include <deque>
 #include <map>
 #include <utility>
 
@@ -20,6 +22,10 @@
     processor time. Here the cost of waiting does not depend on the number of
     descriptors.
 
+    When there is more to do than there is time, urgent descriptors and timers
+    go first: the other descriptors are handled in the order in which they
+    became ready, in slices.
+
     Set it before the application or the thread starts:
     `QCoreApplication::setEventDispatcher`, `QThread::setEventDispatcher`.
 */
@@ -43,6 +49,10 @@
     QList<TimerInfo> registeredTimers(QObject* object) const override;
     int remainingTime(int id) override;
 
+    /** Lets a descriptor of this thread go before others, until it is closed;
+        does nothing when another dispatcher drives the thread. */
+    static void set_urgent(qintptr descriptor);
+
     /** May be called from any thread. */
     void wakeUp() override;
     void interrupt() override;
@@ -75,6 +85,9 @@
     /** Returns the timeout for epoll, in milliseconds; -1 without an end. */
     int wait_time(bool may_wait, bool handles_timers) const;
     int handle_sockets(int timeout, bool handles_sockets);
+    /** Waits for descriptors that are ready, and handles the urgent ones. */
+    int poll(int timeout, bool handles_sockets);
+    int handle_ready(int descriptor);
     bool notify(int descriptor, QSocketNotifier::Type type);
     int handle_timers();
     void schedule(int id, timer& scheduled, clock::time_point due);
@@ -84,6 +97,11 @@
     std::atomic<bool> is_woken_{false};
     std::atomic<bool> is_interrupted_{false};
     QHash<int, watched_descriptor> descriptors_;
+    QSet<int> urgent_;
+    /** The events of descriptors that are ready and not handled yet. */
+    QHash<int, quint32> ready_;
+    /** Their order; may name some that have been handled or closed. */
+    std::deque<int> queue_;
     QHash<int, timer> timers_;
     /** The ids of all timers, by the time at which they are due. */
     std::multimap<clock::time_point, int> due_;
--- a/source/verbenacove/process/control_server.cpp
+++ b/source/verbenacove/process/control_server.cpp
@@ -23,6 +23,12 @@
 constexpr milliseconds longest_hand_over{3000};
 constexpr milliseconds report_interval{1000};
 
+/** Returns whether a call is a message of the replicated log. */
+bool is_consensus(QCborMap const& request)
+{
+    return cbor_text(request, "m").startsWith(QLatin1String("raft."));
+}
+
 raft_settings seeded(raft_settings settings)
 {
     settings.seed = std::random_device{}();
@@ -42,6 +48,8 @@
     , reports_(clock_)
     , grants_(state_, node_, clock_)
 {
+    rpc_.set_urgent_calls([](QCborMap const& request)
+                          { return is_consensus(request); });
 }
 
 bool control_server::start()
@@ -140,7 +148,7 @@
          {QLatin1String("grant"), &control_server::handle_grants},
          {QLatin1String("claim"), &control_server::handle_claim}}};
     auto const name = cbor_text(request, "m");
-    if (name.startsWith(QLatin1String("raft.")))
+    if (is_consensus(request))
     {
         work_meter::scope const scope(work_, work_kind::consensus);
         reply(node_.handle(request));
--- a/source/verbenacove/process/raft_rpc_transport.hpp
+++ b/source/verbenacove/process/raft_rpc_transport.hpp
@@ -13,7 +13,8 @@
 {
 
 /** Carries a replica's messages by two connections to each other replica, one
-    of them for large messages. */
+    of them for large messages. The other one goes before all other work of a
+    busy replica. */
 class raft_rpc_transport : public raft_transport
 {
 public:
@@ -33,7 +34,8 @@
     using client_table = QHash<socket_address, std::shared_ptr<rpc_client>>;
 
     static rpc_client& client_in(client_table& clients,
-                                 socket_address const& address);
+                                 socket_address const& address,
+                                 rpc_client::urgency urgency);
     /** Returns a callback whose time is counted. */
     callback measured(callback done);
 
--- a/tests/unit/epoll_event_dispatcher_test.cpp
+++ b/tests/unit/epoll_event_dispatcher_test.cpp
@@ -11,7 +11,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <atomic>
+#include <memory>
+#include <vector>
 
 using namespace verbenacove;
 
@@ -200,3 +204,107 @@
         ::close(descriptor);
     }
 }
+
+namespace
+{
+
+/** Descriptors with something to read, each of which takes a while to
+    handle. */
+struct busy_fixture : dispatcher_fixture
+{
+    static constexpr int descriptor_count = 60;
+    static constexpr int handling_ms = 2;
+
+    ~busy_fixture()
+    {
+        run(
+            [this]
+            {
+                tick.cancel();
+                notifiers.clear();
+            });
+        for (auto const& pair : pairs)
+        {
+            ::close(pair[0]);
+            ::close(pair[1]);
+        }
+    }
+
+    /** Makes all descriptors ready at once.
+
+        @param urgent  the index of an urgent one; the last one is handled last
+    */
+    void make_ready(int urgent)
+    {
+        run(
+            [this, urgent]
+            {
+                for (int index = 0; index < descriptor_count; ++index)
+                {
+                    auto& pair = pairs.at(static_cast<std::size_t>(index));
+                    REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM, 0,
+                                         pair.data()) == 0);
+                    notifiers.push_back(std::make_unique<QSocketNotifier>(
+                        pair[0], QSocketNotifier::Read));
+                    QObject::connect(notifiers.back().get(),
+                                     &QSocketNotifier::activated,
+                                     [this, index] { handle(index); });
+                    if (index == urgent)
+                    {
+                        epoll_event_dispatcher::set_urgent(pair[0]);
+                    }
+                }
+                tick = timers.call_every(milliseconds(handling_ms),
+                                         [this] { ++ticks; });
+                for (auto const& pair : pairs)
+                {
+                    REQUIRE(::write(pair[1], "x", 1) == 1);
+                }
+            });
+        for (int i = 0; i < 500 && handled_count < descriptor_count; ++i)
+        {
+            QThread::msleep(10);
+        }
+        REQUIRE(handled_count == descriptor_count);
+    }
+
+    void handle(int index)
+    {
+        QThread::msleep(handling_ms);
+        notifiers.at(static_cast<std::size_t>(index))->setEnabled(false);
+        order.push_back(index);
+        ticks_before_last =
+            order.size() == descriptor_count ? ticks : ticks_before_last;
+        ++handled_count;
+    }
+
+    std::array<std::array<int, 2>, descriptor_count> pairs{};
+    std::vector<std::unique_ptr<QSocketNotifier>> notifiers;
+    timer_service timers;
+    timer_service::subscription tick;
+    std::vector<int> order;
+    int ticks = 0;
+    int ticks_before_last = 0;
+    std::atomic<int> handled_count = 0;
+};
+
+} // namespace
+
+// Replicas elected leaders over and over, as votes and heartbeats waited behind
+// the reads of a whole fleet.
+TEST_CASE_FIXTURE(busy_fixture,
+                  "epoll dispatcher: many descriptors are ready: an urgent one "
+                  "goes first")
+{
+    make_ready(descriptor_count - 1);
+    CHECK(order.front() == descriptor_count - 1);
+}
+
+TEST_CASE_FIXTURE(busy_fixture,
+                  "epoll dispatcher: many descriptors are ready: timers fire "
+                  "meanwhile, and each descriptor has its turn")
+{
+    make_ready(0);
+    CHECK(ticks_before_last >= descriptor_count / 6);
+    CHECK(std::is_sorted(order.begin(), order.end()));
+}
