Make a delta once for all replicas at the same position

Each of 18 replicas had its delta made for it alone, from all records of the view, although those that are answered in one round are at the same position in the next one too. Readers that need nothing of lost replicas share their deltas now, as entries do; a heartbeat makes another state for them.

--- a/source/verbenacove/process/discovery/delta_cache.cpp
+++ b/source/verbenacove/process/discovery/delta_cache.cpp
@@ -17,13 +17,6 @@
 /** Maximum age of a delta, which bounds the error of the ages in it. */
 constexpr milliseconds maximum_age{500};
 
-bool is_same_state(sync_position const& a, sync_position const& b)
-{
-    return a.view_id == b.view_id && a.upstreams == b.upstreams &&
-           a.entries == b.entries && a.replicas == b.replicas &&
-           a.rate_limits == b.rate_limits;
-}
-
 qsizetype record_count(QCborMap const& delta)
 {
     qsizetype result = 0;
@@ -37,9 +30,9 @@
 
 } // namespace
 
-delta_cache::entry_delta const& delta_cache::find(membership_view const& view,
-                                                  sync_position const& position,
-                                                  clock_source const& clock)
+delta_cache::cached_delta const&
+delta_cache::find(membership_view const& view, sync_position const& position,
+                  clock_source const& clock)
 {
     if (!view.is_known(position))
     {
@@ -48,7 +41,7 @@
     auto const now = clock.now();
     auto const state = view.position();
     bool const is_outdated =
-        !is_same_state(state, state_) || elapsed(made_, now) > maximum_age;
+        !is_same(state, state_) || elapsed(made_, now) > maximum_age;
     if (is_outdated || deltas_.size() >= maximum_deltas)
     {
         deltas_.clear();
@@ -57,8 +50,8 @@
     }
     auto const known =
         std::find_if(deltas_.begin(), deltas_.end(),
-                     [&position](cached_delta const& each)
-                     { return is_same_state(each.position, position); });
+                     [this, &position](positioned_delta const& each)
+                     { return is_same(each.position, position); });
     if (known != deltas_.end())
     {
         return known->delta;
@@ -68,7 +61,7 @@
     return deltas_.back().delta;
 }
 
-delta_cache::entry_delta const&
+delta_cache::cached_delta const&
 delta_cache::find_whole_view(membership_view const& view,
                              clock_source const& clock)
 {
@@ -77,9 +70,9 @@
     if (whole_view_)
     {
         auto const age = elapsed(whole_view_->made, now);
-        bool const is_same = is_same_state(state, whole_view_->state);
-        bool const is_usable =
-            age < whole_view_->maximum_age || (is_same && age <= maximum_age);
+        bool const is_unchanged = is_same(state, whole_view_->state);
+        bool const is_usable = age < whole_view_->maximum_age ||
+                               (is_unchanged && age <= maximum_age);
         if (is_usable)
         {
             return whole_view_->delta;
@@ -93,17 +86,31 @@
     return whole_view_->delta;
 }
 
-delta_cache::entry_delta delta_cache::make(membership_view const& view,
-                                           sync_position const& from)
+delta_cache::cached_delta delta_cache::make(membership_view const& view,
+                                            sync_position const& from)
 {
-    entry_delta made{view.updates_since(from, {}), {}};
+    cached_delta made{view.updates_since(from, reader_), {}};
     auto const records = record_count(made.plain);
     counts_.records += records;
-    if (records >= minimum_packed_records)
+    if (packing_ == packing::large_deltas && records >= minimum_packed_records)
     {
         made.packed = pack_cbor(made.plain);
     }
     return made;
 }
 
+bool delta_cache::is_same(sync_position const& a, sync_position const& b) const
+{
+    bool const has_same_changes =
+        a.view_id == b.view_id && a.upstreams == b.upstreams &&
+        a.entries == b.entries && a.replicas == b.replicas &&
+        a.rate_limits == b.rate_limits;
+    bool const has_same_heartbeats =
+        a.upstream_heartbeats == b.upstream_heartbeats &&
+        a.entry_heartbeats == b.entry_heartbeats &&
+        a.replica_heartbeats == b.replica_heartbeats;
+    return has_same_changes &&
+           (has_same_heartbeats || !reader_.wants_heartbeats);
+}
+
 } // namespace verbenacove
--- a/source/verbenacove/process/discovery/delta_cache.hpp
+++ b/source/verbenacove/process/discovery/delta_cache.hpp
@@ -12,10 +12,10 @@
 namespace verbenacove
 {
 
-/** Keeps the latest deltas of a membership view for entries.
+/** Keeps the latest deltas of a membership view for readers of one kind.
 
-    Entries that read the same replica have mostly the same position, so a delta
-    is made and packed once for all of them.
+    Readers of the same replica have mostly the same position, so a delta is
+    made once for all of them.
 */
 class delta_cache
 {
@@ -31,14 +31,28 @@
     /** Maximum age of a whole view. */
     static constexpr milliseconds maximum_view_age{1000};
 
+    /** Whether large deltas are packed, too. */
+    enum class packing
+    {
+        none,
+        large_deltas
+    };
+
     /** A delta as it is sent. */
-    struct entry_delta
+    struct cached_delta
     {
         QCborMap plain;
-        /** Empty if the delta is small. */
+        /** Empty if the delta is small, or if none are packed. */
         QByteArray packed;
     };
 
+    /** @param reader  what the readers need */
+    delta_cache(view_reader reader, packing packed)
+        : reader_(std::move(reader))
+        , packing_(packed)
+    {
+    }
+
     /** Returns the delta after a reader's position.
 
         A reader of another view gets the whole of this one, perhaps as it was a
@@ -47,9 +61,9 @@
 
         @param clock  measures how long it takes to make a whole view
     */
-    entry_delta const& find(membership_view const& view,
-                            sync_position const& position,
-                            clock_source const& clock);
+    cached_delta const& find(membership_view const& view,
+                             sync_position const& position,
+                             clock_source const& clock);
 
     /** Numbers of the deltas that were made and of the records in them. */
     struct made_deltas
@@ -63,29 +77,34 @@
     made_deltas take_made() { return std::exchange(counts_, {}); }
 
 private:
-    struct cached_delta
+    /** A delta, and the position of the readers that need it. */
+    struct positioned_delta
     {
         sync_position position;
-        entry_delta delta;
+        cached_delta delta;
     };
 
     /** The whole of a view, as it was in one state. */
     struct cached_view
     {
         sync_position state;
-        entry_delta delta;
+        cached_delta delta;
         monotonic_time made{};
         /** Age at which it is made again once the state has changed. */
         milliseconds maximum_age{0};
     };
 
-    entry_delta const& find_whole_view(membership_view const& view,
-                                       clock_source const& clock);
-    entry_delta make(membership_view const& view, sync_position const& from);
+    cached_delta const& find_whole_view(membership_view const& view,
+                                        clock_source const& clock);
+    cached_delta make(membership_view const& view, sync_position const& from);
+    /** Returns whether two positions are the same to these readers. */
+    bool is_same(sync_position const& a, sync_position const& b) const;
 
+    view_reader reader_;
+    packing packing_;
     std::optional<cached_view> whole_view_;
     /** The deltas of one state of the view. */
-    std::vector<cached_delta> deltas_;
+    std::vector<positioned_delta> deltas_;
     sync_position state_;
     monotonic_time made_{};
     made_deltas counts_;
--- a/source/verbenacove/process/discovery/discovery_service.cpp
+++ b/source/verbenacove/process/discovery/discovery_service.cpp
@@ -293,7 +293,13 @@
     }
     if (cbor_flag(request, "replica"))
     {
-        return membership_.updates_since(reader.position, reader.view);
+        bool const is_common = reader.view.is_delegating &&
+                               !reader.view.wants_all_entries &&
+                               reader.view.lost.isEmpty();
+        return is_common
+                   ? replica_deltas_.find(membership_, reader.position, clock_)
+                         .plain
+                   : membership_.updates_since(reader.position, reader.view);
     }
     auto const& delta =
         entry_deltas_.find(membership_, reader.position, clock_);
--- a/source/verbenacove/process/discovery/discovery_service.hpp
+++ b/source/verbenacove/process/discovery/discovery_service.hpp
@@ -250,7 +250,11 @@
     /** Routes for entries, of one revision; encoded once for all of them. */
     QByteArray packed_routes_;
     qint64 packed_revision_ = -1;
-    delta_cache entry_deltas_;
+    delta_cache entry_deltas_{{}, delta_cache::packing::large_deltas};
+    /** For replicas that need nothing of lost ones. */
+    delta_cache replica_deltas_{
+        {.wants_heartbeats = true, .is_delegating = true},
+        delta_cache::packing::none};
     /** Time of the scheduled responses; absent if there are none. */
     std::optional<monotonic_time> next_responses_;
     monotonic_time last_responses_{};
--- a/tests/unit/delta_cache_test.cpp
+++ b/tests/unit/delta_cache_test.cpp
@@ -12,12 +12,12 @@
 
 struct cache_fixture
 {
-    void add(int number)
+    void add(int number, qint64 sequence = 1)
     {
         upstream_member record;
         record.id = QString::number(number);
         record.started = incarnation(1000);
-        record.sequence = 1;
+        record.sequence = sequence;
         record.phase = member_phase::serving;
         record.content.address = *parse_socket_address(
             QStringLiteral("10.0.0.1:%1").arg(1 + number));
@@ -25,7 +25,7 @@
         view.apply_heartbeat(std::move(record));
     }
 
-    delta_cache::entry_delta const& find(sync_position const& position)
+    delta_cache::cached_delta const& find(sync_position const& position)
     {
         return cache.find(view, position, clock);
     }
@@ -43,7 +43,9 @@
                           [](entry_member const&) {},
                           [](replica_member const&) {
                           }}};
-    delta_cache cache;
+    delta_cache cache{{}, delta_cache::packing::large_deltas};
+    delta_cache replica_cache{{.wants_heartbeats = true, .is_delegating = true},
+                              delta_cache::packing::none};
 };
 
 /** A clock by which each reading takes a while, as on a busy machine. */
@@ -179,3 +181,34 @@
     CHECK(view.has_updates_since(next, {}));
     CHECK(upstreams_in(cache.find(view, next, busy).plain) == 1);
 }
+
+// Each of 18 replicas had the same delta made for it alone.
+TEST_CASE_FIXTURE(cache_fixture,
+                  "delta cache: replicas at the same position: one delta for "
+                  "all, not packed")
+{
+    for (int number = 0; number < 100; ++number)
+    {
+        add(number);
+    }
+    auto const* const first = &replica_cache.find(view, {}, clock);
+    CHECK(upstreams_in(first->plain) == 100);
+    CHECK(first->packed.isEmpty());
+    CHECK(&replica_cache.find(view, {}, clock) == first);
+    CHECK(replica_cache.take_made().whole_views == 1);
+}
+
+TEST_CASE_FIXTURE(
+    cache_fixture,
+    "delta cache: a heartbeat without a change: replicas read on from "
+    "after it")
+{
+    add(1);
+    auto const position = view.position();
+    add(2);
+    replica_cache.find(view, position, clock);
+    add(1, 2);
+    auto const& delta = replica_cache.find(view, position, clock).plain;
+    CHECK(delta.value(QLatin1String("next")) ==
+          to_cbor(view.position()).toCborValue());
+}
