--- a/tests/unit/delta_cache_test.cpp
+++ b/tests/unit/delta_cache_test.cpp
@@ -114,41 +114,6 @@
     CHECK(upstreams_in(find(before).plain) == 1);
 }
 
-// After a loss of replicas each of their readers had a view made for it alone,
-// as the view changed all the time: replicas were too late to elect a leader.
-TEST_CASE_FIXTURE(cache_fixture,
-                  "delta cache: many readers of other views while the view "
-                  "changes: few views are made")
-{
-    slow_clock busy;
-    busy.per_reading = milliseconds(10);
-    for (int number = 0; number < 100; ++number)
-    {
-        add(number);
-        sync_position position;
-        position.view_id = 100 + number;
-        cache.find(view, position, busy);
-    }
-    CHECK(cache.take_made().whole_views <= 10);
-}
-
-TEST_CASE_FIXTURE(cache_fixture,
-                  "delta cache: a whole view of a while ago: its reader gets "
-                  "what has changed since")
-{
-    slow_clock busy;
-    busy.per_reading = milliseconds(10);
-    add(1);
-    cache.find(view, {}, busy);
-    add(2);
-    auto const whole = cache.find(view, {}, busy).plain;
-    REQUIRE(upstreams_in(whole) == 1);
-    auto const next =
-        parse_sync_position(whole.value(QLatin1String("next")).toMap());
-    CHECK(upstreams_in(cache.find(view, next, busy).plain) == 1);
-    CHECK(view.has_updates_since(next, {}));
-}
-
 // After a loss of replicas each of their readers had a view made for it alone,
 // as the view changed all the time: replicas were too late to elect a leader.
 TEST_CASE_FIXTURE(cache_fixture,
