Log look-ups that name other regions, where orders wait and how late departures are

Callers of the large site were sent to other regions, and a change got no acknowledgement. The logs could not tell a view without a region's entries from one that holds them as silent, nor an order that waits at the leader from one that waits at the replica that received it, nor a departure that is late at an entry from one that was acknowledged early. No change of behaviour.

--- a/source/verbenacove/process/discovery/discovery_push.cpp
+++ b/source/verbenacove/process/discovery/discovery_push.cpp
@@ -150,7 +150,9 @@
         pending->done(false);
         return;
     }
-    auto const count_reply = [pending, id = record.id](bool is_ok)
+    auto const count_reply = [this, pending, id = record.id,
+                              phase = record.phase,
+                              began = clock_.now()](bool is_ok)
     {
         --pending->outstanding;
         pending->needed -= is_ok && pending->needed > 0 ? 1 : 0;
@@ -159,8 +161,12 @@
             return;
         }
         bool const has_majority = pending->needed == 0;
-        discovery_log.note("upstream.acknowledged",
-                           {{"upstream", id}, {"majority", has_majority}});
+        discovery_log.note(
+            "upstream.acknowledged",
+            {{"upstream", id},
+             {"phase", phase_name(phase)},
+             {"majority", has_majority},
+             {"took_ms", qint64{elapsed(began, clock_.now()).count()}}});
         std::exchange(pending->done, nullptr)(has_majority);
     };
     pending->outstanding = members.size();
--- a/source/verbenacove/process/discovery/replica_link.cpp
+++ b/source/verbenacove/process/discovery/replica_link.cpp
@@ -43,6 +43,8 @@
 /** Interval at which an entry that finds no replica with a leader still reads
     the membership view of one without. */
 constexpr milliseconds leaderless_view_interval{2000};
+/** Minimum interval between the log lines that count departures. */
+constexpr milliseconds departure_log_interval{1000};
 
 // The view of an entry is not read by others, so it needs no identifier.
 qint64 no_view_id()
@@ -61,7 +63,11 @@
     : settings_(std::move(settings))
     , calls_(std::move(calls))
     , membership_(no_view_id(), failure_detector::source, clock_,
-                  {[this](upstream_member const&) { has_changes_ = true; },
+                  {[this](upstream_member const& record)
+                   {
+                       has_changes_ = true;
+                       record_departure(record);
+                   },
                    [this](entry_member const&) { has_changes_ = true; },
                    [](replica_member const&) {},
                    [this](rate_limit_record const&)
@@ -130,6 +136,7 @@
 {
     lag_.record_tick(clock_.now());
     membership_.expire();
+    log_departures(clock_.now());
     if (has_changes_)
     {
         has_changes_ = false;
@@ -278,6 +285,31 @@
     }
 }
 
+void replica_link::record_departure(upstream_member const& record)
+{
+    if (record.phase != member_phase::draining || !has_synchronised_)
+    {
+        return;
+    }
+    ++departures_;
+    longest_departure_age_ = std::max(
+        longest_departure_age_, elapsed(record.last_heartbeat, clock_.now()));
+}
+
+void replica_link::log_departures(monotonic_time now)
+{
+    if (departures_ == 0 ||
+        elapsed(last_departure_log_, now) < departure_log_interval)
+    {
+        return;
+    }
+    last_departure_log_ = now;
+    auto const age = std::exchange(longest_departure_age_, milliseconds(0));
+    link_log.note("departures.applied",
+                  {{"departures", std::exchange(departures_, 0)},
+                   {"longest_ms", qint64{age.count()}}});
+}
+
 void replica_link::continue_search()
 {
     was_replica_current_ = false;
--- a/source/verbenacove/process/discovery/replica_link.hpp
+++ b/source/verbenacove/process/discovery/replica_link.hpp
@@ -97,6 +97,9 @@
     /** Reads the next replica, or pauses when all have been tried. */
     void continue_search();
     void merge_view(QCborMap const& reply);
+    void record_departure(upstream_member const& record);
+    /** Logs the departures since the last line, at most once per second. */
+    void log_departures(monotonic_time now);
     void apply_routes(QCborMap const& reply);
     void report_received_crashes(QCborMap const& reply);
     void leave_replica(socket_address const& failed, char const* reason);
@@ -144,6 +147,11 @@
     QSet<zone_name> evacuated_;
     bool has_synchronised_ = false;
     bool has_changes_ = false;
+    /** Number of departures that were not logged yet, and the longest time
+        since the heartbeat of one of them. */
+    int departures_ = 0;
+    milliseconds longest_departure_age_{0};
+    monotonic_time last_departure_log_{};
     timer_service::subscription tick_;
 };
 
--- a/source/verbenacove/process/route_service.cpp
+++ b/source/verbenacove/process/route_service.cpp
@@ -69,6 +69,7 @@
 {
     auto const items = change.routes.size() + change.services.size();
     order(control_state::route_command(change, server_.state().used_form()),
+          change.version,
           clock_.now() + longest_call +
               longest_call_per_item * static_cast<qint64>(items),
           std::move(done));
@@ -132,7 +133,7 @@
     }
     this->order(control_state::evacuation_command(order->zone,
                                                   order->is_evacuated, seen),
-                order->until,
+                route_version(0), order->until,
                 [this, order](std::optional<order_result> const& result)
                 {
                     if (result && result->outcome == order_outcome::conflict)
@@ -147,25 +148,42 @@
                 });
 }
 
-void route_service::order(QCborMap command, monotonic_time until,
-                          order_callback done)
+void route_service::order(QCborMap command, route_version version,
+                          monotonic_time until, order_callback done)
 {
     auto call = std::make_shared<pending_call>();
+    auto const received = clock_.now();
     call->request = {{QLatin1String("m"), QLatin1String("order")},
                      {QLatin1String("command"), std::move(command)}};
     call->until = until;
-    call->done = [done = std::move(done)](std::optional<QCborMap> const& reply)
+    call->done = [this, done = std::move(done), version, received,
+                  ended = call.get()](std::optional<QCborMap> const& reply)
     {
-        if (!reply)
-        {
-            done(std::nullopt);
-            return;
-        }
-        done(parse_order_result(cbor_map(*reply, "result")));
+        auto const result =
+            reply
+                ? std::optional(parse_order_result(cbor_map(*reply, "result")))
+                : std::nullopt;
+        log_order(*ended, version, received, result);
+        done(result);
     };
     call_leader(call);
 }
 
+void route_service::log_order(pending_call const& call, route_version version,
+                              monotonic_time received,
+                              std::optional<order_result> const& result) const
+{
+    auto const leader = server_.node().leader();
+    route_log.note(
+        "order.ended",
+        {{"version", version.value()},
+         {"outcome", result ? static_cast<int>(result->outcome) : -1},
+         {"took_ms", qint64{elapsed(received, clock_.now()).count()}},
+         {"sent", call.sent},
+         {"leaderless", call.leaderless},
+         {"leader", leader ? leader->name : QString()}});
+}
+
 void route_service::read(read_callback done)
 {
     auto call = std::make_shared<pending_call>();
@@ -224,6 +242,7 @@
     };
     if (server_.node().is_leader())
     {
+        ++call->sent;
         bool const is_order =
             cbor_text(call->request, "m") == QLatin1String("order");
         auto const own = [reply](QCborMap answer)
@@ -237,9 +256,11 @@
     auto const leader = server_.node().leader();
     if (!leader)
     {
+        ++call->leaderless;
         try_again(call);
         return;
     }
+    ++call->sent;
     server_.call_bulk(leader->address, call->request, left, reply);
 }
 
@@ -293,9 +314,10 @@
                        {{"calls", static_cast<qint64>(waiting.size())}});
         return;
     }
-    auto const answer =
-        [this, key](raft_node::proposal_end end, QCborMap const& result)
+    auto const answer = [this, key, received = clock_.now()](
+                            raft_node::proposal_end end, QCborMap const& result)
     {
+        auto const took = elapsed(received, clock_.now());
         if (end != raft_node::proposal_end::committed)
         {
             finish_order(
@@ -306,7 +328,8 @@
         route_log.note("order.decided",
                        {{"outcome", static_cast<int>(parsed.outcome)},
                         {"version", parsed.version.value()},
-                        {"reason", parsed.reason}});
+                        {"reason", parsed.reason},
+                        {"took_ms", qint64{took.count()}}});
         finish_order(key, {{QLatin1String("status"), QLatin1String("ok")},
                            {QLatin1String("result"), result}});
     };
--- a/source/verbenacove/process/route_service.hpp
+++ b/source/verbenacove/process/route_service.hpp
@@ -66,6 +66,10 @@
         QCborMap request;
         monotonic_time until;
         std::function<void(std::optional<QCborMap>)> done;
+        /** Number of times that it was sent to a leader. */
+        int sent = 0;
+        /** Number of times that no leader was known. */
+        int leaderless = 0;
     };
 
     /** An evacuation order whose result is not known yet. */
@@ -91,8 +95,14 @@
         other order one of its own. */
     QByteArray key_of(QCborMap const& command);
     void handle_read(QCborMap const& request, reply_function const& reply);
-    /** @param until  time after which the result counts as unknown */
-    void order(QCborMap command, monotonic_time until, order_callback done);
+    /** @param version  version that the order makes, for the log; 0 for none
+        @param until    time after which the result counts as unknown */
+    void order(QCborMap command, route_version version, monotonic_time until,
+               order_callback done);
+    /** Logs how an order of an operator ended at this replica. */
+    void log_order(pending_call const& call, route_version version,
+                   monotonic_time received,
+                   std::optional<order_result> const& result) const;
     void call_leader(std::shared_ptr<pending_call> const& call);
     /** Gives the own configuration once it is of the revision that was newest
         at the leader. */
--- a/source/verbenacove/process/routing/entry_directory.cpp
+++ b/source/verbenacove/process/routing/entry_directory.cpp
@@ -2,6 +2,8 @@
 
 #include "verbenacove/core/event_log.hpp"
 
+#include <algorithm>
+
 namespace verbenacove
 {
 
@@ -41,7 +43,7 @@
     auto const result = is_cached_settled_
                             ? nearest_entries(caller, serving, maximum_count)
                             : std::vector<entry_view>{};
-    log_change(caller, serving.size(), result.size());
+    log_change(caller, serving.size(), result);
     if (responses_.size() < maximum_zones)
     {
         responses_.insert(key, result);
@@ -77,8 +79,14 @@
 }
 
 void entry_directory::log_change(location const& caller, std::size_t serving,
-                                 std::size_t returned)
+                                 std::vector<entry_view> const& result)
 {
+    auto const elsewhere =
+        std::count_if(result.begin(), result.end(),
+                      [&caller](entry_view const& entry)
+                      { return entry.region != caller.region; });
+    returned_count const returned{static_cast<qint64>(result.size()),
+                                  elsewhere};
     auto const known = returned_.constFind(caller.zone);
     bool const is_known = known != returned_.constEnd();
     if ((is_known && *known == returned) ||
@@ -87,10 +95,18 @@
         return;
     }
     returned_.insert(caller.zone, returned);
+    auto const& entries = discovery_.membership().entries().records();
+    auto const known_in_region =
+        std::count_if(entries.begin(), entries.end(),
+                      [&caller](entry_member const& entry)
+                      { return entry.content.region == caller.region; });
     directory_log.note("lookup.changed",
                        {{"zone", caller.zone.value()},
-                        {"returned", static_cast<qint64>(returned)},
-                        {"serving", static_cast<qint64>(serving)}});
+                        {"region", caller.region.value()},
+                        {"returned", returned.all},
+                        {"elsewhere", returned.elsewhere},
+                        {"serving", static_cast<qint64>(serving)},
+                        {"known_in_region", qint64{known_in_region}}});
 }
 
 } // namespace verbenacove
--- a/source/verbenacove/process/routing/entry_directory.hpp
+++ b/source/verbenacove/process/routing/entry_directory.hpp
@@ -40,10 +40,20 @@
     std::vector<entry_view> serving_entries() const;
 
 private:
+    /** Numbers of entries in a response. */
+    struct returned_count
+    {
+        qint64 all = 0;
+        /** Those outside the caller's region. */
+        qint64 elsewhere = 0;
+
+        bool operator==(returned_count const&) const = default;
+    };
+
     /** Returns whether responses of before may be given again. */
     bool is_cache_current(std::size_t maximum_count) const;
     void log_change(location const& caller, std::size_t serving,
-                    std::size_t returned);
+                    std::vector<entry_view> const& result);
 
     discovery_service const& discovery_;
     /** Responses by the caller's zone and region, for the state of the view
@@ -53,8 +63,8 @@
     qint64 cached_revision_ = -1;
     bool is_cached_settled_ = false;
     std::size_t cached_maximum_ = 0;
-    /** Number of entries in the last response to each zone. */
-    QHash<zone_name, std::size_t> returned_;
+    /** Numbers of entries in the last response to each zone. */
+    QHash<zone_name, returned_count> returned_;
 };
 
 } // namespace verbenacove
