Count a view of the entries as settled only when all of them were told

Cause: only two replicas are asked for all entries, but the view counted as settled with the first view of any settled replica, which holds its own entries alone; after a pause of the process it stayed settled.

A view now settles with the entries of a replica that was asked for all of them, or once each replica has been read and the entries had time to report. A replica that did not run for a second settles anew, and says so in its log.

--- a/source/verbenacove/process/discovery/discovery_read.cpp
+++ b/source/verbenacove/process/discovery/discovery_read.cpp
@@ -24,6 +24,8 @@
 constexpr qsizetype maximum_sources = 64;
 /** Maximum number of replicas that are asked for all entries at a time. */
 constexpr int maximum_entry_sources = 2;
+/** Time between two ticks from which on this process did not run. */
+constexpr milliseconds pause_threshold{1000};
 /** Interval between the log lines that count relayed changes. */
 constexpr milliseconds relayed_log_interval{1000};
 
@@ -50,6 +52,7 @@
         record_own_heartbeat();
     }
     last_current_ = is_current() ? now : last_current_;
+    check_pause(now);
     membership_.expire();
     update_settling();
     log_relayed_changes(now);
@@ -64,6 +67,22 @@
     }
 }
 
+void discovery_service::check_pause(monotonic_time now)
+{
+    auto const passed = elapsed(std::exchange(last_tick_, now), now);
+    if (passed < pause_threshold)
+    {
+        return;
+    }
+    discovery_log.note("process.paused",
+                       {{"paused_ms", qint64{passed.count()}}});
+    settling_.restart();
+    for (auto const& from : sources_)
+    {
+        from->has_sent_all_entries = false;
+    }
+}
+
 void discovery_service::log_relayed_changes(monotonic_time now)
 {
     if (relayed_changes_ > 0 &&
@@ -156,14 +175,17 @@
         {QLatin1String("delegates"), true},
         {QLatin1String("routes"), std::numeric_limits<qint64>::max()},
         {QLatin1String("hold"), qint64{maximum_hold.count()}},
-        {QLatin1String("position"), to_cbor(from.position)},
         {QLatin1String("self"), to_cbor(*self, clock_.now())}};
     from.sends_all_entries =
         !settling_.is_settled() && may_send_all_entries(from);
     if (from.sends_all_entries)
     {
         request[QLatin1String("all_entries")] = true;
+        // They are sent to a reader of the whole view only.
+        from.position =
+            from.has_sent_all_entries ? from.position : sync_position{};
     }
+    request[QLatin1String("position")] = to_cbor(from.position);
     if (!from.sent_lost.isEmpty())
     {
         auto const newly_lost = from.sent_lost - from.answered_lost;
@@ -268,6 +290,7 @@
     {
         from->next_read = now + retry_interval;
         from->is_lost = true;
+        from->has_sent_all_entries = false;
         // What its processes did meanwhile is not told as changes.
         from->position = {};
         return;
@@ -305,8 +328,11 @@
             membership_.record_contact(name, item.toArray().at(1).toInteger());
         }
     }
-    bool const is_whole_view = from.position.view_id != previous_view;
-    if (is_whole_view && cbor_flag(reply, "settled"))
+    // A replica of an earlier build sends all entries to each reader.
+    bool const has_all_entries = from.position.view_id != previous_view &&
+                                 (from.sends_all_entries || !is_delegate);
+    from.has_sent_all_entries = from.has_sent_all_entries || has_all_entries;
+    if (has_all_entries && cbor_flag(reply, "settled"))
     {
         settling_.merge_settled_view(live_entries());
     }
@@ -323,11 +349,19 @@
         { return entry.phase == member_phase::serving && !entry.is_silent; }));
 }
 
+bool discovery_service::has_read_sources() const
+{
+    return std::all_of(sources_.begin(), sources_.end(),
+                       [](std::shared_ptr<source> const& from) {
+                           return from->position.view_id != 0 || from->is_lost;
+                       });
+}
+
 void discovery_service::update_settling()
 {
     bool const was_settled = settling_.is_settled();
     auto const live = live_entries();
-    settling_.update(live, clock_.now());
+    settling_.update(live, has_read_sources(), clock_.now());
     if (settling_.is_settled() != was_settled)
     {
         discovery_log.note("view.settled",
--- a/source/verbenacove/process/discovery/discovery_service.cpp
+++ b/source/verbenacove/process/discovery/discovery_service.cpp
@@ -84,6 +84,7 @@
                    }})
     , started_(QDateTime::currentMSecsSinceEpoch())
     , created_(clock_.now())
+    , last_tick_(created_)
     , departures_(settings_.data_folder)
 {
     server_.set_location_lookup([this](raft_member const& member)
--- a/source/verbenacove/process/discovery/discovery_service.hpp
+++ b/source/verbenacove/process/discovery/discovery_service.hpp
@@ -174,6 +174,9 @@
         /** Whether it is asked for all entries, as long as the view has not
             settled. */
         bool sends_all_entries = false;
+        /** Whether it has sent all entries since the view has begun to
+            settle. */
+        bool has_sent_all_entries = false;
         monotonic_time next_read;
         /** Time of its last response; before the first, of its addition. */
         monotonic_time last_response;
@@ -216,7 +219,12 @@
     void merge_crashes(QCborMap const& message);
     std::optional<location> location_of(socket_address const& replica) const;
     std::size_t live_entries() const;
+    /** Returns whether each source has been read, or cannot be. */
+    bool has_read_sources() const;
     void update_settling();
+    /** Lets the view settle anew after this process did not run for a while.
+     */
+    void check_pause(monotonic_time now);
     void log_relayed_changes(monotonic_time now);
     void leave(upstream_id const& id, acknowledge_callback done);
     /** Sends an upstream's record to all voting replicas and reports whether a
@@ -259,6 +267,7 @@
     std::optional<monotonic_time> next_responses_;
     monotonic_time last_responses_{};
     monotonic_time last_current_{};
+    monotonic_time last_tick_{};
     departure_log departures_;
     std::vector<unstored_departure> unstored_departures_;
     bool is_stopping_ = false;
--- a/source/verbenacove/process/discovery/view_settling.hpp
+++ b/source/verbenacove/process/discovery/view_settling.hpp
@@ -14,8 +14,9 @@
     After a restart, or when it was cut off from all entries, a replica hears of
     the entries one by one. A look-up answered from such a view would send all
     callers to the few entries that came first. The view settles once each
-    serving entry has had time to report, or when the view of another replica
-    that had settled was merged.
+    serving entry has had time to report and each replica that can be read has
+    told which entries report to it, or when all entries that a settled replica
+    knows were merged.
 */
 class view_settling
 {
@@ -27,22 +28,35 @@
 
     /** Updates the state; must be called a few times per second.
 
-        @param live_entries  number of entries that are serving and not silent
+        @param live_entries       number of entries that are serving and not
+                                  silent
+        @param has_read_replicas  whether each other replica has been read, or
+                                  cannot be
     */
-    void update(std::size_t live_entries, monotonic_time now)
+    void update(std::size_t live_entries, bool has_read_replicas,
+                monotonic_time now)
     {
         if (live_entries == 0)
         {
-            first_report_.reset();
-            is_settled_ = false;
+            restart();
             return;
         }
         first_report_ = first_report_.value_or(now);
         is_settled_ =
-            is_settled_ || elapsed(*first_report_, now) >= settling_time;
+            is_settled_ || (has_read_replicas &&
+                            elapsed(*first_report_, now) >= settling_time);
     }
 
-    /** Records that the view of a replica that had settled was merged.
+    /** Records that this replica could not hear of any entry for a while, as
+        its process did not run. */
+    void restart()
+    {
+        first_report_.reset();
+        is_settled_ = false;
+    }
+
+    /** Records that all entries of a replica whose view had settled were
+        merged.
 
         @param live_entries  number of live entries in this view after that
     */
--- a/tests/unit/discovery_test_tools.hpp
+++ b/tests/unit/discovery_test_tools.hpp
@@ -37,6 +37,19 @@
     return record;
 }
 
+/** Returns an entry's record with its first heartbeat. */
+inline entry_member make_entry(QString const& id)
+{
+    entry_member record;
+    record.id = id;
+    record.started = incarnation(1);
+    record.sequence = 1;
+    record.phase = member_phase::serving;
+    record.content.address = {QHostAddress(QHostAddress::LocalHost), 1000};
+    record.last_heartbeat = steady_clock_source().now();
+    return record;
+}
+
 /** A real replica, in a group with others that need not exist. */
 class test_replica
 {
@@ -109,6 +122,12 @@
 
     /** Number of reads that asked for all entries. */
     int reads_of_all_entries = 0;
+    /** Number of entries that report to it. */
+    int entries = 0;
+    /** Whether its view of the entries has settled. */
+    bool is_settled = false;
+    /** Delay of the response to a first read that asks for all entries. */
+    milliseconds all_entries_delay{0};
 
 private:
     static constexpr milliseconds hold{300};
@@ -120,7 +139,8 @@
         {
             return;
         }
-        reads_of_all_entries += cbor_flag(request, "all_entries") ? 1 : 0;
+        bool const wants_all_entries = cbor_flag(request, "all_entries");
+        reads_of_all_entries += wants_all_entries ? 1 : 0;
         auto const now = steady_clock_source().now();
         replica_member self;
         self.id = address_.text();
@@ -133,6 +153,7 @@
         QCborMap response{
             {QLatin1String("status"), QLatin1String("ok")},
             {QLatin1String("delegates"), true},
+            {QLatin1String("settled"), is_settled},
             {QLatin1String("next"), to_cbor(sync_position{view_id})},
             {QLatin1String("replicas"), QCborArray{to_cbor(self, now)}}};
         if (sequence_ > 1)
@@ -147,7 +168,17 @@
             records.append(to_cbor(make_upstream(number), now));
         }
         response[QLatin1String("upstreams")] = records;
-        reply(response);
+        QCborArray entry_records;
+        for (int number = 0; number < entries; ++number)
+        {
+            auto const id =
+                QStringLiteral("%1-entry-%2").arg(address_.text()).arg(number);
+            entry_records.append(to_cbor(make_entry(id), now));
+        }
+        response[QLatin1String("entries")] = entry_records;
+        QTimer::singleShot(wants_all_entries ? all_entries_delay
+                                             : milliseconds(0),
+                           &context_, [reply, response] { reply(response); });
     }
 
     static constexpr qint64 view_id = 77;
--- a/tests/unit/lost_replicas_test.cpp
+++ b/tests/unit/lost_replicas_test.cpp
@@ -91,6 +91,31 @@
                           others[4].address()}};
 };
 
+/** A replica that starts beside settled ones, of which those that are asked for
+    all entries take longer to respond. */
+struct partial_view_fixture
+{
+    partial_view_fixture()
+    {
+        for (auto& other : others)
+        {
+            other.entries = entries_each;
+            other.is_settled = true;
+            other.all_entries_delay = milliseconds(800);
+        }
+    }
+
+    bool knows_entries()
+    {
+        return !replica.discovery().membership().entries().records().isEmpty();
+    }
+
+    static constexpr int entries_each = 4;
+    std::array<replica_stand_in, 3> others;
+    test_replica replica{
+        {others[0].address(), others[1].address(), others[2].address()}};
+};
+
 } // namespace
 
 TEST_CASE_FIXTURE(lost_replica_fixture,
@@ -153,3 +178,17 @@
     }
     CHECK(asked == 2);
 }
+
+// A replica that had just started sent the callers of all zones to the entries
+// of the replica that responded first.
+TEST_CASE_FIXTURE(partial_view_fixture,
+                  "replica start: a settled replica has sent its own entries "
+                  "only: the view does not count as settled")
+{
+    REQUIRE(wait_until([this] { return knows_entries(); }));
+    CHECK_FALSE(replica.discovery().has_settled_view());
+    CHECK(
+        wait_until([this] { return replica.discovery().has_settled_view(); }));
+    CHECK(replica.discovery().membership().entries().records().size() >=
+          2 * entries_each);
+}
