Go on reading a replica from the same position after a late response

Cause: a read whose response did not come within its time started the position anew, so that the next one took the whole view, 3,000 records, which made the next responses late. The position was dropped as processes may count as silent for want of contact; that takes 3 s.

The position is now kept unless there was no response for 2.5 s, and the first read after a late one does not wait for updates.

Test on: "a response does not come in time: the next read goes on from the same position" read the whole view twice instead of once.

--- a/source/verbenacove/process/discovery/discovery_read.cpp
+++ b/source/verbenacove/process/discovery/discovery_read.cpp
@@ -24,6 +24,9 @@
 constexpr qsizetype maximum_sources = 64;
 /** Maximum number of replicas that are asked for all entries at a time. */
 constexpr int maximum_entry_sources = 2;
+/** Time without a response after which a source is read anew. Below the time
+    after which its entries count as silent. */
+constexpr milliseconds maximum_contact_gap{2500};
 /** Time between two ticks from which on this process did not run. */
 constexpr milliseconds pause_threshold{1000};
 /** Interval between the log lines that count relayed changes. */
@@ -174,7 +177,9 @@
         {QLatin1String("replica"), true},
         {QLatin1String("delegates"), true},
         {QLatin1String("routes"), std::numeric_limits<qint64>::max()},
-        {QLatin1String("hold"), qint64{maximum_hold.count()}},
+        // Contact is restored by any response.
+        {QLatin1String("hold"),
+         from.is_lost ? qint64{0} : qint64{maximum_hold.count()}},
         {QLatin1String("self"), to_cbor(*self, clock_.now())}};
     from.sends_all_entries =
         !settling_.is_settled() && may_send_all_entries(from);
@@ -291,12 +296,19 @@
         from->next_read = now + retry_interval;
         from->is_lost = true;
         from->has_sent_all_entries = false;
-        // What its processes did meanwhile is not told as changes.
-        from->position = {};
         return;
     }
+    auto const silent_for = elapsed(from->last_response, now);
     from->last_response = now;
+    auto const previous_view = from->position.view_id;
     record_read(address, *from, *reply);
+    bool const is_continued = from->position.view_id == previous_view;
+    if (is_continued && silent_for > maximum_contact_gap)
+    {
+        // Some of its processes may count as silent here since, which is no
+        // change there.
+        from->position = {};
+    }
     read(address, *from);
 }
 
--- a/tests/unit/discovery_test_tools.hpp
+++ b/tests/unit/discovery_test_tools.hpp
@@ -120,6 +120,10 @@
     /** Ends it, with its connections. */
     void stop() { server_.reset(); }
 
+    /** Number of reads of the whole view. */
+    int reads_of_whole_view = 0;
+    /** Number of the next reads that get no response. */
+    int ignored_reads = 0;
     /** Number of reads that asked for all entries. */
     int reads_of_all_entries = 0;
     /** Number of entries that report to it. */
@@ -141,6 +145,14 @@
         }
         bool const wants_all_entries = cbor_flag(request, "all_entries");
         reads_of_all_entries += wants_all_entries ? 1 : 0;
+        auto const position =
+            parse_sync_position(cbor_map(request, "position"));
+        reads_of_whole_view += position.view_id == 0 ? 1 : 0;
+        if (ignored_reads > 0)
+        {
+            --ignored_reads;
+            return;
+        }
         auto const now = steady_clock_source().now();
         replica_member self;
         self.id = address_.text();
@@ -158,8 +170,9 @@
             {QLatin1String("replicas"), QCborArray{to_cbor(self, now)}}};
         if (sequence_ > 1)
         {
-            QTimer::singleShot(hold, &context_,
-                               [reply, response] { reply(response); });
+            QTimer::singleShot(
+                std::min(hold, milliseconds(cbor_number(request, "hold"))),
+                &context_, [reply, response] { reply(response); });
             return;
         }
         QCborArray records;
--- a/tests/unit/lost_replicas_test.cpp
+++ b/tests/unit/lost_replicas_test.cpp
@@ -20,6 +20,8 @@
 {
     lost_replica_fixture()
     {
+        other.entries = 1;
+        other.is_settled = true;
         REQUIRE(wait_until(
             [this]
             {
@@ -192,3 +194,30 @@
     CHECK(replica.discovery().membership().entries().records().size() >=
           2 * entries_each);
 }
+
+// Late responses made each replica read the whole view of each other one, which
+// made the next responses late.
+TEST_CASE_FIXTURE(lost_replica_fixture,
+                  "replica read: a response does not come in time: the next "
+                  "read goes on from the same position")
+{
+    REQUIRE(other.reads_of_whole_view == 1);
+    other.ignored_reads = 1;
+    REQUIRE(wait_until(
+        [this] { return replica.discovery().lost_replica_count() == 1; }));
+    REQUIRE(wait_until(
+        [this] { return replica.discovery().lost_replica_count() == 0; }));
+    CHECK(other.reads_of_whole_view == 1);
+}
+
+TEST_CASE_FIXTURE(lost_replica_fixture,
+                  "replica read: no response for so long that its entries "
+                  "count as silent: the whole view is read again")
+{
+    other.ignored_reads = 3;
+    REQUIRE(wait_until(
+        [this] { return replica.discovery().lost_replica_count() == 1; }));
+    REQUIRE(wait_until(
+        [this] { return replica.discovery().lost_replica_count() == 0; }));
+    CHECK(wait_until([this] { return other.reads_of_whole_view > 1; }));
+}
