Gather reports of crashes with other changes of the view

When upstreams of a zone go down, entries report requests that were lost with them.

Reports now wait for the next response with changes, 100 ms to entries and 300 ms to replicas. They bind after seconds, so nothing is late by it.

No test of its own: the bound of the responses is that of changes of the view.

--- a/source/verbenacove/process/discovery/discovery_read.cpp
+++ b/source/verbenacove/process/discovery/discovery_read.cpp
@@ -388,7 +388,7 @@
     if (crashes)
     {
         known_crashes_.merge_update(*crashes);
-        schedule_responses(urgent_delay);
+        schedule_updates();
     }
 }
 
--- a/source/verbenacove/process/discovery/discovery_service.cpp
+++ b/source/verbenacove/process/discovery/discovery_service.cpp
@@ -206,7 +206,7 @@
         respond(reader);
         return;
     }
-    if (membership_.has_updates_since(reader.position, reader.view))
+    if (has_changes_for(reader))
     {
         schedule_updates();
     }
@@ -224,7 +224,6 @@
         cbor_flag(reader.request, "current") != is_current();
     return !membership_.is_known(reader.position) ||
            cbor_flag(reader.request, "replicas_only") ||
-           known_crashes_.has_changes(reader.crash_cursor) ||
            (has_older_routes && is_current()) || is_leader_contact_changed ||
            clock_.now() >= reader.deadline;
 }
@@ -232,8 +231,13 @@
 bool discovery_service::is_response_due(waiting_reader const& reader) const
 {
     return is_urgent(reader) ||
-           (clock_.now() >= reader.not_before &&
-            membership_.has_updates_since(reader.position, reader.view));
+           (clock_.now() >= reader.not_before && has_changes_for(reader));
+}
+
+bool discovery_service::has_changes_for(waiting_reader const& reader) const
+{
+    return membership_.has_updates_since(reader.position, reader.view) ||
+           known_crashes_.has_changes(reader.crash_cursor);
 }
 
 void discovery_service::respond(waiting_reader const& reader)
--- a/source/verbenacove/process/discovery/discovery_service.hpp
+++ b/source/verbenacove/process/discovery/discovery_service.hpp
@@ -142,7 +142,7 @@
         sync_position position;
         view_reader view;
         quarantine_cursor crash_cursor;
-        /** Time before which changes of the view alone are not sent. */
+        /** Time before which changes of the view and crashes are not sent. */
         monotonic_time not_before;
         /** Time at which the response is sent even without updates. */
         monotonic_time deadline;
@@ -188,6 +188,7 @@
     /** Returns whether a response cannot wait for further changes. */
     bool is_urgent(waiting_reader const& reader) const;
     bool is_response_due(waiting_reader const& reader) const;
+    bool has_changes_for(waiting_reader const& reader) const;
     /** Returns those of the given replicas with which this one has contact. */
     QSet<QString> heard_replicas(QSet<QString> const& names) const;
     bool is_in_contact(source const& from) const;
