Handle orders and departures before reads of views when a replica is busy

Only messages of the log went first; an order waited with the reads of all entries at the replica that received it, at the leader and on its way back.

Connections of operators and upstreams now have high priority: three of them go before each other one. Orders that a replica hands on, and the answers to them, go with the messages of the log.

Test: "descriptors of high and normal priority are ready"; it needs the new interface.

--- a/source/verbenacove/connection/frame_socket.cpp
+++ b/source/verbenacove/connection/frame_socket.cpp
@@ -24,16 +24,18 @@
     socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
     QObject::connect(socket_.get(), &QTcpSocket::readyRead,
                      [this] { read_frames(); });
-    QObject::connect(
-        socket_.get(), &QTcpSocket::connected,
-        [this]
-        {
-            socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
-            if (is_urgent_)
-            {
-                epoll_event_dispatcher::set_urgent(socket_->socketDescriptor());
-            }
-        });
+    QObject::connect(socket_.get(), &QTcpSocket::connected,
+                     [this]
+                     {
+                         socket_->setSocketOption(
+                             QAbstractSocket::LowDelayOption, 1);
+                         if (is_urgent_)
+                         {
+                             epoll_event_dispatcher::set_priority(
+                                 socket_->socketDescriptor(),
+                                 epoll_event_dispatcher::priority::urgent);
+                         }
+                     });
     QObject::connect(socket_.get(), &QTcpSocket::disconnected,
                      [this] { close(); });
     QObject::connect(socket_.get(), &QTcpSocket::errorOccurred,
@@ -69,7 +71,9 @@
     is_urgent_ = true;
     if (socket_->state() == QAbstractSocket::ConnectedState)
     {
-        epoll_event_dispatcher::set_urgent(socket_->socketDescriptor());
+        epoll_event_dispatcher::set_priority(
+            socket_->socketDescriptor(),
+            epoll_event_dispatcher::priority::urgent);
     }
 }
 
--- a/source/verbenacove/connection/frame_socket.hpp
+++ b/source/verbenacove/connection/frame_socket.hpp
@@ -47,7 +47,7 @@
     void send(QCborMap const& message);
 
     /** Lets this connection be read before others when the process is busy.
-        @see epoll_event_dispatcher::set_urgent */
+        @see epoll_event_dispatcher::set_priority */
     void set_urgent();
 
     /** Returns the number of bytes received so far. */
--- a/source/verbenacove/connection/http_parked_connections.hpp
+++ b/source/verbenacove/connection/http_parked_connections.hpp
@@ -51,6 +51,9 @@
     /** Closes all that have been idle since before a time. */
     void close_idle_before(monotonic_time time);
 
+    /** Returns the descriptor that is ready when one of them is. */
+    descriptor ready_descriptor() const { return epoll_; }
+
     /** Returns how many connections it holds. */
     std::size_t size() const;
 
--- a/source/verbenacove/connection/http_server.cpp
+++ b/source/verbenacove/connection/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "verbenacove/connection/http_connection.hpp"
 #include "verbenacove/connection/http_parked_connections.hpp"
+#include "verbenacove/core/epoll_event_dispatcher.hpp"
 #include "verbenacove/core/timer_service.hpp"
 
 #include <QTcpServer>
@@ -57,6 +58,23 @@
 
     void set_limits(http_limits const& limits) { limits_ = limits; }
 
+    void set_high_priority() { has_high_priority_ = true; }
+
+    void prioritize(qintptr descriptor) const
+    {
+        if (has_high_priority_)
+        {
+            epoll_event_dispatcher::set_priority(
+                descriptor, epoll_event_dispatcher::priority::high);
+        }
+    }
+
+    void prioritize_listener() const
+    {
+        prioritize(socketDescriptor());
+        prioritize(parked_.ready_descriptor());
+    }
+
     void prepare_stop() { is_stopping_ = true; }
 
     void stop_accepting()
@@ -136,6 +154,7 @@
             ::close(static_cast<int>(descriptor));
             return nullptr;
         }
+        prioritize(descriptor);
         auto* const connection =
             new http_connection(std::move(socket), limits_, *this, idle_since);
         connections_.insert(connection);
@@ -240,6 +259,7 @@
     http_parked_connections parked_;
     qint64 held_bytes_ = 0;
     bool is_stopping_ = false;
+    bool has_high_priority_ = false;
 };
 
 http_server::http_server(http_limits limits, handler handle)
@@ -249,9 +269,19 @@
 
 http_server::~http_server() = default;
 
+void http_server::set_high_priority()
+{
+    core_->set_high_priority();
+}
+
 bool http_server::listen(socket_address const& address)
 {
-    return core_->listen(address.host, address.port);
+    bool const is_listening = core_->listen(address.host, address.port);
+    if (is_listening)
+    {
+        core_->prioritize_listener();
+    }
+    return is_listening;
 }
 
 void http_server::set_limits(http_limits const& limits)
--- a/source/verbenacove/connection/http_server.hpp
+++ b/source/verbenacove/connection/http_server.hpp
@@ -33,6 +33,13 @@
     http_server(http_server const&) = delete;
     http_server& operator=(http_server const&) = delete;
 
+    /** Lets the listener and all connections be handled before others when the
+        process is busy; must be called before `listen`.
+
+        @see epoll_event_dispatcher::set_priority
+    */
+    void set_high_priority();
+
     /** Starts to listen; port 0 takes a free one.
 
         @return false when the address cannot be had; see error_text
--- a/source/verbenacove/core/epoll_event_dispatcher.cpp
+++ b/source/verbenacove/core/epoll_event_dispatcher.cpp
@@ -23,6 +23,9 @@
 constexpr int maximum_events = 256;
 /** Time after which urgent descriptors and timers are looked at again. */
 constexpr std::chrono::milliseconds maximum_slice{5};
+/** Number of descriptors of high priority that go before one of normal
+    priority. */
+constexpr int high_turns_per_normal = 3;
 
 constexpr quint32 ended = EPOLLERR | EPOLLHUP;
 
@@ -115,7 +118,7 @@
         // Fails when the descriptor has been closed, which also removed it.
         ::epoll_ctl(epoll_, EPOLL_CTL_DEL, descriptor, &event);
         descriptors_.remove(descriptor);
-        urgent_.remove(descriptor);
+        priorities_.remove(descriptor);
         ready_.remove(descriptor);
         return;
     }
@@ -126,20 +129,20 @@
                        ::epoll_ctl(epoll_, second, descriptor, &event) == 0;
 }
 
-void epoll_event_dispatcher::set_urgent(qintptr descriptor)
+void epoll_event_dispatcher::set_priority(qintptr descriptor, priority level)
 {
     auto* const current = dynamic_cast<epoll_event_dispatcher*>(
         QAbstractEventDispatcher::instance());
     if (current != nullptr &&
         current->descriptors_.contains(static_cast<int>(descriptor)))
     {
-        current->urgent_.insert(static_cast<int>(descriptor));
+        current->priorities_.insert(static_cast<int>(descriptor), level);
     }
 }
 
 int epoll_event_dispatcher::wait_time(bool may_wait, bool handles_timers) const
 {
-    if (!may_wait || !queue_.empty())
+    if (!may_wait || has_queued())
     {
         return 0;
     }
@@ -157,11 +160,9 @@
 {
     int handled = poll(timeout, handles_sockets);
     auto const end = clock::now() + maximum_slice;
-    while (handles_sockets && !queue_.empty() && !is_interrupted_)
+    while (handles_sockets && has_queued() && !is_interrupted_)
     {
-        int const descriptor = queue_.front();
-        queue_.pop_front();
-        handled += handle_ready(descriptor);
+        handled += handle_ready(take_queued());
         if (clock::now() >= end)
         {
             break;
@@ -170,6 +171,25 @@
     return handled;
 }
 
+bool epoll_event_dispatcher::has_queued() const
+{
+    return std::any_of(queues_.begin(), queues_.end(),
+                       [](auto const& queue) { return !queue.empty(); });
+}
+
+int epoll_event_dispatcher::take_queued()
+{
+    auto& high = queue_of(priority::high);
+    auto& normal = queue_of(priority::normal);
+    bool const is_high = normal.empty() ||
+                         (!high.empty() && high_turns_ < high_turns_per_normal);
+    high_turns_ = is_high ? high_turns_ + 1 : 0;
+    auto& queue = is_high ? high : normal;
+    int const descriptor = queue.front();
+    queue.pop_front();
+    return descriptor;
+}
+
 int epoll_event_dispatcher::poll(int timeout, bool handles_sockets)
 {
     std::array<epoll_event, maximum_events> events{};
@@ -193,13 +213,14 @@
         int const descriptor = event.data.fd;
         bool const is_queued = ready_.contains(descriptor);
         ready_[descriptor] |= event.events;
-        if (urgent_.contains(descriptor))
+        auto const level = priorities_.value(descriptor, priority::normal);
+        if (level == priority::urgent)
         {
             urgent.push_back(descriptor);
         }
         else if (!is_queued)
         {
-            queue_.push_back(descriptor);
+            queue_of(level).push_back(descriptor);
         }
     }
     for (auto const descriptor : urgent)
--- a/source/verbenacove/core/epoll_event_dispatcher.hpp
+++ b/source/verbenacove/core/epoll_event_dispatcher.hpp
@@ -3,9 +3,9 @@
 
 #include <QAbstractEventDispatcher>
 #include <QHash>
-#include <QSet>
 #include <QSocketNotifier>
 
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <deque>
@@ -23,8 +23,9 @@
     descriptors.
 
     When there is more to do than there is time, urgent descriptors and timers
-    go first: the other descriptors are handled in the order in which they
-    became ready, in slices.
+    go first. The others are handled in slices: three of high priority for each
+    one of normal priority, and those of the same priority in the order in which
+    they became ready.
 
     Set it before the application or the thread starts:
     `QCoreApplication::setEventDispatcher`, `QThread::setEventDispatcher`.
@@ -49,9 +50,16 @@
     QList<TimerInfo> registeredTimers(QObject* object) const override;
     int remainingTime(int id) override;
 
-    /** Lets a descriptor of this thread go before others, until it is closed;
+    enum class priority
+    {
+        normal,
+        high,
+        urgent
+    };
+
+    /** Sets the priority of a descriptor of this thread, until it is closed;
         does nothing when another dispatcher drives the thread. */
-    static void set_urgent(qintptr descriptor);
+    static void set_priority(qintptr descriptor, priority level);
 
     /** May be called from any thread. */
     void wakeUp() override;
@@ -88,6 +96,13 @@
     /** Waits for descriptors that are ready, and handles the urgent ones. */
     int poll(int timeout, bool handles_sockets);
     int handle_ready(int descriptor);
+    std::deque<int>& queue_of(priority level)
+    {
+        return queues_.at(static_cast<std::size_t>(level));
+    }
+    bool has_queued() const;
+    /** Returns the descriptor whose turn it is; there must be one. */
+    int take_queued();
     bool notify(int descriptor, QSocketNotifier::Type type);
     int handle_timers();
     void schedule(int id, timer& scheduled, clock::time_point due);
@@ -97,11 +112,15 @@
     std::atomic<bool> is_woken_{false};
     std::atomic<bool> is_interrupted_{false};
     QHash<int, watched_descriptor> descriptors_;
-    QSet<int> urgent_;
+    /** Those that are not normal. */
+    QHash<int, priority> priorities_;
     /** The events of descriptors that are ready and not handled yet. */
     QHash<int, quint32> ready_;
-    /** Their order; may name some that have been handled or closed. */
-    std::deque<int> queue_;
+    /** Their order by priority, normal and high; may name some that have been
+        handled or closed. */
+    std::array<std::deque<int>, 2> queues_;
+    /** Number of descriptors of high priority since the last normal one. */
+    int high_turns_ = 0;
     QHash<int, timer> timers_;
     /** The ids of all timers, by the time at which they are due. */
     std::multimap<clock::time_point, int> due_;
--- a/source/verbenacove/process/control_server.cpp
+++ b/source/verbenacove/process/control_server.cpp
@@ -29,6 +29,15 @@
     return cbor_text(request, "m").startsWith(QLatin1String("raft."));
 }
 
+/** Returns whether a call goes before others: those of the replicated log, and
+    orders that another replica hands on. */
+bool is_urgent(QCborMap const& request)
+{
+    auto const name = cbor_text(request, "m");
+    return is_consensus(request) || name == QLatin1String("order") ||
+           name == QLatin1String("routes") || name == QLatin1String("push");
+}
+
 raft_settings seeded(raft_settings settings)
 {
     settings.seed = std::random_device{}();
@@ -48,8 +57,7 @@
     , reports_(clock_)
     , grants_(state_, node_, clock_)
 {
-    rpc_.set_urgent_calls([](QCborMap const& request)
-                          { return is_consensus(request); });
+    rpc_.set_urgent_calls(&is_urgent);
 }
 
 bool control_server::start()
--- a/source/verbenacove/process/raft_rpc_transport.cpp
+++ b/source/verbenacove/process/raft_rpc_transport.cpp
@@ -15,7 +15,7 @@
 void raft_rpc_transport::send_bulk(socket_address const& to, QCborMap message,
                                    milliseconds timeout, callback done)
 {
-    client_in(bulk_clients_, to, rpc_client::urgency::normal)
+    client_in(bulk_clients_, to, rpc_client::urgency::urgent)
         .call(std::move(message), timeout, measured(std::move(done)));
 }
 
--- a/source/verbenacove/process/routing/replica_process.cpp
+++ b/source/verbenacove/process/routing/replica_process.cpp
@@ -240,6 +240,11 @@
     {
         each.server = std::make_unique<http_server>(
             endpoint_limits(each.maximum_connections), each.handle);
+        // Orders and departures must not wait behind the reads of all entries.
+        if (each.server.get() == control_endpoint_.get())
+        {
+            each.server->set_high_priority();
+        }
         if (!each.server->listen(each.address))
         {
             return each.address.text() + QStringLiteral(": ") +
--- a/tests/unit/epoll_event_dispatcher_test.cpp
+++ b/tests/unit/epoll_event_dispatcher_test.cpp
@@ -232,12 +232,14 @@
 
     /** Makes all descriptors ready at once.
 
-        @param urgent  the index of an urgent one; the last one is handled last
+        @param urgent      the index of an urgent one; the last one is handled
+                           last
+        @param first_high  the index of the first one of high priority
     */
-    void make_ready(int urgent)
+    void make_ready(int urgent, int first_high = descriptor_count)
     {
         run(
-            [this, urgent]
+            [this, urgent, first_high]
             {
                 for (int index = 0; index < descriptor_count; ++index)
                 {
@@ -249,9 +251,15 @@
                     QObject::connect(notifiers.back().get(),
                                      &QSocketNotifier::activated,
                                      [this, index] { handle(index); });
+                    if (index >= first_high)
+                    {
+                        epoll_event_dispatcher::set_priority(
+                            pair[0], epoll_event_dispatcher::priority::high);
+                    }
                     if (index == urgent)
                     {
-                        epoll_event_dispatcher::set_urgent(pair[0]);
+                        epoll_event_dispatcher::set_priority(
+                            pair[0], epoll_event_dispatcher::priority::urgent);
                     }
                 }
                 tick = timers.call_every(milliseconds(handling_ms),
@@ -308,3 +316,19 @@
     CHECK(ticks_before_last >= descriptor_count / 6);
     CHECK(std::is_sorted(order.begin(), order.end()));
 }
+
+// An order waited for seconds behind the reads of all entries.
+TEST_CASE_FIXTURE(busy_fixture,
+                  "epoll dispatcher: descriptors of high and normal priority "
+                  "are ready: three high ones go before each normal one")
+{
+    constexpr int high_count = 9;
+    make_ready(-1, descriptor_count - high_count);
+    auto const is_high = [](int index)
+    {
+        return index >= descriptor_count - high_count;
+    };
+    CHECK(std::count_if(order.begin(), order.begin() + 12, is_high) ==
+          high_count);
+    CHECK(std::count_if(order.begin(), order.begin() + 4, is_high) == 3);
+}
