Relay requests to home regions only, and not to entries with older routes

An entry that reaches no upstream relayed a request with homes also inside its own region. And an entry that is late with its tables handled a relayed request by the homes and services of before.

A request with homes is now relayed to entries in these regions alone, of which each entry knows some of each region. It names the version of the routes that accepted it; an entry with an earlier one refuses it, and another one is tried.

The check "homes elsewhere: none of a third region" allowed an entry of the relaying entry's own region, which the rule allows only if the caller is of it, which an entry cannot know; the new check allows none, and asks for the home region's instead. "another entry has older routes" is new.

--- a/source/verbenacove/process/routing/route_entry_process.cpp
+++ b/source/verbenacove/process/routing/route_entry_process.cpp
@@ -41,6 +41,8 @@
 constexpr milliseconds reported_outage{500};
 /** Maximum number of entries among which a relayed request's is selected. */
 constexpr std::size_t maximum_relays = 16;
+/** Maximum number of those of each other region. */
+constexpr std::size_t maximum_relays_per_region = 4;
 /** The smallest rate, in requests per second, that an entry gets of an
     upstream's rate limit, unless the limit itself is smaller. */
 constexpr double smallest_rate_share = 1;
@@ -172,7 +174,7 @@
         reported_outage, [this] { link_.set_reaches_upstreams(false); });
 }
 
-std::vector<entry_view> route_entry_process::relays() const
+std::vector<entry_view> route_entry_process::other_entries() const
 {
     std::vector<std::pair<quint64, entry_view>> order;
     for (auto const& entry : link_.membership().entries().records())
@@ -203,8 +205,25 @@
     {
         entries.push_back(std::move(view));
     }
-    return nearest_entries({settings_.region, settings_.zone}, entries,
-                           maximum_relays);
+    return entries;
+}
+
+void route_entry_process::add_relays(routing_view& view) const
+{
+    auto const entries = other_entries();
+    view.relays = nearest_entries({settings_.region, settings_.zone}, entries,
+                                  maximum_relays);
+    QHash<region_name, std::size_t> counts;
+    for (auto const& entry : entries)
+    {
+        bool const is_remote =
+            entry.region != settings_.region && entry.reaches_upstreams;
+        if (is_remote && counts[entry.region] < maximum_relays_per_region)
+        {
+            ++counts[entry.region];
+            view.remote_relays.push_back(entry);
+        }
+    }
 }
 
 void route_entry_process::publish()
@@ -216,7 +235,7 @@
     view->routes = link_.routes();
     view->is_ready = is_ready_ && !is_stopping_;
     view->published_at = clock_.now();
-    view->relays = relays();
+    add_relays(*view);
     count_entries(*view);
     if (view->routes)
     {
--- a/source/verbenacove/process/routing/route_entry_process.hpp
+++ b/source/verbenacove/process/routing/route_entry_process.hpp
@@ -59,7 +59,11 @@
     void handle_reachability_change(bool is_cut_off);
     /** Returns the entries that requests are relayed to while this one reaches
         no upstream. */
-    std::vector<entry_view> relays() const;
+    /** Selects the entries that requests are relayed to. */
+    void add_relays(routing_view& view) const;
+    /** Returns the other entries that serve, in an order of this entry's
+        own. */
+    std::vector<entry_view> other_entries() const;
     /** Publishes the view now, or once the minimum interval has passed. */
     void schedule_publish();
     void publish();
--- a/source/verbenacove/process/routing/route_traffic.cpp
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -44,8 +44,7 @@
     , region_shift_(settings_.steering.maximum_region_shift)
     , reachability_(clock_, [this](bool is_cut_off)
                     { handle_reachability_change(is_cut_off); })
-    , relays_(clock_, settings_.region,
-              QRandomGenerator::system()->generate64())
+    , relays_(clock_, QRandomGenerator::system()->generate64())
     , link_(settings_.link, clock_)
     , caller_endpoint_(settings_.limits, [this](exchange_ptr const& exchange)
                        { handle_request(exchange); })
@@ -98,7 +97,7 @@
         apply_limits();
         split_chooser_.keep_only(*view_->routes);
     }
-    relays_.set_entries(view_->relays);
+    relays_.set_entries(view_->relays, view_->remote_relays);
     for (auto item = view_->members.cbegin(); item != view_->members.cend();
          ++item)
     {
@@ -199,6 +198,12 @@
         refuse(exchange, metadata, 400, "no-request-id");
         return;
     }
+    auto const relayed = read_relay_request(request);
+    if (relayed && relayed->version > view_->routes->version)
+    {
+        refuse(exchange, metadata, 503, "older-routes");
+        return;
+    }
     auto const* route =
         find_route(*view_->routes, request.header("Host"), request.path);
     if (route == nullptr)
--- a/source/verbenacove/process/routing/routing_view.hpp
+++ b/source/verbenacove/process/routing/routing_view.hpp
@@ -32,6 +32,9 @@
     /** Entries that requests are relayed to while this entry reaches no
         upstream. */
     std::vector<entry_view> relays;
+    /** Some entries of each other region, for requests that may be served
+        there only. */
+    std::vector<entry_view> remote_relays;
     /** Whether this entry accepts callers. */
     bool is_ready = false;
     /** The time at which the control thread published the view. */
--- a/source/verbenacove/request/relay_headers.cpp
+++ b/source/verbenacove/request/relay_headers.cpp
@@ -10,6 +10,7 @@
 {
 
 constexpr char attempts_header[] = "Relay-Attempts";
+constexpr char routes_header[] = "Relay-Routes";
 constexpr char verdict_header[] = "Relay-Verdict";
 constexpr char upstream_header[] = "Relay-Upstream";
 
@@ -18,8 +19,8 @@
 
 bool is_relay_header(http_header const& header)
 {
-    static constexpr std::array<char const*, 3> names{
-        attempts_header, verdict_header, upstream_header};
+    static constexpr std::array<char const*, 4> names{
+        attempts_header, routes_header, verdict_header, upstream_header};
     return std::any_of(
         names.begin(), names.end(),
         [&header](char const* name)
@@ -32,8 +33,12 @@
 {
     bool is_number = false;
     auto const attempts = request.header(attempts_header).toInt(&is_number);
-    return is_number && attempts > 0 ? std::optional(relay_request{attempts})
-                                     : std::nullopt;
+    if (!is_number || attempts <= 0)
+    {
+        return std::nullopt;
+    }
+    return relay_request{
+        attempts, route_version(request.header(routes_header).toLongLong())};
 }
 
 std::optional<relay_response>
@@ -58,6 +63,8 @@
     remove_relay_headers(headers);
     headers.push_back(
         {attempts_header, QByteArray::number(information.maximum_attempts)});
+    headers.push_back(
+        {routes_header, QByteArray::number(information.version.value())});
 }
 
 void set_relay_headers(std::vector<http_header>& headers,
--- a/source/verbenacove/request/relay_headers.hpp
+++ b/source/verbenacove/request/relay_headers.hpp
@@ -4,6 +4,7 @@
 #include "verbenacove/connection/http_message.hpp"
 #include "verbenacove/core/ids.hpp"
 #include "verbenacove/core/verdict.hpp"
+#include "verbenacove/version/route_configuration.hpp"
 
 #include <optional>
 #include <vector>
@@ -16,6 +17,9 @@
 {
     /** Maximum number of upstreams that may still get the request. */
     int maximum_attempts = 1;
+    /** Version of the routes by which the request was accepted; 0 if it is not
+        told. An entry with an earlier one must not handle the request. */
+    route_version version{0};
 };
 
 /** What the entry that handled a relayed request tells the one that relayed
--- a/source/verbenacove/request/relay_selector.cpp
+++ b/source/verbenacove/request/relay_selector.cpp
@@ -1,7 +1,7 @@
 #include "verbenacove/request/relay_selector.hpp"
 
 #include <algorithm>
-#include <utility>
+#include <iterator>
 
 namespace verbenacove
 {
@@ -15,25 +15,29 @@
     return std::find(items.begin(), items.end(), item) != items.end();
 }
 
+std::vector<entry_view> allowed_entries(std::vector<entry_view> const& entries,
+                                        std::vector<region_name> const& homes,
+                                        std::vector<entry_id> const& excluded)
+{
+    std::vector<entry_view> result;
+    std::copy_if(entries.begin(), entries.end(), std::back_inserter(result),
+                 [&](entry_view const& entry)
+                 {
+                     bool const is_home =
+                         homes.empty() || has_item(homes, entry.region);
+                     return is_home && !has_item(excluded, entry.id);
+                 });
+    return result;
+}
+
 } // namespace
 
-relay_selector::relay_selector(clock_source const& clock, region_name region,
-                               quint64 seed)
+relay_selector::relay_selector(clock_source const& clock, quint64 seed)
     : clock_(clock)
-    , region_(std::move(region))
     , random_(seed)
 {
 }
 
-bool relay_selector::is_allowed(entry_view const& entry,
-                                std::vector<region_name> const& homes,
-                                std::vector<entry_id> const& excluded) const
-{
-    bool const is_home = homes.empty() || entry.region == region_ ||
-                         has_item(homes, entry.region);
-    return is_home && !has_item(excluded, entry.id);
-}
-
 std::optional<entry_view>
 relay_selector::choose(std::vector<region_name> const& homes,
                        std::vector<entry_id> const& excluded)
@@ -42,13 +46,10 @@
     failures_.removeIf(
         [now](auto const& item)
         { return elapsed(item.value(), now) > failure_retention; });
-    std::vector<entry_view> allowed;
-    for (auto const& entry : entries_)
+    auto allowed = allowed_entries(near_, homes, excluded);
+    if (allowed.empty() && !homes.empty())
     {
-        if (is_allowed(entry, homes, excluded))
-        {
-            allowed.push_back(entry);
-        }
+        allowed = allowed_entries(remote_, homes, excluded);
     }
     auto const first_failed =
         std::stable_partition(allowed.begin(), allowed.end(),
--- a/source/verbenacove/request/relay_selector.hpp
+++ b/source/verbenacove/request/relay_selector.hpp
@@ -27,21 +27,28 @@
 
     /** The clock must outlive the object.
 
-        @param region  region of this entry
-        @param seed    seed of the random choice; must differ between entries
+        @param seed  seed of the random choice; must differ between entries
     */
-    relay_selector(clock_source const& clock, region_name region, quint64 seed);
+    relay_selector(clock_source const& clock, quint64 seed);
 
-    /** Replaces the entries to select from. */
-    void set_entries(std::vector<entry_view> entries)
+    /** Replaces the entries to select from.
+
+        @param near    those that are preferred
+        @param remote  entries of other regions, for requests whose homes have
+                       none of the former
+    */
+    void set_entries(std::vector<entry_view> near,
+                     std::vector<entry_view> remote = {})
     {
-        entries_ = std::move(entries);
+        near_ = std::move(near);
+        remote_ = std::move(remote);
     }
 
     /** Returns an entry at random, or nothing if none is allowed.
 
-        @param homes     regions that the request may go to, besides the one of
-                         this entry; empty for all
+        @param homes     regions that the request may go to; empty for all.
+                         This entry's own is no exception: the caller may be
+                         of another one.
         @param excluded  entries that were already tried for the request
     */
     std::optional<entry_view> choose(std::vector<region_name> const& homes,
@@ -51,14 +58,10 @@
     void record_failure(entry_id const& entry);
 
 private:
-    bool is_allowed(entry_view const& entry,
-                    std::vector<region_name> const& homes,
-                    std::vector<entry_id> const& excluded) const;
-
     clock_source const& clock_;
-    region_name region_;
     std::mt19937_64 random_;
-    std::vector<entry_view> entries_;
+    std::vector<entry_view> near_;
+    std::vector<entry_view> remote_;
     /** Time of each recent failure. */
     QHash<entry_id, monotonic_time> failures_;
 };
--- a/source/verbenacove/request/routed_request_relay.cpp
+++ b/source/verbenacove/request/routed_request_relay.cpp
@@ -43,8 +43,9 @@
 {
     auto result = make_request(address);
     services_.header_codec.set_time_left(result.headers, time_left());
-    set_relay_headers(result.headers,
-                      relay_request{route_.maximum_attempts - sent_attempts_});
+    set_relay_headers(
+        result.headers,
+        relay_request{route_.maximum_attempts - sent_attempts_, version_});
     result.is_own_response = [this](http_response const& head, connection_age)
     {
         return is_own_relay_response(head);
--- a/tests/platform/relay_test.cpp
+++ b/tests/platform/relay_test.cpp
@@ -61,7 +61,8 @@
 
     /** Replaces the upstreams and the entries that it may relay to. */
     void update(std::vector<socket_address> const& upstreams,
-                std::vector<traffic_entry const*> const& relays)
+                std::vector<traffic_entry const*> const& relays,
+                qint64 routes_version = 3)
     {
         std::vector<entry_view> views;
         for (auto const* relay : relays)
@@ -71,14 +72,14 @@
             entry.address = relay->address_;
             views.push_back(entry);
         }
-        update_views(upstreams, std::move(views));
+        update_views(upstreams, std::move(views), routes_version);
     }
 
     void update_views(std::vector<socket_address> const& upstreams,
-                      std::vector<entry_view> relays)
+                      std::vector<entry_view> relays, qint64 routes_version = 3)
     {
         auto view = std::make_shared<routing_view>();
-        view->routes = configuration();
+        view->routes = configuration(routes_version);
         view->is_ready = true;
         auto& members = view->members[service_name(QStringLiteral("grades"))];
         for (auto const& address : upstreams)
@@ -114,10 +115,10 @@
     bool is_cut_off() const { return is_cut_off_; }
 
 private:
-    static route_configuration_ptr configuration()
+    static route_configuration_ptr configuration(qint64 version)
     {
         auto result = std::make_shared<route_configuration>();
-        result->version = route_version(3);
+        result->version = route_version(version);
         service_name const service(QStringLiteral("grades"));
         result->services[service.value()].name = service;
         for (bool const is_idempotent : {true, false})
@@ -329,6 +330,27 @@
     }
 }
 
+// The request would be handled by routes that were replaced before it was
+// accepted, perhaps outside its home regions.
+TEST_CASE_FIXTURE(relay_fixture,
+                  "entry without a path to any upstream: another entry has "
+                  "older routes: one with the same routes serves")
+{
+    std::vector<socket_address> const closed(upstream_count,
+                                             local(free_port()));
+    platform_upstream former{QStringLiteral("i-former")};
+    traffic_entry late("late");
+    late.update({former.address()}, {}, 2);
+    cut_off.update(closed, {&late, &connected});
+    for (int number = 0; number < 20; ++number)
+    {
+        auto const id = "bale-" + QByteArray::number(number);
+        CHECK(cut_off.call(id, "POST").is(200));
+        CHECK(former.runs(id) == 0);
+        CHECK(upstream.runs(id) == 1);
+    }
+}
+
 TEST_CASE_FIXTURE(relay_fixture,
                   "no entry has a path to any upstream: a true refusal at once")
 {
--- a/tests/unit/upstream_reachability_test.cpp
+++ b/tests/unit/upstream_reachability_test.cpp
@@ -83,7 +83,12 @@
     relay_fixture()
     {
         clock.advance(milliseconds(10000));
-        relays.set_entries({entry_at("near", "casa"), entry_at("far", "fes")});
+        relays.set_entries(near);
+    }
+
+    void add_remote(entry_view const& entry)
+    {
+        relays.set_entries(near, {entry});
     }
 
     /** Returns the names of the entries that are selected in many draws. */
@@ -99,8 +104,10 @@
         return result;
     }
 
+    std::vector<entry_view> const near{entry_at("near", "casa"),
+                                       entry_at("far", "fes")};
     manual_clock_source clock;
-    relay_selector relays{clock, region_name(QStringLiteral("casa")), 1};
+    relay_selector relays{clock, 1};
 };
 
 } // namespace
@@ -263,11 +270,19 @@
           std::set<QString>{QStringLiteral("far")});
 }
 
-TEST_CASE_FIXTURE(relay_fixture,
-                  "relay selection: homes elsewhere: none of a third region")
+// The caller may be of another region than the entry that relays.
+TEST_CASE_FIXTURE(
+    relay_fixture,
+    "relay selection: homes elsewhere: none of this entry's or of "
+    "a third region")
 {
-    CHECK(chosen({region_name(QStringLiteral("agadir"))}) ==
-          std::set<QString>{QStringLiteral("near")});
+    region_name const home(QStringLiteral("agadir"));
+    CHECK(chosen({home}) == std::set<QString>{QString()});
+    auto const remote = entry_at("remote", "agadir");
+    add_remote(remote);
+    CHECK(chosen({home}) == std::set<QString>{QStringLiteral("remote")});
+    CHECK(chosen({home}, {remote.id}) == std::set<QString>{QString()});
+    CHECK(chosen().size() == 2);
 }
 
 TEST_CASE_FIXTURE(relay_fixture,
@@ -286,9 +301,10 @@
 {
     http_request request;
     request.headers = {{"Host", "g.example"}};
-    set_relay_headers(request.headers, relay_request{2});
+    set_relay_headers(request.headers, relay_request{2, route_version(7)});
     REQUIRE(read_relay_request(request));
     CHECK(read_relay_request(request)->maximum_attempts == 2);
+    CHECK(read_relay_request(request)->version == route_version(7));
     remove_relay_headers(request.headers);
     CHECK(request.headers.size() == 1);
 
