Send callers to home regions of their requests, and write each look-up's response once

Look-ups widen to all regions when the entries of the caller's own are gone or reach no upstream, also by a false report. They did not regard the homes of the host's routes (HOME). They return entries of the caller's region and of the homes now, and others only if there are none.

--- a/source/verbenacove/process/route_service.hpp
+++ b/source/verbenacove/process/route_service.hpp
@@ -54,6 +54,12 @@
     void evacuate(zone_name const& zone, bool is_evacuated,
                   caller_check is_awaited, order_callback done);
 
+    /** Returns the configuration that is in force at this replica. */
+    route_configuration const& current() const
+    {
+        return *server_.state().routes().current();
+    }
+
     /** Reads the configuration that was newest when this was called. */
     void read(read_callback done);
 
--- a/source/verbenacove/process/routing/entry_directory.cpp
+++ b/source/verbenacove/process/routing/entry_directory.cpp
@@ -22,33 +22,58 @@
 {
 }
 
-std::vector<entry_view> entry_directory::find(location const& caller,
-                                              std::size_t maximum_count)
+QByteArray entry_directory::find(look_up const& request,
+                                 route_configuration const& routes,
+                                 response_writer const& write)
 {
-    if (!is_cache_current(maximum_count))
+    if (!is_cache_current(request.maximum_count))
     {
         responses_.clear();
         cached_revision_ = discovery_.membership().entries().revision();
         is_cached_settled_ = discovery_.has_settled_view();
-        cached_maximum_ = maximum_count;
+        cached_maximum_ = request.maximum_count;
+    }
+    auto const& nearest = respond(request, {}, write);
+    if (!nearest.has_others)
+    {
+        return nearest.body;
+    }
+    return respond(request, common_homes(routes, request.host), write).body;
+}
+
+entry_directory::response const&
+entry_directory::respond(look_up const& request,
+                         std::vector<region_name> const& homes,
+                         response_writer const& write)
+{
+    auto const& caller = request.caller;
+    auto key = caller.zone.value() + QLatin1Char('\n') + caller.region.value();
+    for (auto const& home : homes)
+    {
+        key += QLatin1Char('\n') + home.value();
     }
-    auto const key =
-        caller.zone.value() + QLatin1Char('\n') + caller.region.value();
     auto const cached = responses_.constFind(key);
     if (cached != responses_.constEnd())
     {
         return *cached;
     }
     auto const serving = serving_entries();
-    auto const result = is_cached_settled_
-                            ? nearest_entries(caller, serving, maximum_count)
-                            : std::vector<entry_view>{};
-    log_change(caller, serving.size(), result);
-    if (responses_.size() < maximum_zones)
+    auto const entries =
+        is_cached_settled_
+            ? nearest_entries(caller, serving, request.maximum_count, homes)
+            : std::vector<entry_view>{};
+    log_change(caller, serving.size(), entries);
+    // Callers name their zone and host, so the number of responses is bounded.
+    if (responses_.size() >= maximum_zones)
     {
-        responses_.insert(key, result);
+        responses_.clear();
     }
-    return result;
+    bool const has_others =
+        std::any_of(entries.begin(), entries.end(),
+                    [&caller](entry_view const& entry)
+                    { return entry.region != caller.region; });
+    return *responses_.insert(
+        key, {entries.empty() ? QByteArray() : write(entries), has_others});
 }
 
 bool entry_directory::is_cache_current(std::size_t maximum_count) const
--- a/source/verbenacove/process/routing/entry_directory.hpp
+++ b/source/verbenacove/process/routing/entry_directory.hpp
@@ -3,10 +3,13 @@
 
 #include "verbenacove/process/discovery/discovery_service.hpp"
 #include "verbenacove/request/entry_lookup.hpp"
+#include "verbenacove/version/route_configuration.hpp"
 
+#include <QByteArray>
 #include <QHash>
 #include <QString>
 
+#include <functional>
 #include <vector>
 
 namespace verbenacove
@@ -24,16 +27,32 @@
     /** The service must outlive the directory. */
     explicit entry_directory(discovery_service const& discovery);
 
-    /** Returns the entries that a caller should use; empty if none is known
-        or the view has not settled. A caller that gets none keeps those that
-        it got before.
+    /** Writes the response to a look-up that returns these entries. */
+    using response_writer =
+        std::function<QByteArray(std::vector<entry_view> const&)>;
 
-        @param maximum_count  the maximum number of entries to return
+    /** A caller's look-up. */
+    struct look_up
+    {
+        location caller;
+        /** The host that it will send requests to. */
+        QByteArray host;
+        /** Maximum number of entries to return. */
+        std::size_t maximum_count = 0;
+    };
+
+    /** Returns the response that names the entries which a caller should use;
+        empty if none is known or the view has not settled. A caller that gets
+        none keeps those that it got before.
+
+        @param routes  the routes in force, which say in which regions the
+                       host's requests may be served
+        @param write   writes the response; must be the same for all look-ups
 
         @see nearest_entries, view_settling
     */
-    std::vector<entry_view> find(location const& caller,
-                                 std::size_t maximum_count);
+    QByteArray find(look_up const& request, route_configuration const& routes,
+                    response_writer const& write);
 
     /** Returns the entries that a look-up can return: those that are serving
         and not silent. */
@@ -50,16 +69,27 @@
         bool operator==(returned_count const&) const = default;
     };
 
+    /** Response to a look-up. */
+    struct response
+    {
+        QByteArray body;
+        /** Whether it names entries outside the caller's region. */
+        bool has_others = false;
+    };
+
     /** Returns whether responses of before may be given again. */
     bool is_cache_current(std::size_t maximum_count) const;
+    response const& respond(look_up const& request,
+                            std::vector<region_name> const& homes,
+                            response_writer const& write);
     void log_change(location const& caller, std::size_t serving,
                     std::vector<entry_view> const& result);
 
     discovery_service const& discovery_;
-    /** Responses by the caller's zone and region, for the state of the view
-       that is described below; look-ups are far more frequent than its changes.
-     */
-    QHash<QString, std::vector<entry_view>> responses_;
+    /** Responses by the caller's zone and region and the homes of its requests,
+        for the state of the view that is described below; look-ups are far more
+        frequent than its changes. */
+    QHash<QString, response> responses_;
     qint64 cached_revision_ = -1;
     bool is_cached_settled_ = false;
     std::size_t cached_maximum_ = 0;
--- a/source/verbenacove/request/entry_lookup.cpp
+++ b/source/verbenacove/request/entry_lookup.cpp
@@ -74,6 +74,22 @@
     return best;
 }
 
+// Returns the entries of the caller's region and of its requests' homes.
+std::vector<entry_view> entries_in(region_name const& region,
+                                   std::vector<region_name> const& homes,
+                                   std::vector<entry_view> const& entries)
+{
+    std::vector<entry_view> result;
+    std::copy_if(entries.begin(), entries.end(), std::back_inserter(result),
+                 [&](entry_view const& entry)
+                 {
+                     return entry.region == region ||
+                            std::find(homes.begin(), homes.end(),
+                                      entry.region) != homes.end();
+                 });
+    return result;
+}
+
 // Returns the nearest scope that has entries, and enough of them.
 network_distance populated_scope(location const& caller,
                                  std::vector<entry_view> const& entries)
@@ -95,8 +111,15 @@
 
 std::vector<entry_view> nearest_entries(location const& caller,
                                         std::vector<entry_view> const& entries,
-                                        std::size_t maximum_count)
+                                        std::size_t maximum_count,
+                                        std::vector<region_name> const& homes)
 {
+    if (!homes.empty())
+    {
+        auto const allowed = entries_in(caller.region, homes, entries);
+        return nearest_entries(caller, allowed.empty() ? entries : allowed,
+                               maximum_count);
+    }
     std::vector<entry_view> connected;
     std::copy_if(entries.begin(), entries.end(), std::back_inserter(connected),
                  [](entry_view const& entry)
--- a/source/verbenacove/request/entry_lookup.hpp
+++ b/source/verbenacove/request/entry_lookup.hpp
@@ -21,12 +21,18 @@
     that leaves less than half of the entries of the zone, those of the region
     are returned instead, or all: the scope of which most are left.
 
+    Entries outside the caller's region and the homes of its requests are
+    returned only if there are no others.
+
     @param entries        the entries that are known to serve
     @param maximum_count  the maximum number of entries to return
+    @param homes          the regions that may serve the caller's requests;
+                          empty for all
 */
-std::vector<entry_view> nearest_entries(location const& caller,
-                                        std::vector<entry_view> const& entries,
-                                        std::size_t maximum_count);
+std::vector<entry_view>
+nearest_entries(location const& caller, std::vector<entry_view> const& entries,
+                std::size_t maximum_count,
+                std::vector<region_name> const& homes = {});
 
 } // namespace verbenacove
 
--- a/source/verbenacove/version/route_configuration.cpp
+++ b/source/verbenacove/version/route_configuration.cpp
@@ -2,6 +2,8 @@
 
 #include "verbenacove/core/cbor.hpp"
 
+#include <QHash>
+
 #include <algorithm>
 
 namespace verbenacove
@@ -268,6 +270,38 @@
     return best;
 }
 
+std::vector<region_name> common_homes(route_configuration const& configuration,
+                                      QByteArray const& host)
+{
+    auto const wanted = QString::fromUtf8(plain_host(host));
+    QHash<region_name, int> counts;
+    int routes = 0;
+    for (auto const& route : configuration.routes)
+    {
+        if (route.homes.empty() ||
+            route.host.compare(wanted, Qt::CaseInsensitive) != 0)
+        {
+            continue;
+        }
+        ++routes;
+        for (auto const& region : route.homes)
+        {
+            ++counts[region];
+        }
+    }
+    std::vector<region_name> some;
+    std::vector<region_name> common;
+    for (auto item = counts.cbegin(); item != counts.cend(); ++item)
+    {
+        some.push_back(item.key());
+        if (item.value() == routes)
+        {
+            common.push_back(item.key());
+        }
+    }
+    return common.empty() ? some : common;
+}
+
 QCborMap to_cbor(route_configuration const& configuration, route_detail detail)
 {
     return {
--- a/source/verbenacove/version/route_configuration.hpp
+++ b/source/verbenacove/version/route_configuration.hpp
@@ -122,6 +122,15 @@
 route_record const* find_route(route_configuration const& configuration,
                                QByteArray const& host, QByteArray const& path);
 
+/** Returns the regions that may serve the requests to a host: those that are
+    homes of each of its routes that has any, or, if there are none, of some of
+    them; empty when no route has homes.
+
+    @param host  as the caller wrote it; a port and the case are ignored
+*/
+std::vector<region_name> common_homes(route_configuration const& configuration,
+                                      QByteArray const& host);
+
 /** Which parts of a configuration its CBOR form holds. */
 enum class route_detail
 {
--- a/tests/unit/entry_lookup_test.cpp
+++ b/tests/unit/entry_lookup_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <set>
+
 using namespace verbenacove;
 
 namespace
@@ -43,6 +45,22 @@
         return nearest_entries(caller, entries, maximum_count).size();
     }
 
+    /** Returns the regions of the entries for a caller in wcape-a whose
+        requests may be served in some regions only. */
+    std::set<QString> found_regions(char const* home) const
+    {
+        location const caller{region_name(QStringLiteral("wcape")),
+                              zone_name(QStringLiteral("wcape-a"))};
+        std::set<QString> result;
+        for (auto const& entry :
+             nearest_entries(caller, entries, maximum_count,
+                             {region_name(QString::fromLatin1(home))}))
+        {
+            result.insert(entry.region.value());
+        }
+        return result;
+    }
+
     std::vector<entry_view> entries;
 };
 
@@ -136,3 +154,22 @@
     cut_off("wcape-a", 3);
     CHECK(found() == 3);
 }
+
+// Callers were sent to regions that may not serve their requests.
+TEST_CASE_FIXTURE(entry_lookup_fixture,
+                  "entry look-up: the caller's region is cut off or gone: its "
+                  "callers are sent to homes of their requests only")
+{
+    add("wcape-a", "wcape", 3);
+    add("gauteng-a", "gauteng", 3);
+    add("ecape-a", "ecape", 3);
+    CHECK(found_regions("ecape") == std::set<QString>{QStringLiteral("wcape")});
+    cut_off("wcape-a", 3);
+    CHECK(found_regions("ecape") == std::set<QString>{QStringLiteral("ecape")});
+    CHECK(found_regions("wcape") == std::set<QString>{QStringLiteral("wcape")});
+    entries.erase(entries.begin(), entries.begin() + 3);
+    CHECK(found_regions("ecape") == std::set<QString>{QStringLiteral("ecape")});
+    CHECK(
+        found_regions("wcape") ==
+        std::set<QString>{QStringLiteral("ecape"), QStringLiteral("gauteng")});
+}
--- a/tests/unit/route_store_test.cpp
+++ b/tests/unit/route_store_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <set>
+
 using namespace verbenacove;
 
 namespace
@@ -249,3 +251,40 @@
     CHECK(found("grades.example", "/gradesold") == QStringLiteral("/"));
     CHECK(found("other.example", "/grades/7") == QStringLiteral("none"));
 }
+
+TEST_CASE("common homes: routes of a host with and without homes: the regions "
+          "that may serve all of them")
+{
+    auto const homes_of =
+        [](std::vector<std::vector<char const*>> const& all_homes)
+    {
+        route_configuration routes;
+        for (auto const& homes : all_homes)
+        {
+            auto route = route_named("r", "/r/");
+            route.name = QString::number(routes.routes.size());
+            for (auto const* home : homes)
+            {
+                route.homes.emplace_back(QString::fromLatin1(home));
+            }
+            routes.routes[route.name] = route;
+        }
+        auto elsewhere = route_named("elsewhere", "/r/");
+        elsewhere.host = QStringLiteral("lots.example");
+        elsewhere.homes = {region_name(QStringLiteral("gauteng"))};
+        routes.routes[elsewhere.name] = elsewhere;
+        std::set<QString> result;
+        for (auto const& home : common_homes(routes, "Grades.example:80"))
+        {
+            result.insert(home.value());
+        }
+        return result;
+    };
+    std::set<QString> const wcape{QStringLiteral("wcape")};
+    std::set<QString> const both{QStringLiteral("ecape"),
+                                 QStringLiteral("wcape")};
+    CHECK(homes_of({{}, {}}).empty());
+    CHECK(homes_of({{}, {"wcape"}}) == wcape);
+    CHECK(homes_of({{"wcape", "ecape"}, {"wcape"}}) == wcape);
+    CHECK(homes_of({{"wcape"}, {"ecape"}}) == both);
+}
