Make the delta of a few changes without a visit to all records

A replica of the large site answers 60 to 150 reads of others in two seconds.

Records are found by the revision of their change, and the search runs three times a second.

--- a/source/verbenacove/process/discovery/discovery_read.cpp
+++ b/source/verbenacove/process/discovery/discovery_read.cpp
@@ -27,6 +27,9 @@
 /** Time without a response after which a source is read anew. Below the time
     after which its entries count as silent. */
 constexpr milliseconds maximum_contact_gap{2500};
+/** Interval between searches for processes without heartbeats, which visit all
+    records. */
+constexpr milliseconds expiry_interval{300};
 /** Time between two ticks from which on this process did not run. */
 constexpr milliseconds pause_threshold{1000};
 /** Interval between the log lines that count relayed changes. */
@@ -56,7 +59,11 @@
     }
     last_current_ = is_current() ? now : last_current_;
     check_pause(now);
-    membership_.expire();
+    if (elapsed(last_expiry_, now) >= expiry_interval)
+    {
+        last_expiry_ = now;
+        membership_.expire();
+    }
     update_settling();
     log_relayed_changes(now);
     add_sources();
--- a/source/verbenacove/process/discovery/discovery_service.hpp
+++ b/source/verbenacove/process/discovery/discovery_service.hpp
@@ -269,6 +269,7 @@
     monotonic_time last_responses_{};
     monotonic_time last_current_{};
     monotonic_time last_tick_{};
+    monotonic_time last_expiry_{};
     departure_log departures_;
     std::vector<unstored_departure> unstored_departures_;
     bool is_stopping_ = false;
--- a/source/verbenacove/process/discovery/membership_delta.hpp
+++ b/source/verbenacove/process/discovery/membership_delta.hpp
@@ -40,7 +40,10 @@
 {
     using table_type = membership_table<Content>;
     bool const is_first_read = revision == 0;
-    auto const changes = table.select(
+    // Records of lost replicas are sent whatever the position.
+    auto const first = reader.newly_lost.isEmpty() ? revision : 0;
+    auto const changes = table.select_since(
+        first,
         [revision, is_first_read, &reader](member_record<Content> const& record)
         {
             if (!reader.is_delegating)
@@ -68,8 +71,12 @@
                    monotonic_time now)
 {
     auto const recent = table.recent_revision();
+    auto const first = reader.newly_unreachable.isEmpty()
+                           ? revision
+                           : std::min(revision, recent);
     return to_cbor_array(
-        table.select(
+        table.select_since(
+            first,
             [revision, recent, &reader](upstream_member const& record)
             {
                 bool const is_missed =
@@ -92,6 +99,12 @@
                               monotonic_time now)
 {
     QCborArray result;
+    auto const last = reader.is_delegating ? table.last_direct_since()
+                                           : table.direct_heartbeats();
+    if (last <= after)
+    {
+        return result;
+    }
     for (auto const& record : table.records())
     {
         auto const count = reader.is_delegating ? record.direct_since
--- a/source/verbenacove/process/discovery/membership_table.hpp
+++ b/source/verbenacove/process/discovery/membership_table.hpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <map>
 #include <utility>
 #include <vector>
 
@@ -136,6 +137,7 @@
         }
         if (known.started < update.started)
         {
+            update.revision = known.revision;
             known = std::move(update);
             return record_change(known, origin);
         }
@@ -204,8 +206,8 @@
                 result.push_back(each);
             }
         }
-        records_.removeIf([this, now](auto const& item)
-                          { return is_removable(item.value(), now); });
+        remove_if([this, now](record const& each)
+                  { return is_removable(each, now); });
         note_revision(now);
         return result;
     }
@@ -259,8 +261,16 @@
     template <class Predicate>
     void remove_if(Predicate const& predicate)
     {
-        records_.removeIf([&predicate](auto const& item)
-                          { return predicate(item.value()); });
+        records_.removeIf(
+            [this, &predicate](auto const& item)
+            {
+                bool const is_removed = predicate(item.value());
+                if (is_removed)
+                {
+                    ids_by_revision_.erase(item.value().revision);
+                }
+                return is_removed;
+            });
     }
 
     /** Returns a record, or null when the process is unknown. */
@@ -289,6 +299,25 @@
         return result;
     }
 
+    /** Returns the same of the records that have changed since a revision; the
+        cost grows with their number, not with that of all records. */
+    template <class Predicate>
+    std::vector<record> select_since(qint64 revision,
+                                     Predicate const& predicate) const
+    {
+        std::vector<record> result;
+        for (auto item = ids_by_revision_.upper_bound(revision);
+             item != ids_by_revision_.end(); ++item)
+        {
+            auto const& each = *records_.constFind(item->second);
+            if (predicate(each))
+            {
+                result.push_back(each);
+            }
+        }
+        return result;
+    }
+
     QHash<QString, record> const& records() const { return records_; }
 
     /** Returns the revision of the latest change. */
@@ -329,6 +358,10 @@
     /** Returns the number of direct heartbeats that were recorded. */
     qint64 direct_heartbeats() const { return direct_heartbeats_; }
 
+    /** Returns that number when a process last began to send its heartbeats
+        here. */
+    qint64 last_direct_since() const { return last_direct_since_; }
+
 private:
     update_result add(record update, update_origin origin)
     {
@@ -336,6 +369,7 @@
         {
             return update_result::ignored;
         }
+        update.revision = 0;
         auto& added = *records_.insert(update.id, std::move(update));
         return record_change(added, origin);
     }
@@ -398,9 +432,11 @@
         if (origin == update_origin::direct)
         {
             changed.direct_heartbeat = ++direct_heartbeats_;
-            changed.direct_since = changed.direct_since > 0
-                                       ? changed.direct_since
-                                       : changed.direct_heartbeat;
+            if (changed.direct_since == 0)
+            {
+                changed.direct_since = changed.direct_heartbeat;
+                last_direct_since_ = changed.direct_since;
+            }
             changed.receiver.clear();
             return;
         }
@@ -414,7 +450,9 @@
 
     void set_revision(record& changed)
     {
+        ids_by_revision_.erase(changed.revision);
         changed.revision = ++revision_;
+        ids_by_revision_.emplace(changed.revision, changed.id);
         if (concerns_delegating_readers(changed))
         {
             delegated_revision_ = revision_;
@@ -481,12 +519,15 @@
 
     membership_timeouts timeouts_;
     QHash<QString, record> records_;
+    /** The ids of all records, by the revision of their last change. */
+    std::map<qint64, QString> ids_by_revision_;
     qint64 revision_ = 0;
     qint64 delegated_revision_ = 0;
     qint64 departure_revision_ = 0;
     /** One for each second of the recent period. */
     std::deque<noted_revision> revisions_;
     qint64 direct_heartbeats_ = 0;
+    qint64 last_direct_since_ = 0;
 };
 
 } // namespace verbenacove
--- a/tests/unit/membership_view_test.cpp
+++ b/tests/unit/membership_view_test.cpp
@@ -154,6 +154,48 @@
     CHECK(large < small * 3);
 }
 
+// Each response to another replica visited all records, so that replicas of the
+// large fleet were out of processor time while few upstreams changed.
+TEST_CASE_FIXTURE(view_fixture,
+                  "discovery: twenty times the upstreams: the cost of one "
+                  "change's delta grows far less")
+{
+    view_reader reader;
+    reader.wants_heartbeats = true;
+    reader.is_delegating = true;
+    auto const time_for = [this, &reader](int count)
+    {
+        auto view = make(1, failure_detector::self);
+        auto const beat = [&](int number, qint64 sequence, member_phase phase)
+        {
+            auto record = upstream("a", 1000, sequence);
+            record.id = QString::number(number);
+            record.content.address.port = static_cast<quint16>(1000 + number);
+            record.phase = phase;
+            view.apply_heartbeat(std::move(record));
+        };
+        for (int number = 0; number < count; ++number)
+        {
+            beat(number, 1, member_phase::serving);
+        }
+        auto const position =
+            parse_sync_position(view.updates_since({}, reader)
+                                    .value(QLatin1String("next"))
+                                    .toMap());
+        beat(0, 2, member_phase::draining);
+        auto const started = std::chrono::steady_clock::now();
+        for (int i = 0; i < 200; ++i)
+        {
+            view.updates_since(position, reader);
+        }
+        return std::chrono::steady_clock::now() - started;
+    };
+    auto const small = std::min({time_for(100), time_for(100), time_for(100)});
+    auto const large =
+        std::min({time_for(2000), time_for(2000), time_for(2000)});
+    CHECK(large < small * 4);
+}
+
 TEST_CASE_FIXTURE(view_fixture,
                   "discovery: heartbeats stop, then resume: silent, then not")
 {
