Tell the fleet of a crash once, not of each response to the requests that it hit

Cause: a request that was in flight at a crashed upstream is recorded as a suspect, and the record is told to all entries by way of the replicas. Two faults made a flood of it. Each further response to such a request, at any entry, counted as a change of the record although it had been cleared; requests for the same object are the same request, and these records live for ten minutes. And each entry reported to its replica what it had heard from it, and each replica told each other one all that it had heard from others. 11 entries logged up to 3,033 changes in a second.

A cleared record is not changed by a response. A process now knows which changes are its own: entries report these alone, and replicas tell each other what their entries have reported, and all to one that starts.

--- a/source/verbenacove/process/discovery/crash_exchange.cpp
+++ b/source/verbenacove/process/discovery/crash_exchange.cpp
@@ -17,13 +17,13 @@
 } // namespace
 
 quarantine_cursor add_crashes(QCborMap& message, quarantine const& known,
-                              quarantine_cursor since)
+                              quarantine_cursor since, record_scope scope)
 {
-    if (!known.has_changes(since))
+    if (!known.has_changes(since, scope))
     {
         return since;
     }
-    auto const crashes = known.export_update(since);
+    auto const crashes = known.export_update(since, scope);
     message[QLatin1String(records_key)] = to_cbor(crashes);
     return crashes.next;
 }
--- a/source/verbenacove/process/discovery/crash_exchange.hpp
+++ b/source/verbenacove/process/discovery/crash_exchange.hpp
@@ -8,13 +8,15 @@
 namespace verbenacove
 {
 
-/** Adds the crashes after a position to a message, if there are any.
+/** Adds the crashes of a scope after a position to a message, if there are
+    any.
 
     @return the position that the receiver has reached once it has applied the
             message
 */
 quarantine_cursor add_crashes(QCborMap& message, quarantine const& known,
-                              quarantine_cursor since);
+                              quarantine_cursor since,
+                              record_scope scope = record_scope::all);
 
 /** Returns the crashes in a message; nothing when there are none or when they
     are malformed, which is logged. */
--- a/source/verbenacove/process/discovery/discovery_read.cpp
+++ b/source/verbenacove/process/discovery/discovery_read.cpp
@@ -356,7 +356,7 @@
         settling_.merge_settled_view(live_entries());
     }
     from.crashes.apply_response(from.position.view_id, parse_crashes(reply));
-    merge_crashes(reply);
+    merge_crashes(reply, record_origin::other);
 }
 
 std::size_t discovery_service::live_entries() const
@@ -389,12 +389,13 @@
     }
 }
 
-void discovery_service::merge_crashes(QCborMap const& message)
+void discovery_service::merge_crashes(QCborMap const& message,
+                                      record_origin origin)
 {
     auto const crashes = parse_crashes(message);
     if (crashes)
     {
-        known_crashes_.merge_update(*crashes);
+        known_crashes_.merge_update(*crashes, origin);
         schedule_updates();
     }
 }
--- a/source/verbenacove/process/discovery/discovery_service.cpp
+++ b/source/verbenacove/process/discovery/discovery_service.cpp
@@ -184,7 +184,7 @@
     {
         membership_.apply_heartbeat(std::move(entry));
     }
-    merge_crashes(request);
+    merge_crashes(request, record_origin::own);
     rate_limit_reporter::apply(request, membership_, now);
     auto view = parse_view_reader(request);
     // Records of replicas that are gone would come from each source at once.
@@ -234,10 +234,20 @@
            (clock_.now() >= reader.not_before && has_changes_for(reader));
 }
 
+// A replica reads each other one; a new one also needs what its former process
+// had received.
+record_scope discovery_service::crash_scope(waiting_reader const& reader)
+{
+    bool const is_first_read = reader.crash_cursor == quarantine_cursor(0);
+    return cbor_flag(reader.request, "delegates") && !is_first_read
+               ? record_scope::own
+               : record_scope::all;
+}
+
 bool discovery_service::has_changes_for(waiting_reader const& reader) const
 {
     return membership_.has_updates_since(reader.position, reader.view) ||
-           known_crashes_.has_changes(reader.crash_cursor);
+           known_crashes_.has_changes(reader.crash_cursor, crash_scope(reader));
 }
 
 void discovery_service::respond(waiting_reader const& reader)
@@ -278,7 +288,8 @@
         response[QLatin1String("routes_revision")] = routes.revision();
         response[QLatin1String("evacuated")] = evacuated;
     }
-    add_crashes(response, known_crashes_, reader.crash_cursor);
+    add_crashes(response, known_crashes_, reader.crash_cursor,
+                crash_scope(reader));
     reader.reply(response);
 }
 
--- a/source/verbenacove/process/discovery/discovery_service.hpp
+++ b/source/verbenacove/process/discovery/discovery_service.hpp
@@ -189,6 +189,8 @@
     bool is_urgent(waiting_reader const& reader) const;
     bool is_response_due(waiting_reader const& reader) const;
     bool has_changes_for(waiting_reader const& reader) const;
+    /** Returns which crashes a reader needs of this replica. */
+    static record_scope crash_scope(waiting_reader const& reader);
     /** Returns those of the given replicas with which this one has contact. */
     QSet<QString> heard_replicas(QSet<QString> const& names) const;
     bool is_in_contact(source const& from) const;
@@ -217,7 +219,7 @@
                          std::optional<QCborMap> const& reply);
     /** Returns the routes in force for entries, packed. */
     QByteArray const& packed_routes();
-    void merge_crashes(QCborMap const& message);
+    void merge_crashes(QCborMap const& message, record_origin origin);
     std::optional<location> location_of(socket_address const& replica) const;
     std::size_t live_entries() const;
     /** Returns whether each source has been read, or cannot be. */
--- a/source/verbenacove/process/routing/route_traffic.cpp
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -125,11 +125,12 @@
 
 void route_traffic::report_crashes()
 {
-    if (!request_quarantine_.has_changes(reported_crashes_))
+    if (!request_quarantine_.has_changes(reported_crashes_, record_scope::own))
     {
         return;
     }
-    auto const reports = request_quarantine_.export_update(reported_crashes_);
+    auto const reports =
+        request_quarantine_.export_update(reported_crashes_, record_scope::own);
     reported_crashes_ = reports.next;
     for (auto const& record : reports.records)
     {
--- a/source/verbenacove/request/quarantine.cpp
+++ b/source/verbenacove/request/quarantine.cpp
@@ -94,11 +94,17 @@
     {
         return;
     }
+    bool const is_suspect =
+        std::any_of(found->crashes.begin(), found->crashes.end(),
+                    [](crash const& each) { return !each.is_cleared; });
     for (auto& crash : found->crashes)
     {
         crash.is_cleared = true;
     }
-    mark_changed(*found);
+    if (is_suspect)
+    {
+        mark_changed(*found, record_origin::own);
+    }
 }
 
 void quarantine::ended(attempt_number number)
@@ -172,14 +178,23 @@
                        });
 }
 
-quarantine_update quarantine::export_update(quarantine_cursor since) const
+bool quarantine::has_changes(quarantine_cursor since, record_scope scope) const
+{
+    return since <
+           (scope == record_scope::own ? last_own_change_ : last_change_);
+}
+
+quarantine_update quarantine::export_update(quarantine_cursor since,
+                                            record_scope scope) const
 {
     std::vector<std::pair<quarantine_cursor, request_fingerprint>> changed;
     for (auto next = records_.begin(); next != records_.end(); ++next)
     {
-        if (next->last_change > since)
+        auto const last = scope == record_scope::own ? next->last_own_change
+                                                     : next->last_change;
+        if (last > since)
         {
-            changed.emplace_back(next->last_change, next.key());
+            changed.emplace_back(last, next.key());
         }
     }
     std::sort(changed.begin(), changed.end());
@@ -203,7 +218,8 @@
     return update;
 }
 
-void quarantine::merge_update(quarantine_update const& update)
+void quarantine::merge_update(quarantine_update const& update,
+                              record_origin origin)
 {
     expire();
     auto const now = clock_.now();
@@ -216,7 +232,8 @@
                 add_crash(record.fingerprint,
                           {crash.upstream, crash.upstream_incarnation,
                            now - crash.age, crash.is_cleared,
-                           crash.is_isolated});
+                           crash.is_isolated},
+                          origin);
             }
         }
     }
@@ -310,7 +327,7 @@
 }
 
 void quarantine::add_crash(request_fingerprint const& request,
-                           crash const& added)
+                           crash const& added, record_origin origin)
 {
     if (!records_.contains(request))
     {
@@ -339,7 +356,7 @@
         same->is_isolated = same->is_isolated || added.is_isolated;
         if (is_changed)
         {
-            mark_changed(target);
+            mark_changed(target, origin);
         }
         return;
     }
@@ -355,20 +372,26 @@
         target.crashes.erase(oldest);
     }
     target.crashes.push_back(added);
-    mark_changed(target);
+    mark_changed(target, origin);
 }
 
 void quarantine::add_local_crash(attempt const& lost_attempt)
 {
     add_crash(lost_attempt.request,
               {lost_attempt.upstream, lost_attempt.upstream_incarnation,
-               clock_.now(), false, lost_attempt.is_isolated});
+               clock_.now(), false, lost_attempt.is_isolated},
+              record_origin::own);
 }
 
-void quarantine::mark_changed(record& target)
+void quarantine::mark_changed(record& target, record_origin origin)
 {
     last_change_ = quarantine_cursor(last_change_.value() + 1);
     target.last_change = last_change_;
+    if (origin == record_origin::own)
+    {
+        last_own_change_ = last_change_;
+        target.last_own_change = last_change_;
+    }
 }
 
 void quarantine::expire()
--- a/source/verbenacove/request/quarantine.hpp
+++ b/source/verbenacove/request/quarantine.hpp
@@ -58,6 +58,24 @@
     QString reason;
 };
 
+/** Where a change of a record comes from. */
+enum class record_origin
+{
+    /** From this process, or from one that reports to this one alone. */
+    own,
+    /** From a process that reports to others as well. */
+    other
+};
+
+/** Which changes of the records an update holds. */
+enum class record_scope
+{
+    all,
+    /** Those of own origin: a reader that reads all processes gets the others
+        from them. */
+    own
+};
+
 /** Returns an update as a CBOR map:
 
         {"next": cursor, "records": [[fingerprint, [crash, ...]], ...]}
@@ -212,21 +230,23 @@
     bool is_undecided(upstream_id const& upstream,
                       incarnation upstream_incarnation) const;
 
-    /** Returns the records that changed after a cursor, oldest change first.
+    /** Returns the records with changes of a scope after a cursor, oldest
+        change first.
 
         A cursor is valid for one process lifetime: when the source has
         restarted, the reader starts again from 0.
     */
-    quarantine_update export_update(quarantine_cursor since) const;
+    quarantine_update
+    export_update(quarantine_cursor since,
+                  record_scope scope = record_scope::all) const;
 
-    /** Returns true when there are changes after a cursor. */
-    bool has_changes(quarantine_cursor since) const
-    {
-        return since < last_change_;
-    }
+    /** Returns true when there are changes of a scope after a cursor. */
+    bool has_changes(quarantine_cursor since,
+                     record_scope scope = record_scope::all) const;
 
     /** Merges the records of another process. */
-    void merge_update(quarantine_update const& update);
+    void merge_update(quarantine_update const& update,
+                      record_origin origin = record_origin::other);
 
     /** Returns the number of requests with recorded crashes. */
     qsizetype request_count() const { return records_.size(); }
@@ -245,6 +265,7 @@
     {
         std::vector<crash> crashes;
         quarantine_cursor last_change;
+        quarantine_cursor last_own_change;
     };
 
     struct attempt
@@ -306,9 +327,10 @@
                                crash const& added);
     int loss_count(request_fingerprint const& request) const;
     bool is_known_gone(attempt const& lost_attempt) const;
-    void add_crash(request_fingerprint const& request, crash const& added);
+    void add_crash(request_fingerprint const& request, crash const& added,
+                   record_origin origin);
     void add_local_crash(attempt const& lost_attempt);
-    void mark_changed(record& target);
+    void mark_changed(record& target, record_origin origin);
     void expire();
     void evict_if_full();
     std::optional<attempt> remove_attempt(attempt_number number);
@@ -323,6 +345,7 @@
     QHash<upstream_process, isolated_crash> isolated_crashes_;
     attempt_number last_attempt_;
     quarantine_cursor last_change_;
+    quarantine_cursor last_own_change_;
 };
 
 } // namespace verbenacove
--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -93,6 +93,55 @@
     CHECK(second.permission(request(1)) == refused);
 }
 
+// After an upstream had crashed, each response to each request that it had run
+// was told to the whole fleet, at every entry, for ten minutes.
+TEST_CASE_FIXTURE(
+    quarantine_fixture,
+    "quarantine: a cleared request is answered again: nothing to tell")
+{
+    crash(first, 1, 1);
+    first.answered(start(first, 1, 2));
+    CHECK(first.permission(request(1)) == unrestricted);
+    auto const told = first.export_update(quarantine_cursor(0)).next;
+    for (int answer = 0; answer < 10; ++answer)
+    {
+        first.answered(start(first, 1, 2));
+    }
+    CHECK_FALSE(first.has_changes(told));
+}
+
+// Entries reported to the replicas what they had heard from them.
+TEST_CASE_FIXTURE(quarantine_fixture,
+                  "quarantine: records of another process: not among the own "
+                  "ones, until they are changed here")
+{
+    crash(first, 1, 1);
+    CHECK(send_update(first, second));
+    crash(second, 2, 2);
+    auto const own =
+        second.export_update(quarantine_cursor(0), record_scope::own);
+    REQUIRE(own.records.size() == 1);
+    CHECK(own.records[0].fingerprint == request(2));
+    CHECK(second.export_update(quarantine_cursor(0)).records.size() == 2);
+    CHECK_FALSE(second.has_changes(own.next, record_scope::own));
+    second.answered(start(second, 1, 3));
+    REQUIRE(second.has_changes(own.next, record_scope::own));
+    auto const changed = second.export_update(own.next, record_scope::own);
+    REQUIRE(changed.records.size() == 1);
+    CHECK(changed.records[0].fingerprint == request(1));
+    CHECK(changed.records[0].crashes[0].is_cleared);
+}
+
+TEST_CASE_FIXTURE(quarantine_fixture,
+                  "quarantine: records of a process that reports here alone: "
+                  "among the own ones")
+{
+    crash(first, 1, 1);
+    second.merge_update(first.export_update(quarantine_cursor(0)),
+                        record_origin::own);
+    CHECK(second.has_changes(quarantine_cursor(0), record_scope::own));
+}
+
 TEST_CASE_FIXTURE(
     quarantine_fixture,
     "quarantine: one crash at each of two entries: request refused at both")
