--- a/source/verbenacove/process/discovery/discovery_push.cpp
+++ b/source/verbenacove/process/discovery/discovery_push.cpp
@@ -4,6 +4,7 @@
 #include <QDateTime>
 #include <QTimer>
 
+#include <algorithm>
 #include <utility>
 
 namespace verbenacove
@@ -124,6 +125,11 @@
     record.receiver = cbor_text(request, "receiver");
     auto const stored = record;
     membership_.apply_relayed(std::move(record));
+    if (cbor_flag(request, "is_notice"))
+    {
+        reply({{QLatin1String("status"), QLatin1String("ok")}});
+        return;
+    }
     store_departure(stored,
                     [reply](bool is_stored)
                     {
@@ -172,7 +178,7 @@
         std::exchange(pending->done, nullptr)(has_majority);
     };
     pending->outstanding = members.size();
-    QCborMap const request{
+    QCborMap request{
         {QLatin1String("m"), QLatin1String("push")},
         {QLatin1String("receiver"), settings_.self.address.text()},
         {QLatin1String("upstream"), to_cbor(record, clock_.now())}};
@@ -189,6 +195,24 @@
                                                   QLatin1String("ok"));
                      });
     }
+    // Others need not store it. A read of this replica would tell them, too,
+    // but later, and not if this process ends before.
+    request[QLatin1String("is_notice")] = true;
+    for (auto const& replica : membership_.replicas().records())
+    {
+        auto const& address = replica.content.address;
+        bool const is_voter =
+            std::any_of(members.begin(), members.end(),
+                        [&address](raft_member const& member)
+                        { return member.address == address; });
+        if (!is_voter && !replica.is_silent &&
+            replica.phase == member_phase::serving &&
+            address != settings_.self.address)
+        {
+            server_.call(address, request, push_timeout,
+                         [](std::optional<QCborMap> const&) {});
+        }
+    }
 }
 
 } // namespace verbenacove
--- a/source/verbenacove/process/discovery/membership_delta.hpp
+++ b/source/verbenacove/process/discovery/membership_delta.hpp
@@ -39,7 +39,7 @@
                            monotonic_time now)
 {
     using table_type = membership_table<Content>;
-    bool const is_first_read = revision == 0;
+    bool const is_first_read = revision == 0 && !reader.has_old_departures;
     // Records of lost replicas are sent whatever the position.
     auto const first = reader.newly_lost.isEmpty() ? revision : 0;
     auto const changes = table.select_since(
@@ -63,8 +63,8 @@
     return to_cbor_array(changes, reader, now);
 }
 
-/** Returns the departures that were received by replicas which neither the
-    reader nor this one may have contact with. */
+// Returns the departures that were received by replicas which the reader cannot
+// read.
 inline QCborArray
 departures_to_cbor(membership_table<upstream_content> const& table,
                    qint64 revision, view_reader const& reader,
--- a/source/verbenacove/process/discovery/membership_table.hpp
+++ b/source/verbenacove/process/discovery/membership_table.hpp
@@ -336,6 +336,7 @@
         return each.receiver.isEmpty();
     }
 
+    /** Returns whether a process is leaving or has left. */
     static bool is_departure(record const& each)
     {
         return each.phase > member_phase::serving;
@@ -391,8 +392,13 @@
         bool const is_silent = decides_silence(known, update, origin)
                                    ? update.is_silent
                                    : known.is_silent && !is_later;
+        // Readers have not heard of it from here.
+        bool const is_departure_taken_over = origin == update_origin::direct &&
+                                             is_departure(known) &&
+                                             !known.receiver.isEmpty();
         bool const is_changed =
             has_advanced || is_silent != known.is_silent ||
+            is_departure_taken_over ||
             (is_later && !known.content.is_equivalent(update.content));
         if (is_later)
         {
--- a/source/verbenacove/process/discovery/membership_view.hpp
+++ b/source/verbenacove/process/discovery/membership_view.hpp
@@ -40,12 +40,15 @@
     QSet<QString> lost = {};
     /** Those of them whose records it wants whatever its position. */
     QSet<QString> newly_lost = {};
-    /** Names of all replicas that it cannot read itself: those that are gone
-        may have told nobody else of their last departures. */
+    /** Names of further replicas that it cannot read itself, of which it needs
+        the departures only: they may be gone and have told nobody else. */
     QSet<QString> unreachable = {};
     /** Those of them whose recent departures it wants whatever its
         position. */
     QSet<QString> newly_unreachable = {};
+    /** Whether it has read the departures of before once, so that a whole view
+        needs not contain those that others have received. */
+    bool has_old_departures = false;
 };
 
 /** A replica whose view is merged. */
--- a/tests/unit/delegated_membership_test.cpp
+++ b/tests/unit/delegated_membership_test.cpp
@@ -361,6 +361,26 @@
     CHECK(phase_at_reader() == member_phase::gone);
 }
 
+// Nobody would tell the others: the first replica is lost, and the second one
+// has known of the departure before it was told itself.
+TEST_CASE_FIXTURE(replicas_fixture,
+                  "delegated membership: a departure gets no acknowledgement "
+                  "and goes to another replica: that one tells the others")
+{
+    beat(0, 1);
+    read_all(reader_with());
+    read_all(reader_with());
+    beat(0, 2, 0, member_phase::draining);
+    auto stored = record(0);
+    stored.receiver = replicas[0]->name;
+    view(1).apply_relayed(std::move(stored));
+    read(2, 1, reader_with());
+    REQUIRE(record(2).phase == member_phase::serving);
+    beat(1, 3, 0, member_phase::draining);
+    read(2, 1, reader_with());
+    CHECK(record(2).phase == member_phase::draining);
+}
+
 // The burst of records after a loss would grow with what the lost replica has
 // received for minutes.
 TEST_CASE_FIXTURE(missed_departure_fixture,
