Assume own lateness when contact with most replicas is lost at once

The own processor was short, the others ran. Each late response also made all others send the records of the late one, and a replica that woke marked what reported to it as silent before it had read what had come meanwhile.

A replica that has lost most others marks no process as silent for 6 s, asks for no records of lost ones, and does not say that its view has settled; after that it answers no look-ups until it has contact. A call whose reply lies unread in the socket is not given up. Nothing counts as silent right after a pause. Requests name unreachable replicas apart, once each, for their departures. An entry that changes its replica reports its crashes again.

Test: "all others are lost at once: their entries do not count as silent"; it takes 3 s there before (by reading: the time-out of entries; not run).

--- a/source/verbenacove/connection/frame_socket.cpp
+++ b/source/verbenacove/connection/frame_socket.cpp
@@ -5,6 +5,8 @@
 
 #include <QtEndian>
 
+#include <sys/ioctl.h>
+
 #include <utility>
 
 namespace verbenacove
@@ -77,6 +79,14 @@
     }
 }
 
+bool frame_socket::has_unread_bytes() const
+{
+    int count = 0;
+    auto const descriptor = static_cast<int>(socket_->socketDescriptor());
+    return descriptor >= 0 && ::ioctl(descriptor, FIONREAD, &count) == 0 &&
+           count > 0;
+}
+
 void frame_socket::read_frames()
 {
     auto const bytes = socket_->readAll();
--- a/source/verbenacove/connection/frame_socket.hpp
+++ b/source/verbenacove/connection/frame_socket.hpp
@@ -50,6 +50,9 @@
         @see epoll_event_dispatcher::set_priority */
     void set_urgent();
 
+    /** Returns whether bytes have come that were not read yet. */
+    bool has_unread_bytes() const;
+
     /** Returns the number of bytes received so far. */
     qint64 received_bytes() const { return received_bytes_; }
 
--- a/source/verbenacove/connection/rpc_client.cpp
+++ b/source/verbenacove/connection/rpc_client.cpp
@@ -10,6 +10,11 @@
 
 auto const id_key = QLatin1String("id");
 
+/** Time by which a call is extended while there is something to read, and how
+    often. */
+constexpr milliseconds extension{200};
+constexpr int maximum_extensions = 5;
+
 } // namespace
 
 rpc_client::rpc_client(socket_address address, urgency replies)
@@ -102,6 +107,15 @@
         wait(id, *waiting);
         return;
     }
+    // The reply may have come while this process was busy.
+    if (socket_ && waiting->extensions < maximum_extensions &&
+        socket_->has_unread_bytes())
+    {
+        ++waiting->extensions;
+        waiting->timeout =
+            timers_.call_after(extension, [this, id] { expire(id); });
+        return;
+    }
     pending_.remove(id);
     bool const was_silent =
         socket_ && socket_->received_bytes() == waiting->received_bytes;
--- a/source/verbenacove/connection/rpc_client.hpp
+++ b/source/verbenacove/connection/rpc_client.hpp
@@ -76,6 +76,8 @@
         callback done;
         timer_service::subscription timeout;
         qint64 received_bytes = 0;
+        /** Number of times that its time was extended. */
+        int extensions = 0;
         patience limits;
         monotonic_time started;
     };
--- a/source/verbenacove/process/discovery/discovery_read.cpp
+++ b/source/verbenacove/process/discovery/discovery_read.cpp
@@ -30,8 +30,18 @@
 /** Interval between searches for processes without heartbeats, which visit all
     records. */
 constexpr milliseconds expiry_interval{300};
-/** Time between two ticks from which on this process did not run. */
-constexpr milliseconds pause_threshold{1000};
+/** Time between two ticks from which on this process did not run; the time
+    after which entries count as silent. */
+constexpr milliseconds pause_threshold{3000};
+/** Time after a pause in which no process counts as silent. */
+constexpr milliseconds expiry_delay_after_pause{1000};
+/** Time for which a replica that has lost contact with most others assumes that
+    it is late itself: it marks no process as silent and answers look-ups from
+    the view that it has. */
+constexpr milliseconds isolation_allowance{6000};
+/** Time since a whole view in which the recent departures of lost replicas,
+    which others tell, cover all that was missed. */
+constexpr milliseconds departures_period{8000};
 /** Interval between the log lines that count relayed changes. */
 constexpr milliseconds relayed_log_interval{1000};
 
@@ -59,9 +69,12 @@
     }
     last_current_ = is_current() ? now : last_current_;
     check_pause(now);
-    if (elapsed(last_expiry_, now) >= expiry_interval)
+    check_isolation(now);
+    bool const may_be_late =
+        isolated_since_ && elapsed(*isolated_since_, now) < isolation_allowance;
+    if (now >= next_expiry_ && !may_be_late)
     {
-        last_expiry_ = now;
+        next_expiry_ = now + expiry_interval;
         membership_.expire();
     }
     update_settling();
@@ -87,12 +100,38 @@
     discovery_log.note("process.paused",
                        {{"paused_ms", qint64{passed.count()}}});
     settling_.restart();
+    // What has come meanwhile is read first.
+    next_expiry_ = now + expiry_delay_after_pause;
     for (auto const& from : sources_)
     {
         from->has_sent_all_entries = false;
     }
 }
 
+void discovery_service::check_isolation(monotonic_time now)
+{
+    auto const lost = unreachable_replicas({}).size();
+    if (lost * 2 <= sources_.size())
+    {
+        isolated_since_.reset();
+        return;
+    }
+    if (!isolated_since_)
+    {
+        isolated_since_ = now;
+        discovery_log.note("replica.isolated",
+                           {{"lost", lost}, {"others", sources_.size()}});
+    }
+}
+
+bool discovery_service::has_settled_view() const
+{
+    bool const is_outdated =
+        isolated_since_ &&
+        elapsed(*isolated_since_, clock_.now()) >= isolation_allowance;
+    return settling_.is_settled() && !is_outdated;
+}
+
 void discovery_service::log_relayed_changes(monotonic_time now)
 {
     if (relayed_changes_ > 0 &&
@@ -198,6 +237,19 @@
             from.has_sent_all_entries ? from.position : sync_position{};
     }
     request[QLatin1String("position")] = to_cbor(from.position);
+    from.sent_unreachable = unreachable_replicas(address);
+    if (!from.sent_unreachable.isEmpty())
+    {
+        request[QLatin1String("unreachable")] =
+            to_cbor_texts(from.sent_unreachable);
+        request[QLatin1String("newly_unreachable")] =
+            to_cbor_texts(from.sent_unreachable - from.answered_unreachable);
+    }
+    if (from.last_whole_view &&
+        elapsed(*from.last_whole_view, clock_.now()) < departures_period)
+    {
+        request[QLatin1String("has_old_departures")] = true;
+    }
     if (!from.sent_lost.isEmpty())
     {
         auto const newly_lost = from.sent_lost - from.answered_lost;
@@ -208,8 +260,16 @@
     return request;
 }
 
+// A process that is late itself loses contact with all others at once; telling
+// so would make each of them send its whole view.
 QSet<QString>
 discovery_service::lost_replicas(socket_address const& except) const
+{
+    return isolated_since_ ? QSet<QString>() : unreachable_replicas(except);
+}
+
+QSet<QString>
+discovery_service::unreachable_replicas(socket_address const& except) const
 {
     QSet<QString> names;
     for (auto item = sources_.begin(); item != sources_.end(); ++item)
@@ -327,6 +387,7 @@
         for (auto const& other : sources_)
         {
             other->answered_lost.remove(address.text());
+            other->answered_unreachable.remove(address.text());
         }
     }
     auto const lost = lost_replicas({});
@@ -334,6 +395,7 @@
     bool const sends_vouched_only = cbor_flag(reply, "sends_vouched_only");
     from.answered_lost =
         sends_vouched_only ? QSet<QString>() : from.sent_lost & lost;
+    from.answered_unreachable = from.sent_unreachable;
     bool const is_delegate = cbor_flag(reply, "delegates");
     auto const previous_view = from.position.view_id;
     from.position = membership_.merge(reply, {address.text(), is_delegate});
@@ -348,6 +410,10 @@
         }
     }
     // A replica of an earlier build sends all entries to each reader.
+    if (from.position.view_id != previous_view)
+    {
+        from.last_whole_view = clock_.now();
+    }
     bool const has_all_entries = from.position.view_id != previous_view &&
                                  (from.sends_all_entries || !is_delegate);
     from.has_sent_all_entries = from.has_sent_all_entries || has_all_entries;
--- a/source/verbenacove/process/discovery/discovery_service.cpp
+++ b/source/verbenacove/process/discovery/discovery_service.cpp
@@ -62,6 +62,9 @@
         !reader.is_delegating || cbor_flag(request, "all_entries");
     reader.lost = names_in(request, "lost");
     reader.newly_lost = names_in(request, "newly_lost");
+    reader.unreachable = names_in(request, "unreachable");
+    reader.newly_unreachable = names_in(request, "newly_unreachable");
+    reader.has_old_departures = cbor_flag(request, "has_old_departures");
     return reader;
 }
 
@@ -188,9 +191,10 @@
     rate_limit_reporter::apply(request, membership_, now);
     auto view = parse_view_reader(request);
     // Records of replicas that are gone would come from each source at once.
-    view.unreachable = std::exchange(view.lost, heard_replicas(view.lost));
-    view.newly_unreachable =
-        std::exchange(view.newly_lost, heard_replicas(view.newly_lost));
+    view.lost = heard_replicas(view.lost);
+    view.newly_lost = heard_replicas(view.newly_lost);
+    view.unreachable -= view.lost;
+    view.newly_unreachable -= view.newly_lost;
     auto const hold = std::clamp(milliseconds(cbor_number(request, "hold")),
                                  milliseconds(0), maximum_hold);
     waiting_reader const reader{
@@ -265,7 +269,8 @@
         response[QLatin1String("sends_vouched_only")] = true;
     }
     response[QLatin1String("current")] = is_current();
-    response[QLatin1String("settled")] = settling_.is_settled();
+    response[QLatin1String("settled")] =
+        settling_.is_settled() && !isolated_since_;
     auto const& routes = server_.state().routes();
     bool const has_older_routes =
         cbor_number(reader.request, "routes", -1) < routes.revision();
--- a/source/verbenacove/process/discovery/discovery_service.hpp
+++ b/source/verbenacove/process/discovery/discovery_service.hpp
@@ -118,7 +118,7 @@
     /** Returns the number of replicas whose latest read failed. */
     std::size_t lost_replica_count() const
     {
-        return static_cast<std::size_t>(lost_replicas({}).size());
+        return static_cast<std::size_t>(unreachable_replicas({}).size());
     }
 
     /** Returns whether entries should read this replica: it has contact with a
@@ -129,7 +129,7 @@
 
     /** Returns whether the view of the entries is complete enough to answer
         look-ups. */
-    bool has_settled_view() const { return settling_.is_settled(); }
+    bool has_settled_view() const;
 
 private:
     using reply_function = control_server::reply_function;
@@ -171,6 +171,12 @@
         QSet<QString> sent_lost;
         /** Those for which this source has sent what it knows. */
         QSet<QString> answered_lost;
+        /** The same of all replicas that cannot be read, of which only
+            departures are asked for. */
+        QSet<QString> sent_unreachable;
+        QSet<QString> answered_unreachable;
+        /** Time at which its whole view was read last. */
+        std::optional<monotonic_time> last_whole_view;
         /** Whether it is asked for all entries, as long as the view has not
             settled. */
         bool sends_all_entries = false;
@@ -212,7 +218,11 @@
     void add_sources();
     void read(socket_address const& address, source& from);
     QCborMap make_read_request(socket_address const& address, source& from);
+    /** Returns the names of the replicas whose records others are asked for;
+        none while most cannot be read. */
     QSet<QString> lost_replicas(socket_address const& except) const;
+    /** Returns the names of the replicas whose latest read failed. */
+    QSet<QString> unreachable_replicas(socket_address const& except) const;
     void record_read(socket_address const& address, source& from,
                      QCborMap const& reply);
     void handle_response(socket_address const& address,
@@ -228,6 +238,8 @@
     /** Lets the view settle anew after this process did not run for a while.
      */
     void check_pause(monotonic_time now);
+    /** Finds whether this replica has lost contact with most others. */
+    void check_isolation(monotonic_time now);
     void log_relayed_changes(monotonic_time now);
     void leave(upstream_id const& id, acknowledge_callback done);
     /** Sends an upstream's record to all voting replicas and reports whether a
@@ -271,7 +283,10 @@
     monotonic_time last_responses_{};
     monotonic_time last_current_{};
     monotonic_time last_tick_{};
-    monotonic_time last_expiry_{};
+    monotonic_time next_expiry_{};
+    /** Time since which this replica has had no contact with most others;
+       absent while it has. */
+    std::optional<monotonic_time> isolated_since_;
     departure_log departures_;
     std::vector<unstored_departure> unstored_departures_;
     bool is_stopping_ = false;
--- a/source/verbenacove/process/discovery/replica_link.cpp
+++ b/source/verbenacove/process/discovery/replica_link.cpp
@@ -280,7 +280,13 @@
     }
     if (view->contains(QLatin1String("next")))
     {
+        auto const previous_view = position_.view_id;
         position_ = membership_.merge(*view);
+        if (position_.view_id != previous_view)
+        {
+            // The one that was told of them may be gone.
+            confirmed_crashes_ = quarantine_cursor(0);
+        }
         last_view_ = clock_.now();
     }
 }
--- a/source/verbenacove/process/discovery/view_settling.hpp
+++ b/source/verbenacove/process/discovery/view_settling.hpp
@@ -47,8 +47,8 @@
                             elapsed(*first_report_, now) >= settling_time);
     }
 
-    /** Records that this replica could not hear of any entry for a while, as
-        its process did not run. */
+    /** Lets the view settle anew: no entry is known any more, or this process
+        did not run for a while. */
     void restart()
     {
         first_report_.reset();
--- a/tests/unit/lost_replicas_test.cpp
+++ b/tests/unit/lost_replicas_test.cpp
@@ -1,6 +1,7 @@
 #include "discovery_test_tools.hpp"
 #include "verbenacove/connection/rpc_client.hpp"
 
+#include <algorithm>
 #include <array>
 
 using namespace verbenacove;
@@ -221,3 +222,24 @@
         [this] { return replica.discovery().lost_replica_count() == 0; }));
     CHECK(wait_until([this] { return other.reads_of_whole_view > 1; }));
 }
+
+// A replica that was late itself took all entries of all other replicas for
+// silent, and sent callers to the few that it still heard.
+TEST_CASE_FIXTURE(lost_replica_fixture,
+                  "replica isolation: all others are lost at once: their "
+                  "entries do not count as silent for a while")
+{
+    auto const silent_entries = [this]
+    {
+        auto const& entries =
+            replica.discovery().membership().entries().records();
+        return std::count_if(entries.begin(), entries.end(),
+                             [](entry_member const& entry)
+                             { return entry.is_silent; });
+    };
+    REQUIRE(replica.discovery().membership().entries().records().size() == 1);
+    other.stop();
+    wait_until([] { return false; }, milliseconds(4500));
+    CHECK(silent_entries() == 0);
+    CHECK(wait_until([&] { return silent_entries() == 1; }));
+}
