--- a/source/verbenacove/core/epoll_event_dispatcher.cpp
+++ b/source/verbenacove/core/epoll_event_dispatcher.cpp
@@ -183,7 +183,8 @@
     auto& normal = queue_of(priority::normal);
     bool const is_high = normal.empty() ||
                          (!high.empty() && high_turns_ < high_turns_per_normal);
-    high_turns_ = is_high ? high_turns_ + 1 : 0;
+    high_turns_ =
+        is_high ? std::min(high_turns_ + 1, high_turns_per_normal) : 0;
     auto& queue = is_high ? high : normal;
     int const descriptor = queue.front();
     queue.pop_front();
--- a/source/verbenacove/process/routing/entry_directory.cpp
+++ b/source/verbenacove/process/routing/entry_directory.cpp
@@ -33,15 +33,16 @@
         is_cached_settled_ = discovery_.has_settled_view();
         cached_maximum_ = request.maximum_count;
     }
-    auto const& nearest = respond(request, {}, write);
-    if (!nearest.has_others)
+    auto response = respond(request, {}, write);
+    if (response.counts.elsewhere > 0)
     {
-        return nearest.body;
+        response = respond(request, common_homes(routes, request.host), write);
     }
-    return respond(request, common_homes(routes, request.host), write).body;
+    log_change(request.caller, response.counts);
+    return response.body;
 }
 
-entry_directory::response const&
+entry_directory::response
 entry_directory::respond(look_up const& request,
                          std::vector<region_name> const& homes,
                          response_writer const& write)
@@ -62,18 +63,19 @@
         is_cached_settled_
             ? nearest_entries(caller, serving, request.maximum_count, homes)
             : std::vector<entry_view>{};
-    log_change(caller, serving.size(), entries);
     // Callers name their zone and host, so the number of responses is bounded.
     if (responses_.size() >= maximum_zones)
     {
         responses_.clear();
     }
-    bool const has_others =
-        std::any_of(entries.begin(), entries.end(),
-                    [&caller](entry_view const& entry)
-                    { return entry.region != caller.region; });
-    return *responses_.insert(
-        key, {entries.empty() ? QByteArray() : write(entries), has_others});
+    auto const elsewhere =
+        std::count_if(entries.begin(), entries.end(),
+                      [&caller](entry_view const& entry)
+                      { return entry.region != caller.region; });
+    return *responses_.insert(key,
+                              {entries.empty() ? QByteArray() : write(entries),
+                               {static_cast<qint64>(entries.size()), elsewhere,
+                                static_cast<qint64>(serving.size())}});
 }
 
 bool entry_directory::is_cache_current(std::size_t maximum_count) const
@@ -103,23 +105,17 @@
     return result;
 }
 
-void entry_directory::log_change(location const& caller, std::size_t serving,
-                                 std::vector<entry_view> const& result)
+void entry_directory::log_change(location const& caller,
+                                 entry_counts const& counts)
 {
-    auto const elsewhere =
-        std::count_if(result.begin(), result.end(),
-                      [&caller](entry_view const& entry)
-                      { return entry.region != caller.region; });
-    returned_count const returned{static_cast<qint64>(result.size()),
-                                  elsewhere};
     auto const known = returned_.constFind(caller.zone);
     bool const is_known = known != returned_.constEnd();
-    if ((is_known && *known == returned) ||
+    if ((is_known && *known == counts) ||
         (!is_known && returned_.size() >= maximum_zones))
     {
         return;
     }
-    returned_.insert(caller.zone, returned);
+    returned_.insert(caller.zone, counts);
     auto const& entries = discovery_.membership().entries().records();
     auto const known_in_region =
         std::count_if(entries.begin(), entries.end(),
@@ -128,9 +124,9 @@
     directory_log.note("lookup.changed",
                        {{"zone", caller.zone.value()},
                         {"region", caller.region.value()},
-                        {"returned", returned.all},
-                        {"elsewhere", returned.elsewhere},
-                        {"serving", static_cast<qint64>(serving)},
+                        {"returned", counts.returned},
+                        {"elsewhere", counts.elsewhere},
+                        {"serving", counts.serving},
                         {"known_in_region", qint64{known_in_region}}});
 }
 
--- a/source/verbenacove/process/routing/entry_directory.hpp
+++ b/source/verbenacove/process/routing/entry_directory.hpp
@@ -59,31 +59,36 @@
     std::vector<entry_view> serving_entries() const;
 
 private:
-    /** Numbers of entries in a response. */
-    struct returned_count
+    /** Numbers of entries. */
+    struct entry_counts
     {
-        qint64 all = 0;
-        /** Those outside the caller's region. */
+        /** In the response to a look-up. */
+        qint64 returned = 0;
+        /** Of these, outside the caller's region. */
         qint64 elsewhere = 0;
-
-        bool operator==(returned_count const&) const = default;
+        /** In the whole view. */
+        qint64 serving = 0;
+
+        /** Returns whether the response is the same. */
+        bool operator==(entry_counts const& other) const
+        {
+            return returned == other.returned && elsewhere == other.elsewhere;
+        }
     };
 
     /** Response to a look-up. */
     struct response
     {
         QByteArray body;
-        /** Whether it names entries outside the caller's region. */
-        bool has_others = false;
+        entry_counts counts;
     };
 
     /** Returns whether responses of before may be given again. */
     bool is_cache_current(std::size_t maximum_count) const;
-    response const& respond(look_up const& request,
-                            std::vector<region_name> const& homes,
-                            response_writer const& write);
-    void log_change(location const& caller, std::size_t serving,
-                    std::vector<entry_view> const& result);
+    response respond(look_up const& request,
+                     std::vector<region_name> const& homes,
+                     response_writer const& write);
+    void log_change(location const& caller, entry_counts const& counts);
 
     discovery_service const& discovery_;
     /** Responses by the caller's zone and region and the homes of its requests,
@@ -94,7 +99,7 @@
     bool is_cached_settled_ = false;
     std::size_t cached_maximum_ = 0;
     /** Numbers of entries in the last response to each zone. */
-    QHash<zone_name, returned_count> returned_;
+    QHash<zone_name, entry_counts> returned_;
 };
 
 } // namespace verbenacove
--- a/source/verbenacove/process/routing/route_entry_process.hpp
+++ b/source/verbenacove/process/routing/route_entry_process.hpp
@@ -57,9 +57,8 @@
 private:
     void handle_update();
     void handle_reachability_change(bool is_cut_off);
-    /** Returns the entries that requests are relayed to while this one reaches
-        no upstream. */
-    /** Selects the entries that requests are relayed to. */
+    /** Sets the entries that requests are relayed to while this one reaches no
+        upstream. */
     void add_relays(routing_view& view) const;
     /** Returns the other entries that serve, in an order of this entry's
         own. */
