--- a/source/verbenacove/connection/frame_socket.hpp
+++ b/source/verbenacove/connection/frame_socket.hpp
@@ -47,9 +47,12 @@
     void send(QCborMap const& message);
 
     /** Lets this connection be read before others when the process is busy.
-        @see epoll_event_dispatcher::set_urgent */
+        @see epoll_event_dispatcher::set_priority */
     void set_urgent();
 
+    /** Returns whether bytes have come that were not read yet. */
+    bool has_unread_bytes() const;
+
     /** Returns the number of bytes received so far. */
     qint64 received_bytes() const { return received_bytes_; }
 
--- a/source/verbenacove/process/discovery/discovery_read.cpp
+++ b/source/verbenacove/process/discovery/discovery_read.cpp
@@ -24,6 +24,24 @@
 constexpr qsizetype maximum_sources = 64;
 /** Maximum number of replicas that are asked for all entries at a time. */
 constexpr int maximum_entry_sources = 2;
+/** Time without a response after which a source is read anew. Below the time
+    after which its entries count as silent. */
+constexpr milliseconds maximum_contact_gap{2500};
+/** Interval between searches for processes without heartbeats, which visit all
+    records. */
+constexpr milliseconds expiry_interval{300};
+/** Time between two ticks from which on this process did not run; the time
+    after which entries count as silent. */
+constexpr milliseconds pause_threshold{3000};
+/** Time after a pause in which no process counts as silent. */
+constexpr milliseconds expiry_delay_after_pause{1000};
+/** Time for which a replica that has lost contact with most others assumes that
+    it is late itself: it marks no process as silent and answers look-ups from
+    the view that it has. */
+constexpr milliseconds isolation_allowance{6000};
+/** Time since a whole view in which the recent departures of lost replicas,
+    which others tell, cover all that was missed. */
+constexpr milliseconds departures_period{8000};
 /** Interval between the log lines that count relayed changes. */
 constexpr milliseconds relayed_log_interval{1000};
 
@@ -50,7 +68,15 @@
         record_own_heartbeat();
     }
     last_current_ = is_current() ? now : last_current_;
-    membership_.expire();
+    check_pause(now);
+    check_isolation(now);
+    bool const may_be_late =
+        isolated_since_ && elapsed(*isolated_since_, now) < isolation_allowance;
+    if (now >= next_expiry_ && !may_be_late)
+    {
+        next_expiry_ = now + expiry_interval;
+        membership_.expire();
+    }
     update_settling();
     log_relayed_changes(now);
     add_sources();
@@ -64,6 +90,48 @@
     }
 }
 
+void discovery_service::check_pause(monotonic_time now)
+{
+    auto const passed = elapsed(std::exchange(last_tick_, now), now);
+    if (passed < pause_threshold)
+    {
+        return;
+    }
+    discovery_log.note("process.paused",
+                       {{"paused_ms", qint64{passed.count()}}});
+    settling_.restart();
+    // What has come meanwhile is read first.
+    next_expiry_ = now + expiry_delay_after_pause;
+    for (auto const& from : sources_)
+    {
+        from->has_sent_all_entries = false;
+    }
+}
+
+void discovery_service::check_isolation(monotonic_time now)
+{
+    auto const lost = unreachable_replicas({}).size();
+    if (lost * 2 <= sources_.size())
+    {
+        isolated_since_.reset();
+        return;
+    }
+    if (!isolated_since_)
+    {
+        isolated_since_ = now;
+        discovery_log.note("replica.isolated",
+                           {{"lost", lost}, {"others", sources_.size()}});
+    }
+}
+
+bool discovery_service::has_settled_view() const
+{
+    bool const is_outdated =
+        isolated_since_ &&
+        elapsed(*isolated_since_, clock_.now()) >= isolation_allowance;
+    return settling_.is_settled() && !is_outdated;
+}
+
 void discovery_service::log_relayed_changes(monotonic_time now)
 {
     if (relayed_changes_ > 0 &&
@@ -155,14 +223,32 @@
         {QLatin1String("replica"), true},
         {QLatin1String("delegates"), true},
         {QLatin1String("routes"), std::numeric_limits<qint64>::max()},
-        {QLatin1String("hold"), qint64{maximum_hold.count()}},
-        {QLatin1String("position"), to_cbor(from.position)},
+        // Contact is restored by any response.
+        {QLatin1String("hold"),
+         from.is_lost ? qint64{0} : qint64{maximum_hold.count()}},
         {QLatin1String("self"), to_cbor(*self, clock_.now())}};
     from.sends_all_entries =
         !settling_.is_settled() && may_send_all_entries(from);
     if (from.sends_all_entries)
     {
         request[QLatin1String("all_entries")] = true;
+        // They are sent to a reader of the whole view only.
+        from.position =
+            from.has_sent_all_entries ? from.position : sync_position{};
+    }
+    request[QLatin1String("position")] = to_cbor(from.position);
+    from.sent_unreachable = unreachable_replicas(address);
+    if (!from.sent_unreachable.isEmpty())
+    {
+        request[QLatin1String("unreachable")] =
+            to_cbor_texts(from.sent_unreachable);
+        request[QLatin1String("newly_unreachable")] =
+            to_cbor_texts(from.sent_unreachable - from.answered_unreachable);
+    }
+    if (from.last_whole_view &&
+        elapsed(*from.last_whole_view, clock_.now()) < departures_period)
+    {
+        request[QLatin1String("has_old_departures")] = true;
     }
     if (!from.sent_lost.isEmpty())
     {
@@ -174,8 +260,16 @@
     return request;
 }
 
+// A process that is late itself loses contact with all others at once; telling
+// so would make each of them send its whole view.
 QSet<QString>
 discovery_service::lost_replicas(socket_address const& except) const
+{
+    return isolated_since_ ? QSet<QString>() : unreachable_replicas(except);
+}
+
+QSet<QString>
+discovery_service::unreachable_replicas(socket_address const& except) const
 {
     QSet<QString> names;
     for (auto item = sources_.begin(); item != sources_.end(); ++item)
@@ -268,12 +362,20 @@
     {
         from->next_read = now + retry_interval;
         from->is_lost = true;
-        // What its processes did meanwhile is not told as changes.
-        from->position = {};
+        from->has_sent_all_entries = false;
         return;
     }
+    auto const silent_for = elapsed(from->last_response, now);
     from->last_response = now;
+    auto const previous_view = from->position.view_id;
     record_read(address, *from, *reply);
+    bool const is_continued = from->position.view_id == previous_view;
+    if (is_continued && silent_for > maximum_contact_gap)
+    {
+        // Some of its processes may count as silent here since, which is no
+        // change there.
+        from->position = {};
+    }
     read(address, *from);
 }
 
@@ -285,6 +387,7 @@
         for (auto const& other : sources_)
         {
             other->answered_lost.remove(address.text());
+            other->answered_unreachable.remove(address.text());
         }
     }
     auto const lost = lost_replicas({});
@@ -292,6 +395,7 @@
     bool const sends_vouched_only = cbor_flag(reply, "sends_vouched_only");
     from.answered_lost =
         sends_vouched_only ? QSet<QString>() : from.sent_lost & lost;
+    from.answered_unreachable = from.sent_unreachable;
     bool const is_delegate = cbor_flag(reply, "delegates");
     auto const previous_view = from.position.view_id;
     from.position = membership_.merge(reply, {address.text(), is_delegate});
@@ -305,13 +409,20 @@
             membership_.record_contact(name, item.toArray().at(1).toInteger());
         }
     }
-    bool const is_whole_view = from.position.view_id != previous_view;
-    if (is_whole_view && cbor_flag(reply, "settled"))
+    // A replica of an earlier build sends all entries to each reader.
+    if (from.position.view_id != previous_view)
+    {
+        from.last_whole_view = clock_.now();
+    }
+    bool const has_all_entries = from.position.view_id != previous_view &&
+                                 (from.sends_all_entries || !is_delegate);
+    from.has_sent_all_entries = from.has_sent_all_entries || has_all_entries;
+    if (has_all_entries && cbor_flag(reply, "settled"))
     {
         settling_.merge_settled_view(live_entries());
     }
     from.crashes.apply_response(from.position.view_id, parse_crashes(reply));
-    merge_crashes(reply);
+    merge_crashes(reply, record_origin::other);
 }
 
 std::size_t discovery_service::live_entries() const
@@ -323,11 +434,19 @@
         { return entry.phase == member_phase::serving && !entry.is_silent; }));
 }
 
+bool discovery_service::has_read_sources() const
+{
+    return std::all_of(sources_.begin(), sources_.end(),
+                       [](std::shared_ptr<source> const& from) {
+                           return from->position.view_id != 0 || from->is_lost;
+                       });
+}
+
 void discovery_service::update_settling()
 {
     bool const was_settled = settling_.is_settled();
     auto const live = live_entries();
-    settling_.update(live, clock_.now());
+    settling_.update(live, has_read_sources(), clock_.now());
     if (settling_.is_settled() != was_settled)
     {
         discovery_log.note("view.settled",
@@ -336,13 +455,14 @@
     }
 }
 
-void discovery_service::merge_crashes(QCborMap const& message)
+void discovery_service::merge_crashes(QCborMap const& message,
+                                      record_origin origin)
 {
     auto const crashes = parse_crashes(message);
     if (crashes)
     {
-        known_crashes_.merge_update(*crashes);
-        schedule_responses(urgent_delay);
+        known_crashes_.merge_update(*crashes, origin);
+        schedule_updates();
     }
 }
 
--- a/source/verbenacove/process/discovery/discovery_service.cpp
+++ b/source/verbenacove/process/discovery/discovery_service.cpp
@@ -62,6 +62,9 @@
         !reader.is_delegating || cbor_flag(request, "all_entries");
     reader.lost = names_in(request, "lost");
     reader.newly_lost = names_in(request, "newly_lost");
+    reader.unreachable = names_in(request, "unreachable");
+    reader.newly_unreachable = names_in(request, "newly_unreachable");
+    reader.has_old_departures = cbor_flag(request, "has_old_departures");
     return reader;
 }
 
@@ -84,6 +87,7 @@
                    }})
     , started_(QDateTime::currentMSecsSinceEpoch())
     , created_(clock_.now())
+    , last_tick_(created_)
     , departures_(settings_.data_folder)
 {
     server_.set_location_lookup([this](raft_member const& member)
@@ -183,12 +187,14 @@
     {
         membership_.apply_heartbeat(std::move(entry));
     }
-    merge_crashes(request);
+    merge_crashes(request, record_origin::own);
     rate_limit_reporter::apply(request, membership_, now);
     auto view = parse_view_reader(request);
     // Records of replicas that are gone would come from each source at once.
     view.lost = heard_replicas(view.lost);
     view.newly_lost = heard_replicas(view.newly_lost);
+    view.unreachable -= view.lost;
+    view.newly_unreachable -= view.newly_lost;
     auto const hold = std::clamp(milliseconds(cbor_number(request, "hold")),
                                  milliseconds(0), maximum_hold);
     waiting_reader const reader{
@@ -204,7 +210,7 @@
         respond(reader);
         return;
     }
-    if (membership_.has_updates_since(reader.position, reader.view))
+    if (has_changes_for(reader))
     {
         schedule_updates();
     }
@@ -222,7 +228,6 @@
         cbor_flag(reader.request, "current") != is_current();
     return !membership_.is_known(reader.position) ||
            cbor_flag(reader.request, "replicas_only") ||
-           known_crashes_.has_changes(reader.crash_cursor) ||
            (has_older_routes && is_current()) || is_leader_contact_changed ||
            clock_.now() >= reader.deadline;
 }
@@ -230,8 +235,23 @@
 bool discovery_service::is_response_due(waiting_reader const& reader) const
 {
     return is_urgent(reader) ||
-           (clock_.now() >= reader.not_before &&
-            membership_.has_updates_since(reader.position, reader.view));
+           (clock_.now() >= reader.not_before && has_changes_for(reader));
+}
+
+// A replica reads each other one; a new one also needs what its former process
+// had received.
+record_scope discovery_service::crash_scope(waiting_reader const& reader)
+{
+    bool const is_first_read = reader.crash_cursor == quarantine_cursor(0);
+    return cbor_flag(reader.request, "delegates") && !is_first_read
+               ? record_scope::own
+               : record_scope::all;
+}
+
+bool discovery_service::has_changes_for(waiting_reader const& reader) const
+{
+    return membership_.has_updates_since(reader.position, reader.view) ||
+           known_crashes_.has_changes(reader.crash_cursor, crash_scope(reader));
 }
 
 void discovery_service::respond(waiting_reader const& reader)
@@ -249,7 +269,8 @@
         response[QLatin1String("sends_vouched_only")] = true;
     }
     response[QLatin1String("current")] = is_current();
-    response[QLatin1String("settled")] = settling_.is_settled();
+    response[QLatin1String("settled")] =
+        settling_.is_settled() && !isolated_since_;
     auto const& routes = server_.state().routes();
     bool const has_older_routes =
         cbor_number(reader.request, "routes", -1) < routes.revision();
@@ -272,7 +293,8 @@
         response[QLatin1String("routes_revision")] = routes.revision();
         response[QLatin1String("evacuated")] = evacuated;
     }
-    add_crashes(response, known_crashes_, reader.crash_cursor);
+    add_crashes(response, known_crashes_, reader.crash_cursor,
+                crash_scope(reader));
     reader.reply(response);
 }
 
@@ -296,10 +318,13 @@
         bool const is_common = reader.view.is_delegating &&
                                !reader.view.wants_all_entries &&
                                reader.view.lost.isEmpty();
-        return is_common
-                   ? replica_deltas_.find(membership_, reader.position, clock_)
-                         .plain
-                   : membership_.updates_since(reader.position, reader.view);
+        auto delta =
+            is_common
+                ? replica_deltas_.find(membership_, reader.position, clock_)
+                      .plain
+                : membership_.updates_since(reader.position, reader.view);
+        membership_.add_missed_departures(delta, reader.position, reader.view);
+        return delta;
     }
     auto const& delta =
         entry_deltas_.find(membership_, reader.position, clock_);
--- a/source/verbenacove/process/routing/entry_directory.cpp
+++ b/source/verbenacove/process/routing/entry_directory.cpp
@@ -2,6 +2,8 @@
 
 #include "verbenacove/core/event_log.hpp"
 
+#include <algorithm>
+
 namespace verbenacove
 {
 
@@ -20,33 +22,60 @@
 {
 }
 
-std::vector<entry_view> entry_directory::find(location const& caller,
-                                              std::size_t maximum_count)
+QByteArray entry_directory::find(look_up const& request,
+                                 route_configuration const& routes,
+                                 response_writer const& write)
 {
-    if (!is_cache_current(maximum_count))
+    if (!is_cache_current(request.maximum_count))
     {
         responses_.clear();
         cached_revision_ = discovery_.membership().entries().revision();
         is_cached_settled_ = discovery_.has_settled_view();
-        cached_maximum_ = maximum_count;
+        cached_maximum_ = request.maximum_count;
+    }
+    auto response = respond(request, {}, write);
+    if (response.counts.elsewhere > 0)
+    {
+        response = respond(request, common_homes(routes, request.host), write);
+    }
+    log_change(request.caller, response.counts);
+    return response.body;
+}
+
+entry_directory::response
+entry_directory::respond(look_up const& request,
+                         std::vector<region_name> const& homes,
+                         response_writer const& write)
+{
+    auto const& caller = request.caller;
+    auto key = caller.zone.value() + QLatin1Char('\n') + caller.region.value();
+    for (auto const& home : homes)
+    {
+        key += QLatin1Char('\n') + home.value();
     }
-    auto const key =
-        caller.zone.value() + QLatin1Char('\n') + caller.region.value();
     auto const cached = responses_.constFind(key);
     if (cached != responses_.constEnd())
     {
         return *cached;
     }
     auto const serving = serving_entries();
-    auto const result = is_cached_settled_
-                            ? nearest_entries(caller, serving, maximum_count)
-                            : std::vector<entry_view>{};
-    log_change(caller, serving.size(), result.size());
-    if (responses_.size() < maximum_zones)
+    auto const entries =
+        is_cached_settled_
+            ? nearest_entries(caller, serving, request.maximum_count, homes)
+            : std::vector<entry_view>{};
+    // Callers name their zone and host, so the number of responses is bounded.
+    if (responses_.size() >= maximum_zones)
     {
-        responses_.insert(key, result);
+        responses_.clear();
     }
-    return result;
+    auto const elsewhere =
+        std::count_if(entries.begin(), entries.end(),
+                      [&caller](entry_view const& entry)
+                      { return entry.region != caller.region; });
+    return *responses_.insert(key,
+                              {entries.empty() ? QByteArray() : write(entries),
+                               {static_cast<qint64>(entries.size()), elsewhere,
+                                static_cast<qint64>(serving.size())}});
 }
 
 bool entry_directory::is_cache_current(std::size_t maximum_count) const
@@ -76,21 +105,29 @@
     return result;
 }
 
-void entry_directory::log_change(location const& caller, std::size_t serving,
-                                 std::size_t returned)
+void entry_directory::log_change(location const& caller,
+                                 entry_counts const& counts)
 {
     auto const known = returned_.constFind(caller.zone);
     bool const is_known = known != returned_.constEnd();
-    if ((is_known && *known == returned) ||
+    if ((is_known && *known == counts) ||
         (!is_known && returned_.size() >= maximum_zones))
     {
         return;
     }
-    returned_.insert(caller.zone, returned);
+    returned_.insert(caller.zone, counts);
+    auto const& entries = discovery_.membership().entries().records();
+    auto const known_in_region =
+        std::count_if(entries.begin(), entries.end(),
+                      [&caller](entry_member const& entry)
+                      { return entry.content.region == caller.region; });
     directory_log.note("lookup.changed",
                        {{"zone", caller.zone.value()},
-                        {"returned", static_cast<qint64>(returned)},
-                        {"serving", static_cast<qint64>(serving)}});
+                        {"region", caller.region.value()},
+                        {"returned", counts.returned},
+                        {"elsewhere", counts.elsewhere},
+                        {"serving", counts.serving},
+                        {"known_in_region", qint64{known_in_region}}});
 }
 
 } // namespace verbenacove
--- a/tests/unit/lost_replicas_test.cpp
+++ b/tests/unit/lost_replicas_test.cpp
@@ -1,6 +1,7 @@
 #include "discovery_test_tools.hpp"
 #include "verbenacove/connection/rpc_client.hpp"
 
+#include <algorithm>
 #include <array>
 
 using namespace verbenacove;
@@ -20,6 +21,8 @@
 {
     lost_replica_fixture()
     {
+        other.entries = 1;
+        other.is_settled = true;
         REQUIRE(wait_until(
             [this]
             {
@@ -91,6 +94,31 @@
                           others[4].address()}};
 };
 
+/** A replica that starts beside settled ones, of which those that are asked for
+    all entries take longer to respond. */
+struct partial_view_fixture
+{
+    partial_view_fixture()
+    {
+        for (auto& other : others)
+        {
+            other.entries = entries_each;
+            other.is_settled = true;
+            other.all_entries_delay = milliseconds(800);
+        }
+    }
+
+    bool knows_entries()
+    {
+        return !replica.discovery().membership().entries().records().isEmpty();
+    }
+
+    static constexpr int entries_each = 4;
+    std::array<replica_stand_in, 3> others;
+    test_replica replica{
+        {others[0].address(), others[1].address(), others[2].address()}};
+};
+
 } // namespace
 
 TEST_CASE_FIXTURE(lost_replica_fixture,
@@ -153,3 +181,65 @@
     }
     CHECK(asked == 2);
 }
+
+// A replica that had just started sent the callers of all zones to the entries
+// of the replica that responded first.
+TEST_CASE_FIXTURE(partial_view_fixture,
+                  "replica start: a settled replica has sent its own entries "
+                  "only: the view does not count as settled")
+{
+    REQUIRE(wait_until([this] { return knows_entries(); }));
+    CHECK_FALSE(replica.discovery().has_settled_view());
+    CHECK(
+        wait_until([this] { return replica.discovery().has_settled_view(); }));
+    CHECK(replica.discovery().membership().entries().records().size() >=
+          2 * entries_each);
+}
+
+// Late responses made each replica read the whole view of each other one, which
+// made the next responses late.
+TEST_CASE_FIXTURE(lost_replica_fixture,
+                  "replica read: a response does not come in time: the next "
+                  "read goes on from the same position")
+{
+    REQUIRE(other.reads_of_whole_view == 1);
+    other.ignored_reads = 1;
+    REQUIRE(wait_until(
+        [this] { return replica.discovery().lost_replica_count() == 1; }));
+    REQUIRE(wait_until(
+        [this] { return replica.discovery().lost_replica_count() == 0; }));
+    CHECK(other.reads_of_whole_view == 1);
+}
+
+TEST_CASE_FIXTURE(lost_replica_fixture,
+                  "replica read: no response for so long that its entries "
+                  "count as silent: the whole view is read again")
+{
+    other.ignored_reads = 3;
+    REQUIRE(wait_until(
+        [this] { return replica.discovery().lost_replica_count() == 1; }));
+    REQUIRE(wait_until(
+        [this] { return replica.discovery().lost_replica_count() == 0; }));
+    CHECK(wait_until([this] { return other.reads_of_whole_view > 1; }));
+}
+
+// A replica that was late itself took all entries of all other replicas for
+// silent, and sent callers to the few that it still heard.
+TEST_CASE_FIXTURE(lost_replica_fixture,
+                  "replica isolation: all others are lost at once: their "
+                  "entries do not count as silent for a while")
+{
+    auto const silent_entries = [this]
+    {
+        auto const& entries =
+            replica.discovery().membership().entries().records();
+        return std::count_if(entries.begin(), entries.end(),
+                             [](entry_member const& entry)
+                             { return entry.is_silent; });
+    };
+    REQUIRE(replica.discovery().membership().entries().records().size() == 1);
+    other.stop();
+    wait_until([] { return false; }, milliseconds(4500));
+    CHECK(silent_entries() == 0);
+    CHECK(wait_until([&] { return silent_entries() == 1; }));
+}
