--- a/source/verbenacove/process/discovery/crash_exchange.cpp
+++ b/source/verbenacove/process/discovery/crash_exchange.cpp
@@ -14,6 +14,9 @@
 constexpr char records_key[] = "crashes";
 constexpr char position_key[] = "crashes_after";
 
+/** Age at which an update is written again, as it tells ages of crashes. */
+constexpr milliseconds maximum_update_age{500};
+
 } // namespace
 
 quarantine_cursor add_crashes(QCborMap& message, quarantine const& known,
@@ -28,6 +31,26 @@
     return crashes.next;
 }
 
+void shared_crash_update::add_to(QCborMap& message, quarantine const& known,
+                                 quarantine_cursor since, monotonic_time now)
+{
+    if (!known.has_changes(since))
+    {
+        return;
+    }
+    bool const is_current = !update_.isEmpty() && since_ == since &&
+                            last_change_ == known.last_change() &&
+                            elapsed(written_, now) < maximum_update_age;
+    if (!is_current)
+    {
+        update_ = to_cbor(known.export_update(since));
+        since_ = since;
+        last_change_ = known.last_change();
+        written_ = now;
+    }
+    message[QLatin1String(records_key)] = update_;
+}
+
 std::optional<quarantine_update> parse_crashes(QCborMap const& message)
 {
     if (!message.contains(QLatin1String(records_key)))
--- a/source/verbenacove/process/discovery/crash_exchange.hpp
+++ b/source/verbenacove/process/discovery/crash_exchange.hpp
@@ -18,6 +18,23 @@
                               quarantine_cursor since,
                               record_scope scope = record_scope::all);
 
+/** Adds crashes to the responses to many readers, most of which have the same
+    position: what they need is written once. */
+class shared_crash_update
+{
+public:
+    /** As add_crashes(), for all changes. */
+    void add_to(QCborMap& message, quarantine const& known,
+                quarantine_cursor since, monotonic_time now);
+
+private:
+    quarantine_cursor since_;
+    /** Latest change when the update was written. */
+    quarantine_cursor last_change_;
+    monotonic_time written_{};
+    QCborMap update_;
+};
+
 /** Returns the crashes in a message; nothing when there are none or when they
     are malformed, which is logged. */
 std::optional<quarantine_update> parse_crashes(QCborMap const& message);
--- a/source/verbenacove/process/discovery/discovery_service.cpp
+++ b/source/verbenacove/process/discovery/discovery_service.cpp
@@ -293,8 +293,16 @@
         response[QLatin1String("routes_revision")] = routes.revision();
         response[QLatin1String("evacuated")] = evacuated;
     }
-    add_crashes(response, known_crashes_, reader.crash_cursor,
-                crash_scope(reader));
+    if (crash_scope(reader) == record_scope::own)
+    {
+        add_crashes(response, known_crashes_, reader.crash_cursor,
+                    record_scope::own);
+    }
+    else
+    {
+        crash_update_.add_to(response, known_crashes_, reader.crash_cursor,
+                             clock_.now());
+    }
     reader.reply(response);
 }
 
--- a/source/verbenacove/process/discovery/discovery_service.hpp
+++ b/source/verbenacove/process/discovery/discovery_service.hpp
@@ -263,6 +263,7 @@
     /** Requests that crash upstreams, as reported by entries; relayed to other
         entries and replicas. */
     quarantine known_crashes_{clock_};
+    shared_crash_update crash_update_;
     incarnation started_;
     /** Sequence number of the latest heartbeat of this replica. */
     qint64 heartbeat_sequence_ = 0;
--- a/source/verbenacove/request/quarantine.hpp
+++ b/source/verbenacove/request/quarantine.hpp
@@ -244,6 +244,9 @@
     bool has_changes(quarantine_cursor since,
                      record_scope scope = record_scope::all) const;
 
+    /** Returns the cursor after the latest change. */
+    quarantine_cursor last_change() const { return last_change_; }
+
     /** Merges the records of another process. */
     void merge_update(quarantine_update const& update,
                       record_origin origin = record_origin::other);
--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -637,3 +637,29 @@
     QCborMap const response{{QLatin1String("crashes"), QLatin1String("?")}};
     CHECK_FALSE(parse_crashes(response));
 }
+
+TEST_CASE_FIXTURE(quarantine_fixture,
+                  "shared crash update: readers at the same and at other "
+                  "positions: each gets the changes after its own")
+{
+    shared_crash_update shared;
+    auto const read = [&](quarantine_cursor since)
+    {
+        QCborMap message;
+        shared.add_to(message, first, since, clock.now());
+        return parse_crashes(message);
+    };
+    CHECK_FALSE(read(quarantine_cursor(0)));
+    crash(first, 1, 1);
+    auto const one = read(quarantine_cursor(0));
+    REQUIRE(one);
+    CHECK(read(quarantine_cursor(0))->records.size() == 1);
+    CHECK_FALSE(read(one->next));
+    crash(first, 2, 2);
+    CHECK(read(quarantine_cursor(0))->records.size() == 2);
+    REQUIRE(read(one->next));
+    CHECK(read(one->next)->records.size() == 1);
+    CHECK(read(one->next)->records[0].fingerprint == request(2));
+    clock.advance(milliseconds(1000));
+    CHECK(read(one->next)->records[0].crashes[0].age == milliseconds(1000));
+}
