--- a/source/verbenacove/process/discovery/discovery_service_detail.hpp
+++ b/source/verbenacove/process/discovery/discovery_service_detail.hpp
@@ -16,8 +16,7 @@
 /** Delay of responses with routes or other urgent updates. */
 constexpr milliseconds urgent_delay{5};
 /** Minimum interval between responses that carry changes of the membership
-    view or crashes, so that their number is bounded however many changes there
-   are. */
+    view or crashes; bounds their number however many changes there are. */
 constexpr milliseconds update_interval{100};
 
 } // namespace verbenacove::discovery_detail
