Review: case 6, the departure of a backend that came back under its id is lost

After all core processes were killed, a DELETE is acknowledged with the start of the former boot, which entries ignore.

--- /dev/null
+++ b/review/support-2/lab.hpp
@@ -0,0 +1,236 @@
+#ifndef VERBENACOVE_REVIEW_SUPPORT_2_LAB_HPP
+#define VERBENACOVE_REVIEW_SUPPORT_2_LAB_HPP
+
+#include <sys/types.h>
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+/** A small deployment on loopback addresses: the project's two programs as
+    processes, and stand-ins of backends, clients and the operator. */
+namespace lab
+{
+
+using clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+/** Exit codes of a case. */
+constexpr int rule_held = 0;
+constexpr int rule_broken = 1;
+constexpr int could_not_run = 2;
+
+struct address
+{
+    std::string ip;
+    std::uint16_t port = 0;
+
+    std::string text() const { return ip + ":" + std::to_string(port); }
+};
+
+using headers = std::multimap<std::string, std::string>;
+
+/** Returns a header's value; names are kept in lower case. */
+std::string header_of(headers const& all, std::string const& name);
+
+struct request
+{
+    std::string method;
+    std::string target;
+    headers fields;
+    std::string body;
+};
+
+struct response
+{
+    /** 0 when there was none. */
+    int status = 0;
+    headers fields;
+    std::string body;
+};
+
+struct call
+{
+    address to;
+    std::string method = "GET";
+    std::string target = "/";
+    std::vector<std::string> lines = {};
+    std::string body = {};
+    milliseconds patience{1000};
+};
+
+/** Sends one request on a connection of its own. */
+response send(call const& what);
+
+bool wait_until(std::function<bool()> const& condition, milliseconds longest);
+
+/** Lines with the time since the start, to a file and to standard output. */
+class record
+{
+public:
+    explicit record(std::string const& path);
+    void note(std::string const& line);
+    /** Returns the milliseconds since the start. */
+    long long now() const;
+
+private:
+    std::mutex mutex_;
+    clock::time_point start_ = clock::now();
+    std::string path_;
+};
+
+/** A child process, killed at the end. */
+class process
+{
+public:
+    process() = default;
+    ~process();
+    process(process const&) = delete;
+    process& operator=(process const&) = delete;
+
+    void start(std::string const& program, std::string const& settings,
+               std::string const& log);
+    void signal(int number) const;
+    void kill_now();
+    bool is_running();
+
+private:
+    pid_t id_ = -1;
+};
+
+/** A backend that answers each request with its id and a digest, and 421 to
+    those that are meant for another. */
+class backend
+{
+public:
+    backend(std::string id, std::string service, address where,
+            std::string zone);
+    ~backend();
+    backend(backend const&) = delete;
+    backend& operator=(backend const&) = delete;
+
+    /** Begins a new boot under the same id. */
+    void begin_boot();
+    std::string id() const { return id_; }
+    address where() const { return where_; }
+
+    /** Sends a check-in; follows `HeartbeatAddress`. */
+    response check_in(address const& control, char const* state = "ready");
+    /** Checks in every 1.5 s, at each node in turn or where it is told to,
+        until stopped. */
+    void keep_checking_in(std::vector<address> const& control);
+    void stop_checking_in();
+
+    int runs() const { return runs_; }
+    /** Returns how many requests arrived that were sent by clients later than
+        a time of the record. */
+    int runs_of_later(long long sent) const;
+
+    /** Refuses all requests with 503 and this `Retry-After`, if above 0. */
+    std::atomic<int> refusal_pause_s{0};
+    std::atomic<int> work_ms{20};
+    std::atomic<bool> says_leaving{false};
+
+private:
+    void serve(int listener);
+    void serve_connection(int socket);
+    std::string answer(request const& request);
+
+    std::string id_;
+    std::string service_;
+    address where_;
+    std::string zone_;
+    std::atomic<long long> born_{0};
+    std::atomic<long long> sequence_{0};
+    std::atomic<int> runs_{0};
+    std::atomic<bool> is_stopped_{false};
+    mutable std::mutex mutex_;
+    std::vector<long long> sent_;
+    std::optional<address> receiver_;
+    int listener_ = -1;
+    std::atomic<int> open_connections_{0};
+    std::jthread server_;
+    std::jthread beats_;
+};
+
+/** The project's processes with settings like those of a small deployment. */
+class deployment
+{
+public:
+    deployment(std::string folder, int cores, int fronts);
+
+    void start_core(int number, bool is_first);
+    void start_front(int number);
+    void kill_core(int number);
+    process& core(int number)
+    {
+        return *cores_.at(static_cast<std::size_t>(number));
+    }
+    process& front(int number)
+    {
+        return *fronts_.at(static_cast<std::size_t>(number));
+    }
+    int core_count() const { return static_cast<int>(cores_.size()); }
+    int front_count() const { return static_cast<int>(fronts_.size()); }
+
+    address control(int number) const;
+    std::vector<address> controls() const;
+    address frontend(int number) const;
+    address readiness(int number) const;
+    /** Returns an unused address for a backend. */
+    address backend_address(int number) const;
+
+    /** Sends a whole configuration until it is acknowledged. */
+    bool configure(std::string const& body, std::string const& base);
+    bool are_fronts_ready();
+
+private:
+    std::string seeds() const;
+    std::string zone(int number) const;
+
+    std::string folder_;
+    std::uint16_t internal_ = 0;
+    std::uint16_t control_ = 0;
+    std::uint16_t directory_ = 0;
+    std::uint16_t frontend_ = 0;
+    std::uint16_t readiness_ = 0;
+    std::uint16_t metrics_ = 0;
+    std::uint16_t backend_ = 0;
+    int network_ = 0;
+    std::vector<std::unique_ptr<process>> cores_;
+    std::vector<std::unique_ptr<process>> fronts_;
+};
+
+/** A route of a configuration. */
+struct route
+{
+    std::string name;
+    std::string prefix;
+    std::string kind;
+    std::string service;
+    int timeout_ms = 2000;
+};
+
+/** Returns a configuration with these routes, all of host `lab.example`. */
+std::string configuration(int version, std::vector<route> const& routes);
+
+/** Sends a client's request with an id of its own; the path names when it was
+    sent. */
+response ask(address const& front, std::string const& prefix,
+             std::string const& id, long long sent,
+             std::string const& method = "GET");
+
+/** Returns whether the run is to have its disruption (`TROUBLE` is not 0). */
+bool has_trouble();
+
+} // namespace lab
+
+#endif
