--- a/review/6/stable_id_departure.cpp
+++ b/review/6/stable_id_departure.cpp
@@ -12,29 +12,36 @@
 
 constexpr long long contact_ms = 4000;
 constexpr long long drain_ms = 2500;
-/** How long the backend serves on after the acknowledgement. */
-constexpr milliseconds service_after_departure{16000};
+/** How long clients of the other zones use the first one. */
+constexpr milliseconds shift{7000};
+/** How long the backend serves on after they are back. */
+constexpr milliseconds service_after_shift{5000};
 
-/** Clients that ask all entries in turn until the end. */
+/** Clients that ask the entries of their zones in turn until the end. */
 class clients
 {
 public:
     clients(deployment& system, record& log)
         : thread_(
-              [&system, &log](std::stop_token const& stop)
+              [this, &system, &log](std::stop_token const& stop)
               {
                   for (int number = 0; !stop.stop_requested(); ++number)
                   {
-                      ask(system.frontend(number % system.front_count()),
-                          "/dispatch/", "q-" + std::to_string(number),
-                          log.now());
+                      int const front =
+                          have_moved_ ? 0 : number % system.front_count();
+                      ask(system.frontend(front), "/dispatch/",
+                          "q-" + std::to_string(number), log.now());
                       std::this_thread::sleep_for(milliseconds(20));
                   }
               })
     {
     }
 
+    /** Makes all of them use the first entry's zone, or their own again. */
+    void move(bool is_away) { have_moved_ = is_away; }
+
 private:
+    std::atomic<bool> have_moved_{false};
     std::jthread thread_;
 };
 
@@ -72,10 +79,10 @@
     backend staying("i-staying", "dispatch", system.backend_address(0),
                     "wcape-a");
     auto leaving = std::make_unique<backend>(
-        "i-leaving", "dispatch", system.backend_address(1), "wcape-a");
+        "i-leaving", "dispatch", system.backend_address(1), "gauteng-a");
     staying.keep_checking_in(system.controls());
     leaving->keep_checking_in(system.controls());
-    clients const traffic(system, log);
+    clients traffic(system, log);
     bool const is_used =
         system.are_fronts_ready() &&
         wait_until([&] { return leaving->runs() > 20; }, milliseconds(20000));
@@ -86,6 +93,7 @@
     }
     log.note("The first boot leaves.");
     leaving->stop_checking_in();
+    leaving->begin_leaving();
     if (!leave(system, "i-leaving", log))
     {
         return could_not_run;
@@ -95,7 +103,7 @@
     log.note("The first boot has ended; the next one starts under its id.");
     std::this_thread::sleep_for(milliseconds(1000));
     leaving = std::make_unique<backend>("i-leaving", "dispatch",
-                                        system.backend_address(1), "wcape-a");
+                                        system.backend_address(1), "gauteng-a");
     leaving->keep_checking_in(system.controls());
     if (!wait_until([&] { return leaving->runs() > 40; }, milliseconds(20000)))
     {
@@ -103,6 +111,10 @@
         return could_not_run;
     }
     std::this_thread::sleep_for(milliseconds(contact_ms));
+    auto const shift_end = clock::now() + shift;
+    traffic.move(true);
+    log.note("The clients of the other zones move to the first one.");
+    std::this_thread::sleep_for(milliseconds(300));
     leaving->stop_checking_in();
     if (has_trouble())
     {
@@ -120,6 +132,7 @@
     }
     auto const back = log.now();
     log.note("The next boot leaves.");
+    leaving->begin_leaving();
     if (!leave(system, "i-leaving", log))
     {
         log.note("The departure was not acknowledged.");
@@ -127,9 +140,12 @@
     }
     auto const acknowledged = log.now();
     // Later than `Drain` after the acknowledgement, and sent on by entries that
-    // are in touch, counted as after a final fault.
-    auto const from = std::max(acknowledged + drain_ms, back + 2 * contact_ms);
-    std::this_thread::sleep_for(service_after_departure);
+    // are in touch.
+    auto const from = std::max(acknowledged + drain_ms, back + contact_ms);
+    std::this_thread::sleep_until(shift_end);
+    traffic.move(false);
+    log.note("The clients move back.");
+    std::this_thread::sleep_for(service_after_shift);
     int const late = leaving->runs_of_later(from);
     log.note("Requests sent later than " + std::to_string(from) +
              " ms that reached i-leaving: " + std::to_string(late));
--- a/review/support-2/lab.cpp
+++ b/review/support-2/lab.cpp
@@ -362,26 +362,43 @@
     , service_(std::move(service))
     , where_(std::move(where))
     , zone_(std::move(zone))
+    , born_(unix_milliseconds())
     , listener_(listen_at(where_))
 {
-    begin_boot();
     server_ = std::jthread([this] { serve(listener_); });
 }
 
 backend::~backend()
 {
-    stop_checking_in();
-    is_stopped_ = true;
-    ::shutdown(listener_, SHUT_RDWR);
-    server_.join();
-    ::close(listener_);
-    wait_until([this] { return open_connections_ == 0; }, milliseconds(5000));
+    crash();
 }
 
-void backend::begin_boot()
+void backend::crash()
 {
-    born_ = unix_milliseconds();
-    sequence_ = 0;
+    is_stopped_ = true;
+    stop_checking_in();
+    int const listener = listener_.exchange(-1);
+    if (listener < 0)
+    {
+        return;
+    }
+    ::shutdown(listener, SHUT_RDWR);
+    {
+        std::lock_guard const lock(mutex_);
+        for (int const socket : sockets_)
+        {
+            ::shutdown(socket, SHUT_RDWR);
+        }
+    }
+    server_.join();
+    ::close(listener);
+    wait_until(
+        [this]
+        {
+            std::lock_guard const lock(mutex_);
+            return sockets_.empty();
+        },
+        milliseconds(5000));
 }
 
 response backend::check_in(address const& control, char const* state)
@@ -465,13 +482,20 @@
         {
             return;
         }
-        ++open_connections_;
+        std::lock_guard const lock(mutex_);
+        if (is_stopped_)
+        {
+            ::close(socket);
+            return;
+        }
+        sockets_.insert(socket);
         std::thread(
             [this, socket]
             {
                 serve_connection(socket);
+                std::lock_guard const end(mutex_);
+                sockets_.erase(socket);
                 ::close(socket);
-                --open_connections_;
             })
             .detach();
     }
@@ -517,7 +541,10 @@
     };
     if (request.target == "/health")
     {
-        return write(200, "Verbenacove-Instance-Id: " + id_ + "\r\n", "");
+        return write(is_leaving_ ? 503 : 200,
+                     "Verbenacove-Instance-Id: " + id_ + "\r\n" +
+                         (is_leaving_ ? "Server-Leaving: 1\r\n" : ""),
+                     "");
     }
     auto const id = header_of(request.fields, "verbenacove-request-id");
     auto const echo = "Verbenacove-Request-Id: " + id + "\r\n";
@@ -541,9 +568,13 @@
                      "");
     }
     ++runs_;
+    ++running_;
     std::this_thread::sleep_for(milliseconds(work_ms));
+    --running_;
+    // A backend that leaves closes its connections, too.
     auto const leaving =
-        says_leaving ? std::string("Server-Leaving: 1\r\n") : std::string();
+        is_leaving_ ? std::string("Server-Leaving: 1\r\nConnection: close\r\n")
+                    : std::string();
     return write(200,
                  echo + leaving + "Verbenacove-Response-Signature: s-" + id +
                      "\r\nVerbenacove-Backend-Load: 1,0,4\r\n",
--- a/review/support-2/lab.hpp
+++ b/review/support-2/lab.hpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -117,8 +118,11 @@
     backend(backend const&) = delete;
     backend& operator=(backend const&) = delete;
 
-    /** Begins a new boot under the same id. */
-    void begin_boot();
+    /** Ends as a process that is killed: all connections close, and new ones
+        are refused. */
+    void crash();
+    /** Says from now on that it leaves. */
+    void begin_leaving() { is_leaving_ = true; }
     std::string id() const { return id_; }
     address where() const { return where_; }
 
@@ -130,6 +134,8 @@
     void stop_checking_in();
 
     int runs() const { return runs_; }
+    /** Returns the number of requests at which it works now. */
+    int running() const { return running_; }
     /** Returns how many requests arrived that were sent by clients later than
         a time of the record. */
     int runs_of_later(long long sent) const;
@@ -137,7 +143,6 @@
     /** Refuses all requests with 503 and this `Retry-After`, if above 0. */
     std::atomic<int> refusal_pause_s{0};
     std::atomic<int> work_ms{20};
-    std::atomic<bool> says_leaving{false};
 
 private:
     void serve(int listener);
@@ -148,15 +153,17 @@
     std::string service_;
     address where_;
     std::string zone_;
-    std::atomic<long long> born_{0};
+    long long born_;
     std::atomic<long long> sequence_{0};
     std::atomic<int> runs_{0};
+    std::atomic<int> running_{0};
+    std::atomic<bool> is_leaving_{false};
+    std::set<int> sockets_;
     std::atomic<bool> is_stopped_{false};
     mutable std::mutex mutex_;
     std::vector<long long> sent_;
     std::optional<address> receiver_;
-    int listener_ = -1;
-    std::atomic<int> open_connections_{0};
+    std::atomic<int> listener_{-1};
     std::jthread server_;
     std::jthread beats_;
 };
