--- a/review/support-2/lab.cpp
+++ b/review/support-2/lab.cpp
@@ -314,19 +314,46 @@
                     std::string const& log)
 {
     kill_now();
+    int ends[2];
+    if (::pipe2(ends, O_CLOEXEC) != 0)
+    {
+        return;
+    }
     id_ = ::fork();
     if (id_ == 0)
     {
         // It ends with this process, however that ends.
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-        int const output =
-            ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
-        ::dup2(output, STDOUT_FILENO);
-        ::dup2(output, STDERR_FILENO);
+        ::dup2(ends[1], STDOUT_FILENO);
+        ::dup2(ends[1], STDERR_FILENO);
         ::setenv("VERBENACOVE_BOOT", settings.c_str(), 1);
         ::execl(program.c_str(), program.c_str(), nullptr);
         ::_exit(127);
     }
+    ::close(ends[1]);
+    reader_ =
+        std::jthread([this, input = ends[0], log] { copy_output(input, log); });
+}
+
+void process::copy_output(int input, std::string const& log)
+{
+    std::ofstream file(log, std::ios::app | std::ios::binary);
+    std::vector<char> buffer(65536);
+    while (true)
+    {
+        if (is_reader_paused_)
+        {
+            std::this_thread::sleep_for(milliseconds(20));
+            continue;
+        }
+        auto const count = ::read(input, buffer.data(), buffer.size());
+        if (count <= 0)
+        {
+            break;
+        }
+        file.write(buffer.data(), count);
+    }
+    ::close(input);
 }
 
 void process::signal(int number) const
@@ -345,6 +372,11 @@
         ::waitpid(id_, nullptr, 0);
         id_ = -1;
     }
+    is_reader_paused_ = false;
+    if (reader_.joinable())
+    {
+        reader_.join();
+    }
 }
 
 bool process::is_running()
--- a/review/support-2/lab.hpp
+++ b/review/support-2/lab.hpp
@@ -97,14 +97,22 @@
     process(process const&) = delete;
     process& operator=(process const&) = delete;
 
+    /** Starts a program with a pipe as its output, which is copied to a file.
+     */
     void start(std::string const& program, std::string const& settings,
                std::string const& log);
+    /** Makes the reader of its output stop reading, or go on. */
+    void pause_log_reader(bool is_paused) { is_reader_paused_ = is_paused; }
     void signal(int number) const;
     void kill_now();
     bool is_running();
 
 private:
+    void copy_output(int input, std::string const& log);
+
     pid_t id_ = -1;
+    std::atomic<bool> is_reader_paused_{false};
+    std::jthread reader_;
 };
 
 /** A backend that answers each request with its id and a digest, and 421 to
