--- a/review/support-2/lab.cpp
+++ b/review/support-2/lab.cpp
@@ -271,6 +271,52 @@
     return result;
 }
 
+class kept_connection::state
+{
+public:
+    explicit state(int socket)
+        : socket(socket)
+        , input(socket)
+    {
+    }
+
+    int socket;
+    reader input;
+};
+
+kept_connection::kept_connection(address const& to, milliseconds patience)
+    : state_(std::make_unique<state>(connect_to(to, clock::now() + patience)))
+{
+}
+
+kept_connection::~kept_connection()
+{
+    if (state_->socket >= 0)
+    {
+        ::close(state_->socket);
+    }
+}
+
+bool kept_connection::write(std::string const& bytes)
+{
+    return state_->socket >= 0 && write_all(state_->socket, bytes);
+}
+
+response kept_connection::read(milliseconds patience)
+{
+    response result;
+    auto const end = clock::now() + patience;
+    std::string first;
+    if (state_->socket >= 0 &&
+        state_->input.read_head(first, result.fields, end) &&
+        state_->input.read_body(result.fields, result.body, end) &&
+        first.size() > 12)
+    {
+        result.status = std::atoi(first.c_str() + 9);
+    }
+    return result;
+}
+
 bool wait_until(std::function<bool()> const& condition, milliseconds longest)
 {
     auto const end = clock::now() + longest;
@@ -601,7 +647,10 @@
     }
     ++runs_;
     ++running_;
-    std::this_thread::sleep_for(milliseconds(work_ms));
+    bool const is_first =
+        first_work_ms > 0 && request.target.ends_with("/first");
+    std::this_thread::sleep_for(
+        milliseconds(is_first ? first_work_ms.load() : work_ms.load()));
     --running_;
     // A backend that leaves closes its connections, too.
     auto const leaving =
@@ -610,7 +659,7 @@
     return write(200,
                  echo + leaving + "Verbenacove-Response-Signature: s-" + id +
                      "\r\nVerbenacove-Backend-Load: 1,0,4\r\n",
-                 id_);
+                 answer_bytes > 0 ? std::string(answer_bytes, 'x') : id_);
 }
 
 deployment::deployment(std::string folder, int cores, int fronts)
@@ -792,8 +841,8 @@
     {
         services[each.service] = 1;
         text
-            << separator << '"' << each.name
-            << R"(":{"Hostname":"lab.example","PathPrefix":")" << each.prefix
+            << separator << '"' << each.name << R"(":{"Hostname":")"
+            << each.host << R"(","PathPrefix":")" << each.prefix
             << R"(","Kind":")" << each.kind << R"(","Timeout":")"
             << each.timeout_ms
             << R"(ms","TargetLatency":"500ms","Priority":1,"Service":")"
--- a/review/support-2/lab.hpp
+++ b/review/support-2/lab.hpp
@@ -71,6 +71,26 @@
 /** Sends one request on a connection of its own. */
 response send(call const& what);
 
+/** A client's connection that is kept for many requests. */
+class kept_connection
+{
+public:
+    explicit kept_connection(address const& to, milliseconds patience);
+    ~kept_connection();
+    kept_connection(kept_connection const&) = delete;
+    kept_connection& operator=(kept_connection const&) = delete;
+
+    /** Sends bytes of any number of requests. */
+    bool write(std::string const& bytes);
+    /** Reads the next answer; its status is 0 when the connection ends before
+        it is whole. */
+    response read(milliseconds patience);
+
+private:
+    class state;
+    std::unique_ptr<state> state_;
+};
+
 bool wait_until(std::function<bool()> const& condition, milliseconds longest);
 
 /** Lines with the time since the start, to a file and to standard output. */
@@ -151,6 +171,10 @@
     /** Refuses all requests with 503 and this `Retry-After`, if above 0. */
     std::atomic<int> refusal_pause_s{0};
     std::atomic<int> work_ms{20};
+    /** Size of each answer; it is the backend's id if 0. */
+    std::atomic<std::size_t> answer_bytes{0};
+    /** Time of work for a path that ends with `/first`, if above 0. */
+    std::atomic<int> first_work_ms{0};
 
 private:
     void serve(int listener);
@@ -232,9 +256,10 @@
     std::string kind;
     std::string service;
     int timeout_ms = 2000;
+    std::string host = "lab.example";
 };
 
-/** Returns a configuration with these routes, all of host `lab.example`. */
+/** Returns a configuration with these routes and their services. */
 std::string configuration(int version, std::vector<route> const& routes);
 
 /** Sends a client's request with an id of its own; the path names when it was
