Review: case 8 also shows another host's path refused

The fingerprint of a request leaves the host out, so a service that lost no backend is refused, too.

--- a/review/8/quarantined_path.cpp
+++ b/review/8/quarantined_path.cpp
@@ -26,8 +26,9 @@
 class terminals
 {
 public:
-    terminals(address front, std::string target)
+    terminals(address front, std::string host, std::string target)
         : front_(std::move(front))
+        , host_(std::move(host))
         , target_(std::move(target))
     {
     }
@@ -45,7 +46,7 @@
                         {front_,
                          "GET",
                          target_,
-                         {"Host: lab.example", "Verbenacove-Request-Id: " + id,
+                         {"Host: " + host_, "Verbenacove-Request-Id: " + id,
                           "Verbenacove-Deadline-Ms: 2500"},
                          {},
                          milliseconds(2600)});
@@ -57,16 +58,20 @@
 
 private:
     address front_;
+    std::string host_;
     std::string target_;
 };
 
 int run(std::string const& folder, record& log)
 {
     deployment system(folder, 5, 3);
-    if (!system.configure(
-            configuration(3, {{"r-1", "/lookup/", "safe", "stock"},
-                              {"r-2", "/report/", "safe", "ledger"}}),
-            "r0"))
+    bool const is_configured = system.configure(
+        configuration(
+            3, {{"r-1", "/lookup/", "safe", "stock"},
+                {"r-2", "/report/", "safe", "ledger"},
+                {"r-3", "/lookup/", "safe", "ledger", 2000, "other.example"}}),
+        "r0");
+    if (!is_configured)
     {
         return could_not_run;
     }
@@ -85,9 +90,10 @@
         return could_not_run;
     }
     std::this_thread::sleep_for(milliseconds(4000));
-    terminals lookups(system.frontend(0), "/lookup/prices");
-    terminals reports(system.frontend(0), "/report/today");
-    terminals far_lookups(system.frontend(1), "/lookup/prices");
+    terminals lookups(system.frontend(0), "lab.example", "/lookup/prices");
+    terminals far_lookups(system.frontend(1), "lab.example", "/lookup/prices");
+    terminals other_host(system.frontend(1), "other.example", "/lookup/prices");
+    terminals reports(system.frontend(0), "lab.example", "/report/today");
     auto const round = [&](tally& looked_up, tally& reported)
     {
         auto const next = clock::now() + round_interval;
@@ -148,20 +154,29 @@
     tally after;
     tally reports_after;
     tally far_after;
+    tally other_after;
     for (int i = 0; i < 15; ++i)
     {
         far_lookups.ask_once(far_after);
+        other_host.ask_once(other_after);
         round(after, reports_after);
     }
     log.note("From then on: lookups " + after.text() + ", in another zone " +
-             far_after.text() + ", reports " + reports_after.text());
-    int const asked = after.asked + far_after.asked;
-    int const served = after.served + far_after.served;
-    int const all_asked = asked + reports_after.asked;
-    int const all_served = served + reports_after.served;
-    // Served less than a quarter as often as all requests.
-    return 4L * served * all_asked < 1L * all_served * asked ? rule_broken
-                                                             : rule_held;
+             far_after.text());
+    log.note("The same path of another host and service: " +
+             other_after.text() + ", reports " + reports_after.text());
+    long const asked = after.asked + far_after.asked;
+    long const served = after.served + far_after.served;
+    long const all_asked = asked + other_after.asked + reports_after.asked;
+    long const all_served = served + other_after.served + reports_after.served;
+    auto const is_starved = [&](long kind_served, long kind_asked)
+    {
+        return 4 * kind_served * all_asked < all_served * kind_asked;
+    };
+    return is_starved(served, asked) ||
+                   is_starved(other_after.served, other_after.asked)
+               ? rule_broken
+               : rule_held;
 }
 
 } // namespace
