--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -6,7 +6,11 @@
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
 timeout --signal=TERM --kill-after=2 115 \
-    target/review-2/quarantined_path "$folder" review/8/record.txt
+    target/review-2/foreign_check_in "$folder" review/8/record.txt &
+case_process=$!
+# The processes that the case has started end with it.
+trap 'kill -TERM "$case_process"' TERM INT
+wait "$case_process"
 code=$?
 [ "$code" -le 2 ] && exit "$code"
 exit 2
--- a/review/support-2/lab.cpp
+++ b/review/support-2/lab.cpp
@@ -23,6 +23,17 @@
 namespace
 {
 
+/** The record of this run. */
+std::atomic<record*> current_record{nullptr};
+
+void add_detail(std::string const& line)
+{
+    if (auto* const now = current_record.load())
+    {
+        now->detail(line);
+    }
+}
+
 std::string lower(std::string text)
 {
     std::transform(text.begin(), text.end(), text.begin(),
@@ -237,7 +248,47 @@
     return found == all.end() ? std::string() : found->second;
 }
 
+namespace
+{
+
+/** Returns the id in a call's headers, with a space before it. */
+std::string id_in(call const& what)
+{
+    std::string const name = "Verbenacove-Request-Id: ";
+    for (auto const& line : what.lines)
+    {
+        if (line.starts_with(name))
+        {
+            return ' ' + line.substr(name.size());
+        }
+    }
+    return {};
+}
+
+response send_unrecorded(call const& what);
+
+} // namespace
+
 response send(call const& what)
+{
+    auto const name =
+        what.method + ' ' + what.target + id_in(what) + " to " + what.to.text();
+    add_detail("sent " + name);
+    auto const began = clock::now();
+    auto const result = send_unrecorded(what);
+    auto const took =
+        std::chrono::duration_cast<milliseconds>(clock::now() - began).count();
+    add_detail((result.status == 0
+                    ? std::string("no answer")
+                    : "answer " + std::to_string(result.status)) +
+               " after " + std::to_string(took) + " ms to " + name);
+    return result;
+}
+
+namespace
+{
+
+response send_unrecorded(call const& what)
 {
     response result;
     auto const end = clock::now() + what.patience;
@@ -271,6 +322,8 @@
     return result;
 }
 
+} // namespace
+
 class kept_connection::state
 {
 public:
@@ -299,6 +352,7 @@
 
 bool kept_connection::write(std::string const& bytes)
 {
+    add_detail("kept connection: sent " + bytes);
     return state_->socket >= 0 && write_all(state_->socket, bytes);
 }
 
@@ -314,6 +368,8 @@
     {
         result.status = std::atoi(first.c_str() + 9);
     }
+    add_detail("kept connection: answer " + std::to_string(result.status) +
+               " for " + header_of(result.fields, "verbenacove-request-id"));
     return result;
 }
 
@@ -332,17 +388,26 @@
 }
 
 record::record(std::string const& path)
-    : path_(path)
+    : file_(path, std::ios::trunc)
+{
+    current_record = this;
+}
+
+record::~record()
 {
-    std::ofstream(path_, std::ios::trunc);
+    current_record = nullptr;
 }
 
 void record::note(std::string const& line)
+{
+    detail(line);
+    std::cout << now() << " ms  " << line << std::endl;
+}
+
+void record::detail(std::string const& line)
 {
     std::lock_guard const lock(mutex_);
-    auto const text = std::to_string(now()) + " ms  " + line + '\n';
-    std::ofstream(path_, std::ios::app) << text;
-    std::cout << text << std::flush;
+    file_ << now() << " ms  " << line << std::endl;
 }
 
 long long record::now() const
@@ -645,6 +710,7 @@
                          std::to_string(refusal_pause_s) + "\r\n",
                      "");
     }
+    add_detail(id_ + " runs " + id + ' ' + request.target);
     ++runs_;
     ++running_;
     bool const is_first =
--- a/review/support-2/lab.hpp
+++ b/review/support-2/lab.hpp
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <fstream>
 #include <functional>
 #include <map>
 #include <memory>
@@ -93,19 +94,26 @@
 
 bool wait_until(std::function<bool()> const& condition, milliseconds longest);
 
-/** Lines with the time since the start, to a file and to standard output. */
+/** Lines with the time since the start. What clients send, how they are
+    answered and what backends run goes to the file; notes go to standard output
+    as well. */
 class record
 {
 public:
     explicit record(std::string const& path);
+    ~record();
+    record(record const&) = delete;
+    record& operator=(record const&) = delete;
+
     void note(std::string const& line);
+    void detail(std::string const& line);
     /** Returns the milliseconds since the start. */
     long long now() const;
 
 private:
     std::mutex mutex_;
     clock::time_point start_ = clock::now();
-    std::string path_;
+    std::ofstream file_;
 };
 
 /** A child process, killed at the end. */
