--- a/source/verbenacove/connection/upstream_attempt.cpp
+++ b/source/verbenacove/connection/upstream_attempt.cpp
@@ -177,6 +177,7 @@
                                             curl_sockaddr* address)
 {
     auto& self = *static_cast<upstream_attempt*>(attempt);
+    self.connecting_since_ = std::chrono::steady_clock::now();
     self.opened_socket_ = self.sockets_.open(address->family, address->socktype,
                                              address->protocol);
     return self.opened_socket_;
@@ -215,6 +216,10 @@
     {
         sockets_.name(ends, opened_socket_);
         connected_ = std::chrono::steady_clock::now();
+        if (request_.on_connected)
+        {
+            request_.on_connected(elapsed(connecting_since_, *connected_));
+        }
     }
     if (!upstream_sockets::is_quiet(sockets_.find(ends)))
     {
--- a/source/verbenacove/connection/upstream_attempt.hpp
+++ b/source/verbenacove/connection/upstream_attempt.hpp
@@ -118,6 +118,8 @@
     upstream_sockets::descriptor opened_socket_ = upstream_sockets::none;
     hold_back held_back_ = hold_back::none;
     bool is_sent_ = false;
+    /** When a new connection was begun. */
+    monotonic_time connecting_since_{};
     /** When a new connection was open. */
     std::optional<monotonic_time> connected_;
     bool is_foreign_response_ = false;
--- a/source/verbenacove/connection/upstream_client.hpp
+++ b/source/verbenacove/connection/upstream_client.hpp
@@ -76,6 +76,9 @@
         not set. */
     std::function<bool(http_response const& head, connection_age)>
         is_own_response = {};
+    /** Called when a new connection is open, with the time that it took; must
+        not call the client. May be empty. */
+    std::function<void(milliseconds)> on_connected = {};
 };
 
 /** What became of an attempt. */
--- a/source/verbenacove/process/routing/replica_load.hpp
+++ b/source/verbenacove/process/routing/replica_load.hpp
@@ -1,10 +1,8 @@
 #ifndef VERBENACOVE_PROCESS_ROUTING_REPLICA_LOAD_HPP
 #define VERBENACOVE_PROCESS_ROUTING_REPLICA_LOAD_HPP
 
-#include "verbenacove/core/clock.hpp"
-#include "verbenacove/core/loop_lag.hpp"
-#include "verbenacove/core/timer_service.hpp"
 #include "verbenacove/process/discovery/delta_cache.hpp"
+#include "verbenacove/process/process_load_meter.hpp"
 #include "verbenacove/process/work_meter.hpp"
 
 #include <QStringList>
@@ -53,19 +51,14 @@
     explicit replica_load_reporter(std::function<replica_load()> measure);
 
     /** Starts to report. */
-    void start();
+    void start() { meter_.start(); }
 
 private:
-    void handle_tick();
+    void report(process_load_meter::load const& used);
     static void log_work(replica_load const& load);
 
     std::function<replica_load()> measure_;
-    steady_clock_source clock_;
-    timer_service timers_;
-    loop_lag lag_;
-    monotonic_time last_report_{};
-    milliseconds last_processor_time_{0};
-    timer_service::subscription tick_;
+    process_load_meter meter_;
 };
 
 } // namespace verbenacove
--- a/source/verbenacove/process/routing/route_traffic.cpp
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -46,6 +46,9 @@
                     { handle_reachability_change(is_cut_off); })
     , relays_(clock_, QRandomGenerator::system()->generate64())
     , link_(settings_.link, clock_)
+    , path_delay_(clock_)
+    , load_meter_([this](process_load_meter::load const& used)
+                  { report_load(used); })
     , caller_endpoint_(settings_.limits, [this](exchange_ptr const& exchange)
                        { handle_request(exchange); })
     , readiness_endpoint_(internal_endpoint_limits(settings_),
@@ -78,6 +81,7 @@
                    each.server.error_text();
         }
     }
+    load_meter_.start();
     probe_timer_ = timers_.call_every(probe_interval, [this] { probe(); });
     crash_report_timer_ =
         timers_.call_every(crash_report_interval, [this] { report_crashes(); });
@@ -176,6 +180,7 @@
             reachability_,
             relays_,
             link_,
+            path_delay_,
             [this](routed_request_result const& result)
             { record_result(result); },
             calls_.rate_limit,
@@ -248,6 +253,24 @@
     metrics_.count_attempts(result.service.value(), result.attempts);
 }
 
+void route_traffic::report_load(process_load_meter::load const& used)
+{
+    auto const link = link_.take_usage();
+    entry_log.note(
+        "entry.load",
+        {{"interval_ms", qint64{used.interval.count()}},
+         {"processor_ms", qint64{used.processor_time.count()}},
+         {"loop_lag_ms", qint64{used.loop_lag.count()}},
+         {"path_delay_ms", qint64{path_delay_.delay().count()}},
+         {"longest_path_delay_ms", qint64{path_delay_.take_maximum().count()}},
+         {"link_admitted", link.admitted},
+         {"link_refused", link.refused},
+         {"received_bytes", link.bytes.received},
+         {"sent_bytes", link.bytes.sent},
+         {"open_requests", caller_endpoint_.open_exchanges()},
+         {"open_attempts", upstream_client_.attempts_in_flight()}});
+}
+
 // Readiness, metrics and health probes.
 
 void route_traffic::handle_readiness(exchange_ptr const& exchange)
--- a/source/verbenacove/process/routing/route_traffic.hpp
+++ b/source/verbenacove/process/routing/route_traffic.hpp
@@ -3,6 +3,7 @@
 
 #include "verbenacove/connection/http_server.hpp"
 #include "verbenacove/process/metrics.hpp"
+#include "verbenacove/process/process_load_meter.hpp"
 #include "verbenacove/process/routing/route_entry_settings.hpp"
 #include "verbenacove/process/routing/routing_view.hpp"
 #include "verbenacove/process/routing/split_chooser.hpp"
@@ -103,6 +104,7 @@
                      std::vector<pool_member> members);
     void report_crashes();
     void record_result(routed_request_result const& result);
+    void report_load(process_load_meter::load const& used);
 
     route_entry_settings settings_;
     route_header_codec const& header_codec_;
@@ -118,6 +120,8 @@
     upstream_reachability reachability_;
     relay_selector relays_;
     link_budget link_;
+    path_delay_meter path_delay_;
+    process_load_meter load_meter_;
     split_chooser split_chooser_;
     routing_view_ptr view_ = std::make_shared<routing_view const>();
     bool is_refusing_ = false;
--- a/source/verbenacove/request/link_budget.cpp
+++ b/source/verbenacove/request/link_budget.cpp
@@ -35,6 +35,8 @@
 {
     if (!rate_)
     {
+        count(expected);
+        ++usage_.admitted;
         return true;
     }
     refill();
@@ -47,8 +49,11 @@
                         std::min(sent, full) - sent_left_);
     if (missing_ > 0)
     {
+        ++usage_.refused;
         return false;
     }
+    ++usage_.admitted;
+    count(expected);
     received_left_ -= received;
     sent_left_ -= sent;
     return true;
@@ -56,6 +61,7 @@
 
 void link_budget::add(traffic const& difference)
 {
+    count(difference);
     if (!rate_)
     {
         return;
@@ -79,6 +85,12 @@
     return milliseconds(static_cast<qint64>(missing_ / *rate_ * 1000));
 }
 
+void link_budget::count(traffic const& bytes)
+{
+    usage_.bytes.received += bytes.received;
+    usage_.bytes.sent += bytes.sent;
+}
+
 void link_budget::refill()
 {
     auto const now = clock_.now();
--- a/source/verbenacove/request/link_budget.hpp
+++ b/source/verbenacove/request/link_budget.hpp
@@ -5,6 +5,7 @@
 #include "verbenacove/core/ids.hpp"
 
 #include <optional>
+#include <utility>
 
 namespace verbenacove
 {
@@ -27,6 +28,15 @@
         qint64 sent = 0;
     };
 
+    /** What was admitted and refused in a period. */
+    struct usage
+    {
+        qint64 admitted = 0;
+        qint64 refused = 0;
+        /** Bytes of all requests and responses, as far as they are known. */
+        traffic bytes;
+    };
+
     /** Creates a budget.
 
         @param rate   rate of the link in each direction; absent if it is not
@@ -51,7 +61,11 @@
         that was not admitted. */
     milliseconds time_until_room() const;
 
+    /** Returns the usage since the previous call. */
+    usage take_usage() { return std::exchange(usage_, {}); }
+
 private:
+    void count(traffic const& bytes);
     void refill();
 
     clock_source const& clock_;
@@ -61,6 +75,7 @@
     double sent_left_ = 0;
     double missing_ = 0;
     monotonic_time refilled_{};
+    usage usage_;
 };
 
 } // namespace verbenacove
--- a/source/verbenacove/request/routed_request.hpp
+++ b/source/verbenacove/request/routed_request.hpp
@@ -7,6 +7,7 @@
 #include "verbenacove/core/trace.hpp"
 #include "verbenacove/core/verdict.hpp"
 #include "verbenacove/request/link_budget.hpp"
+#include "verbenacove/request/path_delay_meter.hpp"
 #include "verbenacove/request/quarantine.hpp"
 #include "verbenacove/request/relay_headers.hpp"
 #include "verbenacove/request/relay_selector.hpp"
@@ -49,6 +50,7 @@
     upstream_reachability& reachability;
     relay_selector& relays;
     link_budget& link;
+    path_delay_meter& path_delay;
     /** Called with the result of each request that gets a response, to update
         metrics. */
     std::function<void(routed_request_result const&)> on_result;
--- a/source/verbenacove/request/routed_request_attempt.cpp
+++ b/source/verbenacove/request/routed_request_attempt.cpp
@@ -91,6 +91,11 @@
     {
         return is_own_response(head, age);
     };
+    attempt.on_connected = [&meter = services_.path_delay,
+                            zone = choice.member.zone](milliseconds duration)
+    {
+        meter.record_connection(zone, duration);
+    };
     return attempt;
 }
 
@@ -120,6 +125,11 @@
         return;
     }
     services_.reachability.record_attempt(choice_->member.id, result);
+    if (result.end == attempt_end::timed_out_before_send)
+    {
+        services_.path_delay.record_connection(choice_->member.zone,
+                                               result.duration);
+    }
     bool const was_moved =
         std::exchange(is_moving_, false) && result.end != attempt_end::answered;
     if (was_moved)
