Keep a connection in the event loop until what woke it has been read

Cause: an idle connection that bytes had woken was parked again by the check every 50 ms if the loop had not read it by then; the parked set woke it at once, and so on. Now a connection counts as idle only once its socket is quiet, also for time limits and planned stops.

--- a/source/verbenacove/connection/http_connection.cpp
+++ b/source/verbenacove/connection/http_connection.cpp
@@ -1,5 +1,7 @@
 #include "verbenacove/connection/http_connection.hpp"
 
+#include "verbenacove/connection/upstream_sockets.hpp"
+
 #include <QTcpSocket>
 
 #include <fcntl.h>
@@ -124,8 +126,9 @@
 
 bool http_connection::is_idle() const
 {
-    return is_lingering_ || (takes_requests_ && pending_.empty() &&
-                             !unsent_since_ && phase_ == progress::nothing);
+    return is_lingering_ ||
+           (takes_requests_ && pending_.empty() && !unsent_since_ &&
+            !awaits_input_ && phase_ == progress::nothing);
 }
 
 bool http_connection::can_be_parked() const
@@ -135,6 +138,12 @@
            socket_->bytesAvailable() == 0;
 }
 
+bool http_connection::is_socket_quiet() const
+{
+    return upstream_sockets::is_quiet(
+        static_cast<int>(socket_->socketDescriptor()));
+}
+
 int http_connection::release_socket()
 {
     auto const original = static_cast<int>(socket_->socketDescriptor());
@@ -182,6 +191,7 @@
         return;
     }
     is_reading_ = true;
+    awaits_input_ = false;
     parse();
     while (!is_finished_ && takes_requests_ && may_take_more() &&
            socket_->bytesAvailable() > 0)
--- a/source/verbenacove/connection/http_connection.hpp
+++ b/source/verbenacove/connection/http_connection.hpp
@@ -71,6 +71,10 @@
     /** Ends what has taken longer than the limits allow. */
     void check_time(monotonic_time now);
 
+    /** Tells the connection that bytes wait in its socket: it is not idle
+        until they have been read. */
+    void expect_input() { awaits_input_ = true; }
+
     /** Closes at once, without what is still to be sent. */
     void abort();
 
@@ -85,6 +89,9 @@
     */
     bool can_be_parked() const;
 
+    /** Returns whether no bytes wait in the socket, and it is open. */
+    bool is_socket_quiet() const;
+
     /** Gives the socket up without closing the connection, which this object
         then no longer has; -1 when there is no file descriptor left. */
     int release_socket();
@@ -143,6 +150,7 @@
     monotonic_time phase_start_;
     std::optional<monotonic_time> unsent_since_;
     bool is_reading_ = false;
+    bool awaits_input_ = false;
     bool takes_requests_ = true;
     bool has_sent_continue_ = false;
     bool has_sent_last_ = false;
--- a/source/verbenacove/connection/http_server.cpp
+++ b/source/verbenacove/connection/http_server.cpp
@@ -38,7 +38,7 @@
         : limits_(limits)
         , handle_(std::move(handle))
         , parked_([this](int socket, monotonic_time idle_since)
-                  { take(socket, idle_since); })
+                  { wake(socket, idle_since); })
     {
         setListenBacklogSize(listen_backlog);
         check_timer_ =
@@ -106,6 +106,8 @@
                           { return !connection->is_idle(); }));
     }
 
+    qint64 woken_connections() const { return woken_connections_; }
+
     void request_arrived(std::shared_ptr<http_exchange> exchange) override
     {
         handle_(std::move(exchange));
@@ -161,6 +163,16 @@
         return connection;
     }
 
+    // A busy event loop may be late to read what woke the connection.
+    void wake(qintptr descriptor, monotonic_time idle_since)
+    {
+        ++woken_connections_;
+        if (auto* const connection = take(descriptor, idle_since))
+        {
+            connection->expect_input();
+        }
+    }
+
     std::size_t maximum_connections() const
     {
         return static_cast<std::size_t>(limits_.maximum_connections);
@@ -229,6 +241,11 @@
 
     void park(http_connection& connection)
     {
+        if (!connection.is_socket_quiet())
+        {
+            connection.expect_input();
+            return;
+        }
         auto const socket = connection.release_socket();
         if (socket < 0)
         {
@@ -258,6 +275,7 @@
     std::unordered_set<http_connection*> connections_;
     http_parked_connections parked_;
     qint64 held_bytes_ = 0;
+    qint64 woken_connections_ = 0;
     bool is_stopping_ = false;
     bool has_high_priority_ = false;
 };
@@ -314,6 +332,11 @@
     return static_cast<int>(core_->connection_count());
 }
 
+qint64 http_server::woken_connections() const
+{
+    return core_->woken_connections();
+}
+
 int http_server::open_exchanges() const
 {
     return core_->open_exchanges();
--- a/source/verbenacove/connection/http_server.hpp
+++ b/source/verbenacove/connection/http_server.hpp
@@ -72,6 +72,10 @@
     /** Returns how many connections are open. */
     int connection_count() const;
 
+    /** Returns how often an idle connection has come back to the event loop
+        because bytes had come. */
+    qint64 woken_connections() const;
+
     /** Returns how many requests have not been answered. */
     int open_exchanges() const;
 
