Call back for all attempts that have ended in one turn of the loop

Attempts that had ended were called back one each turn of the event loop; at an entry with long turns up to 910 waited, with 13 requests open. The test failed before: 1 of 50 called back in a turn.

entry.load also has connections and how often idle ones woke.

--- a/source/verbenacove/connection/upstream_client.cpp
+++ b/source/verbenacove/connection/upstream_client.cpp
@@ -3,6 +3,7 @@
 #include "verbenacove/connection/upstream_attempt.hpp"
 #include "verbenacove/core/timer_service.hpp"
 
+#include <QPointer>
 #include <QSocketNotifier>
 #include <QTimer>
 
@@ -54,7 +55,7 @@
         QObject::connect(&timer_, &QTimer::timeout, &context_,
                          [this] { act(CURL_SOCKET_TIMEOUT, 0); });
         QObject::connect(&ended_timer_, &QTimer::timeout, &context_,
-                         [this] { call_back_next(); });
+                         [this] { call_back_ended(); });
         stall_timer_ =
             timers_.call_every(stall_check_interval, [this] { end_stalled(); });
     }
@@ -156,17 +157,21 @@
         ended_timer_.start(0);
     }
 
-    // A callback may start attempts, cancel others, or delete the client.
-    void call_back_next()
+    // Calls back for all that have ended by now: with one each turn of the
+    // event loop, a loop whose turns are long falls behind. A callback may
+    // start attempts, cancel others, or delete the client.
+    void call_back_ended()
     {
-        auto next = std::move(ended_.front());
-        ended_.pop_front();
-        if (ended_.empty())
+        ended_timer_.stop();
+        QPointer<QObject> const is_alive(&context_);
+        for (auto left = ended_.size(); left > 0 && is_alive && !ended_.empty();
+             --left)
         {
-            ended_timer_.stop();
+            auto next = std::move(ended_.front());
+            ended_.pop_front();
+            auto node = attempts_.extract(next.id.value());
+            node.mapped()->call_back(std::move(next.result));
         }
-        auto node = attempts_.extract(next.id.value());
-        node.mapped()->call_back(std::move(next.result));
     }
 
     void add(attempt_id id, upstream_attempt const& attempt)
--- a/source/verbenacove/process/routing/route_traffic.cpp
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -267,6 +267,8 @@
          {"link_refused", link.refused},
          {"received_bytes", link.bytes.received},
          {"sent_bytes", link.bytes.sent},
+         {"connections", caller_endpoint_.connection_count()},
+         {"woken_connections", caller_endpoint_.woken_connections()},
          {"open_requests", caller_endpoint_.open_exchanges()},
          {"open_attempts", upstream_client_.attempts_in_flight()}});
 }
--- a/tests/unit/upstream_client_test.cpp
+++ b/tests/unit/upstream_client_test.cpp
@@ -504,6 +504,22 @@
     CHECK(results.front().end == attempt_end::cancelled_after_send);
 }
 
+// Load pattern: more attempts end in a second than the event loop has turns.
+TEST_CASE_FIXTURE(client_fixture, "upstream client: many attempts end at once: "
+                                  "all are called back in one turn")
+{
+    constexpr int count = 50;
+    int called = 0;
+    auto request = post_to(local_address(1));
+    request.time_left = milliseconds(0);
+    for (int i = 0; i < count; ++i)
+    {
+        client.start(request, [&called](attempt_result const&) { ++called; });
+    }
+    QCoreApplication::processEvents();
+    CHECK(called == count);
+}
+
 TEST_CASE_FIXTURE(client_fixture, "upstream client: an answer over the bound: "
                                   "oversized")
 {
