Look-ups: spread callers over all entries when each scope is short

Cause: where no zone, region or all of the entries had half of them left, the scope with the largest share was returned; entries of the zone of which most were left then got their own callers and those of all other zones.

The test failed before (4 and 6 entries in place of 9).

--- a/source/verbenacove/request/entry_lookup.cpp
+++ b/source/verbenacove/request/entry_lookup.cpp
@@ -51,27 +51,18 @@
     return all == 0 ? 0 : static_cast<double>(connected) / all;
 }
 
-// Returns the nearest scope of which enough entries reach upstreams, or that of
-// which most do.
+// Returns the nearest scope of which enough entries reach upstreams, or all:
+// where each scope is short, the fewest requests come to one entry if all are
+// used alike.
 network_distance connected_scope(location const& caller,
                                  std::vector<entry_view> const& entries)
 {
-    auto best = scopes.front();
-    double best_share = 0;
-    for (auto const scope : scopes)
-    {
-        auto const share = connected_share(caller, entries, scope);
-        if (share >= sufficient_share)
-        {
-            return scope;
-        }
-        if (share > best_share)
-        {
-            best = scope;
-            best_share = share;
-        }
-    }
-    return best;
+    auto const found = std::find_if(
+        scopes.begin(), scopes.end(),
+        [&](network_distance scope) {
+            return connected_share(caller, entries, scope) >= sufficient_share;
+        });
+    return found == scopes.end() ? scopes.back() : *found;
 }
 
 // Returns the entries of the caller's region and of its requests' homes.
--- a/source/verbenacove/request/entry_lookup.hpp
+++ b/source/verbenacove/request/entry_lookup.hpp
@@ -19,7 +19,8 @@
 
     Entries that are cut off from all upstreams are left out, unless all are. If
     that leaves less than half of the entries of the zone, those of the region
-    are returned instead, or all: the scope of which most are left.
+    are returned instead, or all, so that the callers of short zones and regions
+    are spread alike.
 
     Entries outside the caller's region and the homes of its requests are
     returned only if there are no others.
--- a/tests/unit/entry_lookup_test.cpp
+++ b/tests/unit/entry_lookup_test.cpp
@@ -145,6 +145,22 @@
     CHECK(found("wcape-b") == 8);
 }
 
+// Load pattern: most entries are cut off, unevenly. Callers of the zone of
+// which most are left also got those of zones of which fewer were.
+TEST_CASE_FIXTURE(entry_lookup_fixture,
+                  "entry look-up: most entries of each scope are cut off: all "
+                  "callers are spread over all that are left")
+{
+    add("wcape-a", "wcape", 9);
+    add("wcape-b", "wcape", 9);
+    add("ecape-a", "ecape", 9);
+    cut_off("wcape-a", 5);
+    cut_off("wcape-b", 7);
+    cut_off("ecape-a", 6);
+    CHECK(found() == 9);
+    CHECK(found("wcape-b") == 9);
+}
+
 TEST_CASE_FIXTURE(
     entry_lookup_fixture,
     "entry look-up: all entries are cut off: they are returned all "
