Check-ins of unnamed services take no address from upstreams

Cause: an address belongs to the latest start, whatever service it names, and an upstream that was replaced is gone for its boot. Now only upstreams of named services hold addresses, at replicas and entries; one whose service is named later takes its address with its next heartbeat, and foreign check-ins from before the first configuration hold none once it is there.

--- a/source/verbenacove/process/discovery/discovery_service.cpp
+++ b/source/verbenacove/process/discovery/discovery_service.cpp
@@ -377,6 +377,11 @@
 
 void discovery_service::routes_changed()
 {
+    auto const& routes = *server_.state().routes().current();
+    if (routes.version.value() > 0)
+    {
+        membership_.set_named_services(named_services(routes));
+    }
     schedule_responses(urgent_delay);
 }
 
--- a/source/verbenacove/process/discovery/membership_view.cpp
+++ b/source/verbenacove/process/discovery/membership_view.cpp
@@ -77,7 +77,8 @@
 update_result membership_view::apply_upstream(upstream_member update,
                                               update_origin origin)
 {
-    if (!mark_replaced_gone(update))
+    bool const holds_address = is_named(update.content.service);
+    if (holds_address && !mark_replaced_gone(update))
     {
         return update_result::ignored;
     }
@@ -91,13 +92,18 @@
     }
     auto const change =
         upstreams_.merge(std::move(update), origin, clock_.now());
+    if (change == update_result::ignored)
+    {
+        return change;
+    }
+    // Also without a change: the service may have been named since.
+    auto const& record = *upstreams_.find(id);
+    if (holds_address && record.phase != member_phase::gone)
+    {
+        address_holders_.insert(record.content.address, id);
+    }
     if (change == update_result::changed)
     {
-        auto const& record = *upstreams_.find(id);
-        if (record.phase != member_phase::gone)
-        {
-            address_holders_.insert(record.content.address, id);
-        }
         calls_.upstream(record);
     }
     return change;
@@ -112,6 +118,7 @@
         upstreams_.find(address_holders_.value(update.content.address));
     bool const is_other = holder != nullptr && holder->id != update.id &&
                           holder->phase != member_phase::gone &&
+                          is_named(holder->content.service) &&
                           holder->content.address == update.content.address;
     if (is_other && holder->started > update.started)
     {
@@ -124,6 +131,11 @@
     return true;
 }
 
+bool membership_view::is_named(service_name const& service) const
+{
+    return !named_services_ || named_services_->contains(service);
+}
+
 update_result membership_view::mark_upstream_gone(upstream_id const& id,
                                                   QString receiver)
 {
--- a/source/verbenacove/process/discovery/membership_view.hpp
+++ b/source/verbenacove/process/discovery/membership_view.hpp
@@ -9,6 +9,8 @@
 #include <QSet>
 
 #include <functional>
+#include <optional>
+#include <utility>
 #include <vector>
 
 namespace verbenacove
@@ -92,6 +94,14 @@
     membership_view(qint64 view_id, failure_detector detector,
                     clock_source const& clock, listener calls);
 
+    /** Sets the services that the configuration names; until then all count as
+        named. An upstream of any other service takes no address from others:
+        its heartbeats may come from a foreign registrar. */
+    void set_named_services(QSet<service_name> services)
+    {
+        named_services_ = std::move(services);
+    }
+
     /** Applies a heartbeat that was received directly from its process. */
     update_result apply_heartbeat(upstream_member update);
     update_result apply_heartbeat(entry_member update);
@@ -180,6 +190,7 @@
 
     update_result apply_upstream(upstream_member update, update_origin origin);
     bool mark_replaced_gone(upstream_member const& update);
+    bool is_named(service_name const& service) const;
     void merge_heartbeats(QCborMap const& delta, view_source const& from);
     void remove_obsolete_rate_limits(monotonic_time now);
     void remove_obsolete_address_holders();
@@ -195,8 +206,9 @@
     /** Latest contact with each other replica, by its name. */
     QHash<QString, replica_contact> contacts_;
     membership_table<upstream_content> upstreams_;
-    /** Id of the latest upstream at each address. May name records that have
-        been removed, or that have moved to another address. */
+    std::optional<QSet<service_name>> named_services_;
+    /** Id of the latest upstream of a named service at each address. May name
+       records that have been removed, or that have moved to another address. */
     QHash<socket_address, QString> address_holders_;
     membership_table<entry_content> entries_;
     membership_table<replica_content> replicas_;
--- a/source/verbenacove/process/discovery/replica_link.cpp
+++ b/source/verbenacove/process/discovery/replica_link.cpp
@@ -371,6 +371,7 @@
     {
         routes_ =
             std::make_shared<route_configuration const>(std::move(*parsed));
+        membership_.set_named_services(named_services(*routes_));
     }
     has_changes_ = true;
     link_log.note("routes.in_force",
--- a/source/verbenacove/version/route_configuration.cpp
+++ b/source/verbenacove/version/route_configuration.cpp
@@ -270,6 +270,16 @@
     return best;
 }
 
+QSet<service_name> named_services(route_configuration const& configuration)
+{
+    QSet<service_name> result;
+    for (auto const& service : configuration.services)
+    {
+        result.insert(service.name);
+    }
+    return result;
+}
+
 std::vector<region_name> common_homes(route_configuration const& configuration,
                                       QByteArray const& host)
 {
--- a/source/verbenacove/version/route_configuration.hpp
+++ b/source/verbenacove/version/route_configuration.hpp
@@ -7,6 +7,7 @@
 #include <QByteArray>
 #include <QCborMap>
 #include <QMap>
+#include <QSet>
 #include <QString>
 
 #include <memory>
@@ -122,6 +123,9 @@
 route_record const* find_route(route_configuration const& configuration,
                                QByteArray const& host, QByteArray const& path);
 
+/** Returns the services that a configuration names. */
+QSet<service_name> named_services(route_configuration const& configuration);
+
 /** Returns the regions that may serve the requests to a host: those that are
     homes of each of its routes that has any, or, if there are none, of some of
     them; empty when no route has homes.
--- a/tests/unit/membership_view_test.cpp
+++ b/tests/unit/membership_view_test.cpp
@@ -97,6 +97,46 @@
     CHECK(phase("b") == member_phase::serving);
 }
 
+// Check-ins of another registrar took the upstreams at their addresses out for
+// good.
+TEST_CASE_FIXTURE(view_fixture,
+                  "discovery: an unnamed service at an address in use: the "
+                  "upstream there serves on")
+{
+    auto foreign = [](char const* id, qint64 started, qint64 sequence)
+    {
+        auto record = upstream(id, started, sequence);
+        record.content.service = service_name(QStringLiteral("another-system"));
+        return record;
+    };
+    membership.set_named_services({service_name(QStringLiteral("gradebook"))});
+    apply_heartbeat(upstream("a", 1000, 1));
+    apply_heartbeat(foreign("f", 2000, 1));
+    CHECK(phase("a") == member_phase::serving);
+    CHECK(apply_heartbeat(upstream("a", 1000, 2)) != update_result::ignored);
+
+    SUBCASE("a named one with a later start still replaces it")
+    {
+        apply_heartbeat(upstream("b", 3000, 1));
+        CHECK(phase("a") == member_phase::gone);
+        CHECK(phase("b") == member_phase::serving);
+    }
+    SUBCASE("one that starts before the foreign check-in is taken")
+    {
+        apply_heartbeat(upstream("c", 1500, 1));
+        CHECK(phase("c") == member_phase::serving);
+    }
+    SUBCASE("named later, it takes the address with its next heartbeat")
+    {
+        membership.set_named_services(
+            {service_name(QStringLiteral("gradebook")),
+             service_name(QStringLiteral("another-system"))});
+        apply_heartbeat(foreign("f", 2000, 2));
+        CHECK(phase("a") == member_phase::gone);
+        CHECK(phase("f") == member_phase::serving);
+    }
+}
+
 TEST_CASE_FIXTURE(view_fixture,
                   "discovery: an upstream moves: its former address is free")
 {
