Quarantine: an answer elsewhere drops losses that are not confirmed yet

Cause: both copies in hand were confirmed as crashes some 0.6 s later, after the requests had been answered by others, and what is refused is never answered again. An answer now also drops the request's unconfirmed losses, as it cleared confirmed ones; and the host is part of what makes a request the same.

--- a/source/verbenacove/request/quarantine.cpp
+++ b/source/verbenacove/request/quarantine.cpp
@@ -89,6 +89,9 @@
     {
         return;
     }
+    // What ran to its end elsewhere did not end these upstreams.
+    std::erase_if(losses_, [&](loss const& lost)
+                  { return lost.lost_attempt.request == removed->request; });
     auto const found = records_.find(removed->request);
     if (found == records_.end())
     {
--- a/source/verbenacove/request/routed_request.cpp
+++ b/source/verbenacove/request/routed_request.cpp
@@ -102,8 +102,10 @@
     , arrival_time_(services_.clock.now())
 {
     auto const& request = exchange_->request();
-    fingerprint_ =
-        fingerprint_of(request.method, target_of(request), request.body);
+    // The same path of another host is another request.
+    fingerprint_ = fingerprint_of(
+        request.method, request.header("Host").toLower() + target_of(request),
+        request.body);
     relayed_from_ = read_relay_request(request);
     if (relayed_from_)
     {
--- a/tests/unit/quarantine_test.cpp
+++ b/tests/unit/quarantine_test.cpp
@@ -95,6 +95,28 @@
 
 // After an upstream had crashed, each response to each request that it had run
 // was told to the whole fleet, at every entry, for ten minutes.
+// The upstreams of a zone end together: the requests in hand at them are
+// answered by others before the ends are confirmed.
+TEST_CASE_FIXTURE(quarantine_fixture,
+                  "quarantine: a request in hand at two ends is answered "
+                  "elsewhere before they are confirmed: not a suspect")
+{
+    auto const at_first = start(first, 1, 1);
+    auto const at_second = start(first, 1, 2);
+    first.lost(at_first);
+    first.lost(at_second);
+    auto const elsewhere = first.track(request(1), upstream(3), incarnation(1));
+    REQUIRE(elsewhere);
+    first.answered(*elsewhere);
+    first.upstream_gone(upstream(1), incarnation(1));
+    first.upstream_gone(upstream(2), incarnation(1));
+    CHECK(first.permission(request(1)) == unrestricted);
+    // Later ends count.
+    crash(first, 1, 4);
+    crash(first, 1, 5);
+    CHECK(first.permission(request(1)) == refused);
+}
+
 TEST_CASE_FIXTURE(
     quarantine_fixture,
     "quarantine: a cleared request is answered again: nothing to tell")
