Departures: one of a later start is not taken for the stored one

Cause: a replica that restarts knows the departure of the upstream's earlier start from its disk; a new departure of that id was handed on under the earlier start, stored and acknowledged, and ignored by entries that know the later start. A departure that was on disk at the start now says nothing of a new one, which gets the present time, and views take it in place of that of an earlier start.

Not proved: a replica whose clock is ahead of that of an upstream which starts again.

--- a/source/verbenacove/process/discovery/discovery_push.cpp
+++ b/source/verbenacove/process/discovery/discovery_push.cpp
@@ -44,15 +44,15 @@
 
 void discovery_service::leave(upstream_id const& id, acknowledge_callback done)
 {
-    membership_.mark_upstream_gone(id);
     auto const* known = membership_.upstreams().find(id.value());
-    if (known != nullptr)
+    if (known != nullptr && !is_restored(*known))
     {
-        push(*known, std::move(done));
+        membership_.mark_upstream_gone(id);
+        push(*membership_.upstreams().find(id.value()), std::move(done));
         return;
     }
-    // A replica that has just started does not know the upstream, but others
-    // and entries may.
+    // A replica that has just started does not know the upstream, or only an
+    // earlier start of it, but others and entries may know more.
     upstream_member departed;
     departed.id = id.value();
     departed.started = incarnation(QDateTime::currentMSecsSinceEpoch());
@@ -66,10 +66,18 @@
 {
     for (auto& record : departures_.open(clock_.now()))
     {
+        restored_departures_.insert(record.id, record.started);
         membership_.apply_relayed(std::move(record));
     }
 }
 
+bool discovery_service::is_restored(upstream_member const& record) const
+{
+    auto const found = restored_departures_.constFind(record.id);
+    return record.phase == member_phase::gone &&
+           found != restored_departures_.constEnd() && *found == record.started;
+}
+
 void discovery_service::store_departure(upstream_member const& record,
                                         acknowledge_callback done)
 {
--- a/source/verbenacove/process/discovery/discovery_service.hpp
+++ b/source/verbenacove/process/discovery/discovery_service.hpp
@@ -246,6 +246,9 @@
         majority of them has stored it. */
     void push(upstream_member const& record, acknowledge_callback done);
     void restore_departures();
+    /** Returns whether a record is a departure from before this process
+        started, so that the upstream may have started again since. */
+    bool is_restored(upstream_member const& record) const;
     /** Stores a departure together with the others that come meanwhile. */
     void store_departure(upstream_member const& record,
                          acknowledge_callback done);
@@ -290,6 +293,9 @@
     std::optional<monotonic_time> isolated_since_;
     departure_log departures_;
     std::vector<unstored_departure> unstored_departures_;
+    /** Starts of the upstreams whose departures were on disk when this process
+        started. */
+    QHash<QString, incarnation> restored_departures_;
     bool is_stopping_ = false;
     /** Number of relayed changes of upstreams that were not logged yet. */
     int relayed_changes_ = 0;
--- a/source/verbenacove/process/discovery/membership_view.cpp
+++ b/source/verbenacove/process/discovery/membership_view.cpp
@@ -84,7 +84,10 @@
     }
     auto const id = update.id;
     auto const* known = upstreams_.find(id);
-    if (known != nullptr && is_bare_departure(update))
+    bool const is_of_later_start = known != nullptr &&
+                                   known->phase == member_phase::gone &&
+                                   known->started < update.started;
+    if (known != nullptr && is_bare_departure(update) && !is_of_later_start)
     {
         return known->started <= update.started
                    ? mark_upstream_gone(upstream_id(id), update.receiver)
--- a/tests/platform/departure_test.cpp
+++ b/tests/platform/departure_test.cpp
@@ -157,6 +157,22 @@
     CHECK(requests_after_departure() == 0);
 }
 
+// The replicas knew the departure of the earlier start only, and handed that
+// on.
+TEST_CASE_FIXTURE(departure_fixture,
+                  "departure: an upstream that came back under its id leaves "
+                  "after all replicas have restarted: it gets no more requests")
+{
+    CHECK(leave(0).is(200));
+    restart_with_clock_ahead(milliseconds(0));
+    REQUIRE(wait_until([&] { return requests_after_departure() > 0; }));
+    kill_all_replicas();
+    start_all_replicas();
+    CHECK(wait_until([&] { return leave(1).is(200); }));
+    std::this_thread::sleep_for(contact);
+    CHECK(requests_after_departure() == 0);
+}
+
 int main(int argc, char** argv)
 {
     QCoreApplication const application(argc, argv);
