Logs: never wait for the reader of the output

Cause: lines were written by the thread that handles requests, which waited for the pipe. A reader that ends no longer ends the process by SIGPIPE.

--- a/source/verbenacove/core/log.cpp
+++ b/source/verbenacove/core/log.cpp
@@ -1,6 +1,7 @@
 #include "verbenacove/core/log.hpp"
 
-#include <log4cplus/consoleappender.h>
+#include "verbenacove/core/non_blocking_appender.hpp"
+
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
@@ -8,6 +9,9 @@
 
 #include <QDebug>
 
+#include <unistd.h>
+
+#include <csignal>
 #include <memory>
 
 #include <QDateTime>
@@ -69,8 +73,10 @@
 void use_console(bool is_error_stream, char const* pattern, log_level level)
 {
     static log4cplus::Initializer const initializer;
-    log4cplus::SharedAppenderPtr appender(
-        new log4cplus::ConsoleAppender(is_error_stream, true));
+    // A reader of the log that ends does not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    log4cplus::SharedAppenderPtr appender(new non_blocking_appender(
+        is_error_stream ? STDERR_FILENO : STDOUT_FILENO));
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
     auto root = log4cplus::Logger::getRoot();
     root.removeAllAppenders();
