Answers that wait behind a slow one are kept until the caller has read

Cause: once the first answer was there, all others were handed to the socket at once, and the connection was closed as soon as 4 MiB were unsent, which a caller that reads cannot help. They now wait for room. The bytes that wait count with held bodies, up to 64 MiB for all connections, and no further request is read behind 4 MiB of them.

--- a/source/verbenacove/connection/http_connection.cpp
+++ b/source/verbenacove/connection/http_connection.cpp
@@ -46,6 +46,7 @@
             [this]
             {
                 note_unsent();
+                send_answers();
                 read();
             });
     connect(socket_.get(), &QTcpSocket::disconnected, this,
@@ -80,8 +81,14 @@
     }
     slot.bytes = write_http_response(response, slot.form);
     pending_body_bytes_ -= slot.body_bytes;
-    hold_bytes();
+    waiting_answer_bytes_ += slot.bytes->size();
     send_answers();
+    hold_bytes();
+    if (waiting_answer_bytes_ > 0 && listener_.holds_too_much())
+    {
+        abort();
+        return;
+    }
     read();
 }
 
@@ -97,6 +104,7 @@
     pending_answer slot;
     slot.form.closes = true;
     slot.bytes = write_http_response(response, slot.form);
+    waiting_answer_bytes_ += slot.bytes->size();
     pending_.push_back(std::move(slot));
     send_answers();
 }
@@ -175,6 +183,7 @@
 {
     return pending_.size() <
                static_cast<std::size_t>(limits_.maximum_pipelined) &&
+           waiting_answer_bytes_ < limits_.maximum_unsent_bytes &&
            !unsent_since_;
 }
 
@@ -369,31 +378,34 @@
 void http_connection::send_answers()
 {
     bool is_any = false;
-    while (!is_finished_ && !pending_.empty() && pending_.front().bytes)
+    while (!is_finished_ && !pending_.empty() && pending_.front().bytes &&
+           has_room_for(pending_.front().bytes->size()))
     {
         auto const answer = std::move(pending_.front());
         pending_.pop_front();
+        waiting_answer_bytes_ -= answer.bytes->size();
         ++first_sequence_;
         is_any = true;
         send_answer(answer);
     }
     if (is_any && !is_finished_)
     {
+        hold_bytes();
         phase_start_ = std::chrono::steady_clock::now();
         note_unsent();
         send_continue();
     }
 }
 
-void http_connection::send_answer(pending_answer const& answer)
+// The others wait for the caller to read.
+bool http_connection::has_room_for(qint64 bytes) const
 {
     auto const unsent = socket_->bytesToWrite();
-    if (unsent > 0 &&
-        unsent + answer.bytes->size() > limits_.maximum_unsent_bytes)
-    {
-        abort();
-        return;
-    }
+    return unsent == 0 || unsent + bytes <= limits_.maximum_unsent_bytes;
+}
+
+void http_connection::send_answer(pending_answer const& answer)
+{
     socket_->write(*answer.bytes);
     // While the bytes are held here too, Qt keeps no buffer of them.
     socket_->flush();
@@ -428,8 +440,8 @@
 
 void http_connection::hold_bytes()
 {
-    auto const bytes =
-        pending_body_bytes_ + (parser_ ? parser_->body_bytes() : 0);
+    auto const bytes = pending_body_bytes_ + waiting_answer_bytes_ +
+                       (parser_ ? parser_->body_bytes() : 0);
     listener_.held_bytes_changed(bytes - held_bytes_);
     held_bytes_ = bytes;
 }
@@ -443,6 +455,7 @@
     is_finished_ = true;
     parser_.reset();
     pending_body_bytes_ = 0;
+    waiting_answer_bytes_ = 0;
     hold_bytes();
     auto const pending = std::exchange(pending_, {});
     for (auto const& answer : pending)
--- a/source/verbenacove/connection/http_connection.hpp
+++ b/source/verbenacove/connection/http_connection.hpp
@@ -42,7 +42,7 @@
         virtual void connection_closed(http_connection*) = 0;
 
         /** Called when the connection holds more, or fewer, bytes of
-            request bodies. */
+            request bodies and of answers that wait behind earlier ones. */
         virtual void held_bytes_changed(qint64 change) = 0;
 
         /** Returns true when all connections together hold too much. */
@@ -124,6 +124,7 @@
     void refuse_what_is_too_large();
     void send_continue();
     void send_answers();
+    bool has_room_for(qint64 bytes) const;
     void send_answer(pending_answer const& answer);
     void note_unsent();
     void start_lingering();
@@ -145,6 +146,8 @@
     /** The number of the oldest pending answer's request. */
     quint64 first_sequence_ = 0;
     qint64 pending_body_bytes_ = 0;
+    /** Bytes of answers that wait behind earlier ones. */
+    qint64 waiting_answer_bytes_ = 0;
     qint64 held_bytes_ = 0;
     progress phase_ = progress::nothing;
     monotonic_time phase_start_;
--- a/source/verbenacove/connection/http_limits.hpp
+++ b/source/verbenacove/connection/http_limits.hpp
@@ -30,11 +30,12 @@
     milliseconds idle_timeout{30000};
     /** The longest time that a caller may take to read its answers. */
     milliseconds answer_timeout{30000};
-    /** The most bytes of request bodies, of all connections together; what
-        goes beyond is refused with 503. */
+    /** The most bytes of request bodies, and of answers that wait behind
+        earlier ones, of all connections together; a request that goes beyond is
+        refused with 503, and a connection whose answer does is closed. */
     qint64 maximum_held_bytes = qint64{64} * 1024 * 1024;
     /** The most bytes of answers that one connection's caller has yet to
-        read when a further one is added; beyond, it is closed. */
+        read when a further one is added; beyond, the further ones wait. */
     qint64 maximum_unsent_bytes = qint64{4} * 1024 * 1024;
 };
 
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -255,6 +255,48 @@
     CHECK(server.open_exchanges() == 0);
 }
 
+// Answers that waited behind a slow one were lost with their connection.
+TEST_CASE_FIXTURE(server_fixture, "http server: large answers wait behind a "
+                                  "slow one: the caller gets all of them")
+{
+    constexpr qsizetype size = qsizetype{3} * 1024 * 1024;
+    constexpr int count = 5;
+    keep_exchanges();
+    raw_caller caller(server.port());
+    caller.send(
+        QByteArray("GET / HTTP/1.1\r\nHost: a\r\n\r\n").repeated(count));
+    REQUIRE(waits_for_kept(count));
+    for (int i = count - 1; i >= 0; --i)
+    {
+        kept[static_cast<std::size_t>(i)]->respond(
+            {200, {}, QByteArray(size, static_cast<char>('a' + i))});
+    }
+    REQUIRE(wait_for([&] { return caller.received.size() > count * size; }));
+    CHECK(caller.received.endsWith("eee"));
+    for (int i = 0; i < count; ++i)
+    {
+        CHECK(caller.received.count(static_cast<char>('a' + i)) >= size);
+    }
+}
+
+TEST_CASE("http server: answers that wait are over the bound of all: the "
+          "connection is closed")
+{
+    http_limits limits;
+    limits.maximum_held_bytes = qint64{8} * 1024 * 1024;
+    server_fixture fixture(limits);
+    fixture.keep_exchanges();
+    raw_caller caller(fixture.server.port());
+    caller.send(QByteArray("GET / HTTP/1.1\r\nHost: a\r\n\r\n").repeated(5));
+    REQUIRE(fixture.waits_for_kept(5));
+    for (int i = 4; i >= 1; --i)
+    {
+        fixture.kept[static_cast<std::size_t>(i)]->respond(
+            {200, {}, QByteArray(qsizetype{3} * 1024 * 1024, 'a')});
+    }
+    CHECK(caller.waits_for_close());
+}
+
 TEST_CASE_FIXTURE(server_fixture, "http server: a bad request behind a good "
                                   "one: the good one's answer first")
 {
