Reachability: count a connection when it opens, not when its attempt ends

When a zone's upstreams end, its entries get refusals for a second, while their connections to upstreams elsewhere are open and wait for responses.

--- a/source/verbenacove/process/discovery/membership_view.hpp
+++ b/source/verbenacove/process/discovery/membership_view.hpp
@@ -208,7 +208,7 @@
     membership_table<upstream_content> upstreams_;
     std::optional<QSet<service_name>> named_services_;
     /** Id of the latest upstream of a named service at each address. May name
-       records that have been removed, or that have moved to another address. */
+        records that were removed, or have moved to another address. */
     QHash<socket_address, QString> address_holders_;
     membership_table<entry_content> entries_;
     membership_table<replica_content> replicas_;
--- a/source/verbenacove/process/routing/route_traffic.cpp
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -368,6 +368,10 @@
     probe.headers = {{"Host", member.address.text().toLatin1()}};
     probe.time_left = probe_timeout;
     probe.connect_timeout = probe_timeout;
+    probe.on_connected = [this](milliseconds)
+    {
+        reachability_.record_connection(clock_.now());
+    };
     upstream_client_.start(std::move(probe),
                            [this, target, member](attempt_result const& result)
                            { handle_probe_response(target, member, result); });
--- a/source/verbenacove/request/routed_request_attempt.cpp
+++ b/source/verbenacove/request/routed_request_attempt.cpp
@@ -91,10 +91,11 @@
     {
         return is_own_response(head, age);
     };
-    attempt.on_connected = [&meter = services_.path_delay,
-                            zone = choice.member.zone](milliseconds duration)
+    attempt.on_connected =
+        [this, zone = choice.member.zone](milliseconds duration)
     {
-        meter.record_connection(zone, duration);
+        services_.reachability.record_connection(services_.clock.now());
+        services_.path_delay.record_connection(zone, duration);
     };
     return attempt;
 }
--- a/source/verbenacove/request/upstream_reachability.hpp
+++ b/source/verbenacove/request/upstream_reachability.hpp
@@ -62,7 +62,12 @@
         its time has run out. One that fails earlier was refused. */
     static constexpr milliseconds conclusive_connect_time{250};
 
-    /** Records what an attempt says about the path to an upstream. */
+    /** Records a new connection to an upstream, as soon as it is open: the
+        attempt may last for seconds after that. */
+    void record_connection(monotonic_time opened);
+
+    /** Records what an attempt that has ended says about the path to an
+        upstream. */
     void record_attempt(upstream_id const& upstream,
                         attempt_result const& result);
 
@@ -86,7 +91,6 @@
         bool was_refused = false;
     };
 
-    void record_connection(monotonic_time opened);
     void record_failure(upstream_id const& upstream, bool was_refused);
     bool is_evidence_sufficient(monotonic_time now) const;
     void set_cut_off(bool is_cut_off);
--- a/tests/platform/relay_test.cpp
+++ b/tests/platform/relay_test.cpp
@@ -3,6 +3,7 @@
 
 #include "platform/platform_upstream.hpp"
 #include "platform_dialect.hpp"
+#include "support/wait_until.hpp"
 
 #include "verbenacove/process/routing/route_traffic.hpp"
 
@@ -10,6 +11,8 @@
 #include <QTcpServer>
 #include <QTcpSocket>
 
+#include <thread>
+
 using namespace verbenacove;
 using namespace verbenacove::support;
 
@@ -386,6 +389,53 @@
     CHECK(cut_off.call("grade-2").is(200));
 }
 
+// A zone's upstreams end while those elsewhere take long to answer.
+TEST_CASE("entry with a path to upstreams: connections are open, their "
+          "responses pending, others refuse: not cut off")
+{
+    platform_upstream slow{QStringLiteral("i-1")};
+    slow.work_ms = 1500;
+    std::vector<socket_address> members{slow.address()};
+    for (int number = 0; number < upstream_count; ++number)
+    {
+        members.push_back(local(free_port()));
+    }
+    int judged = 0;
+    for (int run = 0; run < 10 && judged == 0; ++run)
+    {
+        traffic_entry entry("entry");
+        entry.update({slow.address()}, {});
+        QThread::sleep(1);
+        std::vector<std::thread> callers;
+        auto const start_call = [&](QByteArray const& id)
+        {
+            callers.emplace_back([&entry, id] { entry.call(id, "POST"); });
+        };
+        auto const first = "bale-" + QByteArray::number(run);
+        start_call(first);
+        CHECK(wait_until([&] { return slow.runs(first) == 1; }));
+        auto const opened = std::chrono::steady_clock::now();
+        entry.update(members, {});
+        for (int number = 0; number < upstream_count; ++number)
+        {
+            start_call(first + '-' + QByteArray::number(number));
+        }
+        QThread::msleep(200);
+        bool const is_cut_off = entry.is_cut_off();
+        // Without another connection for so long it may count as cut off.
+        bool const is_in_time =
+            elapsed(opened, std::chrono::steady_clock::now()) <
+            upstream_reachability::minimum_outage;
+        judged += is_in_time ? 1 : 0;
+        CHECK((!is_in_time || !is_cut_off));
+        for (auto& caller : callers)
+        {
+            caller.join();
+        }
+    }
+    CHECK(judged == 1);
+}
+
 TEST_CASE_FIXTURE(relay_fixture,
                   "entry without a path to any upstream: the entry that it "
                   "relays to answers twice: no caller gets another's answer")
