Time to connect grows with the delay of the entry's own path

Callers saw late refusals ("no upstream", "overloaded", "unreachable") from the entries that are left when most are cut off from upstreams. Cause: on a full link connections open 240 to 310 ms late, and had 300 ms to open; those that did not counted as failures of their upstreams, were tried elsewhere with more packets, and upstreams were left out.

The time is now the usual one plus the delay that opened connections have in common, at most 700 ms. Connections that were given up no longer count as delayed: their upstream may be gone.

The test uses a new function.

--- a/source/verbenacove/request/path_delay_meter.cpp
+++ b/source/verbenacove/request/path_delay_meter.cpp
@@ -68,6 +68,11 @@
         ->excess;
 }
 
+milliseconds path_delay_meter::time_to_connect(milliseconds usual) const
+{
+    return usual + std::min(delay(), maximum_allowance);
+}
+
 milliseconds path_delay_meter::take_maximum()
 {
     return std::exchange(maximum_, milliseconds(0));
--- a/source/verbenacove/request/path_delay_meter.hpp
+++ b/source/verbenacove/request/path_delay_meter.hpp
@@ -35,17 +35,25 @@
         again. */
     static constexpr milliseconds baseline_period{30000};
 
+    /** Maximum delay that is added to the usual time to connect. */
+    static constexpr milliseconds maximum_allowance{700};
+
     /** The clock must outlive the meter. */
     explicit path_delay_meter(clock_source const& clock);
 
-    /** Records how long a connection to an upstream of a zone took to open, or
-        how long it has not opened when it was given up. */
+    /** Records how long a connection to an upstream of a zone took to open. Not
+        for one that was given up: its upstream may be gone. */
     void record_connection(zone_name const& zone, milliseconds duration);
 
     /** Returns the delay that the latest connections have in common; 0 if
         there were too few. */
     milliseconds delay() const;
 
+    /** Returns how long to wait for a connection to open: the usual time, and
+        the delay on top of it. A time-out that the VM itself causes would be
+        taken for a failure of the upstream. */
+    milliseconds time_to_connect(milliseconds usual) const;
+
     /** Returns the longest such delay since the previous call. */
     milliseconds take_maximum();
 
--- a/source/verbenacove/request/routed_request_attempt.cpp
+++ b/source/verbenacove/request/routed_request_attempt.cpp
@@ -11,6 +11,7 @@
 namespace
 {
 
+/** Time that a connection may take to open on a link that is free. */
 constexpr milliseconds connect_timeout{300};
 constexpr qint64 maximum_response_size = qint64{16} * 1024 * 1024;
 constexpr int lowest_server_error = 500;
@@ -73,7 +74,8 @@
     attempt.headers = request.headers;
     remove_relay_headers(attempt.headers);
     attempt.body = request.body;
-    attempt.connect_timeout = std::min(connect_timeout, time_left());
+    attempt.connect_timeout = std::min(
+        services_.path_delay.time_to_connect(connect_timeout), time_left());
     attempt.time_left = time_left();
     attempt.stall_timeout = attempt.time_left;
     attempt.maximum_response_bytes = maximum_response_size;
@@ -126,11 +128,6 @@
         return;
     }
     services_.reachability.record_attempt(choice_->member.id, result);
-    if (result.end == attempt_end::timed_out_before_send)
-    {
-        services_.path_delay.record_connection(choice_->member.zone,
-                                               result.duration);
-    }
     bool const was_moved =
         std::exchange(is_moving_, false) && result.end != attempt_end::answered;
     if (was_moved)
--- a/tests/unit/path_delay_meter_test.cpp
+++ b/tests/unit/path_delay_meter_test.cpp
@@ -88,3 +88,22 @@
     }
     CHECK(meter.delay() == milliseconds(0));
 }
+
+TEST_CASE_FIXTURE(path_delay_fixture,
+                  "path delay: all connections late: a further one may be as "
+                  "late, up to a bound")
+{
+    milliseconds const usual(300);
+    connect_to_both(milliseconds(0));
+    connect_to_both(milliseconds(0));
+    CHECK(meter.time_to_connect(usual) == usual);
+    connect_to_both(milliseconds(250));
+    connect_to_both(milliseconds(250));
+    CHECK(meter.time_to_connect(usual) == usual + milliseconds(250));
+    connect_to_both(milliseconds(5000));
+    connect_to_both(milliseconds(5000));
+    CHECK(meter.time_to_connect(usual) ==
+          usual + path_delay_meter::maximum_allowance);
+    connect(near, milliseconds(2));
+    CHECK(meter.time_to_connect(usual) == usual);
+}
