Teams: record, its form between processes, and the places for it in the configuration

The configuration holds teams beside routes and services: digests of keys, rank, allowance, homes. Nothing reads them yet; a configuration without teams has the same bytes as before (keys of the map are added only where there are teams). Builds; no test run yet.

--- a/source/verbenacove/core/ids.hpp
+++ b/source/verbenacove/core/ids.hpp
@@ -15,6 +15,9 @@
 /** The name of an availability zone, such as `wcape-a`. */
 using zone_name = strong_type<struct zone_name_tag, QString>;
 
+/** The name of a team: callers that share keys and an allowance. */
+using team_name = strong_type<struct team_name_tag, QString>;
+
 /** The name of one VM's entry process, unique among all entries. */
 using entry_id = strong_type<struct entry_id_tag, QString>;
 
--- a/source/verbenacove/version/route_configuration.cpp
+++ b/source/verbenacove/version/route_configuration.cpp
@@ -46,6 +46,10 @@
         {QLatin1String("attempts"), route.maximum_attempts},
         {QLatin1String("affinity"), route.has_affinity},
         {QLatin1String("homes"), regions_to_cbor(route.homes)}};
+    if (route.is_public)
+    {
+        result[QLatin1String("public")] = true;
+    }
     if (detail == route_detail::with_source)
     {
         result[source_key] = route.source;
@@ -75,6 +79,7 @@
     {
         route.homes.emplace_back(region.toString());
     }
+    route.is_public = cbor_flag(map, "public");
     route.source = cbor_map(map, "source");
     return route;
 }
@@ -197,6 +202,11 @@
     return result;
 }
 
+QCborMap to_cbor(team_record const& team, route_detail detail)
+{
+    return verbenacove::to_cbor(team, detail == route_detail::with_source);
+}
+
 template <class Items>
 QCborArray items_to_cbor(Items const& items, route_detail detail)
 {
@@ -240,6 +250,14 @@
     {
         result.routes[route.name] = route;
     }
+    for (auto const& name : change.removed_teams)
+    {
+        result.teams.remove(name);
+    }
+    for (auto const& team : change.teams)
+    {
+        result.teams[team.name.value()] = team;
+    }
     for (auto const& service : change.services)
     {
         result.services[service.name.value()] = service;
@@ -314,12 +332,18 @@
 
 QCborMap to_cbor(route_configuration const& configuration, route_detail detail)
 {
-    return {
+    QCborMap result{
         {QLatin1String("version"), configuration.version.value()},
         {QLatin1String("routes"), items_to_cbor(configuration.routes, detail)},
         {QLatin1String("services"),
          items_to_cbor(configuration.services, detail)},
         {QLatin1String("limits"), to_cbor(configuration.limits, detail)}};
+    if (!configuration.teams.isEmpty())
+    {
+        result[QLatin1String("teams")] =
+            items_to_cbor(configuration.teams, detail);
+    }
+    return result;
 }
 
 QCborMap to_cbor(route_change const& change)
@@ -334,6 +358,14 @@
         {QLatin1String("no_routes"), names_to_cbor(change.removed_routes)},
         {QLatin1String("no_services"), names_to_cbor(change.removed_services)},
         {QLatin1String("signature"), change.signature}};
+    if (!change.teams.empty())
+    {
+        result[QLatin1String("teams")] = items_to_cbor(change.teams, detail);
+    }
+    if (!change.removed_teams.empty())
+    {
+        result[QLatin1String("no_teams")] = names_to_cbor(change.removed_teams);
+    }
     if (change.limits)
     {
         result[QLatin1String("limits")] = to_cbor(*change.limits, detail);
@@ -360,6 +392,11 @@
         auto service = parse_service(item.toMap());
         result.services[service.name.value()] = std::move(service);
     }
+    for (auto const& item : cbor_array(map, "teams"))
+    {
+        auto team = parse_team(item.toMap());
+        result.teams[team.name.value()] = std::move(team);
+    }
     result.limits = parse_limits(cbor_map(map, "limits"));
     return result;
 }
@@ -382,6 +419,11 @@
     {
         change.services.push_back(parse_service(item.toMap()));
     }
+    for (auto const& item : cbor_array(map, "teams"))
+    {
+        change.teams.push_back(parse_team(item.toMap()));
+    }
+    change.removed_teams = parse_names(cbor_array(map, "no_teams"));
     change.removed_routes = parse_names(cbor_array(map, "no_routes"));
     change.removed_services = parse_names(cbor_array(map, "no_services"));
     change.signature = cbor_bytes(map, "signature");
--- a/source/verbenacove/version/route_configuration.hpp
+++ b/source/verbenacove/version/route_configuration.hpp
@@ -3,6 +3,7 @@
 
 #include "verbenacove/core/clock.hpp"
 #include "verbenacove/core/ids.hpp"
+#include "verbenacove/teams/team_record.hpp"
 
 #include <QByteArray>
 #include <QCborMap>
@@ -51,6 +52,8 @@
     bool has_affinity = false;
     /** The only regions that may serve it; empty for all. */
     std::vector<region_name> homes;
+    /** Whether its requests need no key where there are teams. */
+    bool is_public = false;
     /** The item as the operator wrote it; reads return it unchanged. */
     QCborMap source;
 };
@@ -85,6 +88,8 @@
     route_version version;
     QMap<QString, route_record> routes;
     QMap<QString, routed_service> services;
+    /** By name; empty where requests need no keys. */
+    QMap<QString, team_record> teams;
     caller_limits limits;
 };
 
@@ -101,9 +106,11 @@
     bool is_whole = false;
     std::vector<route_record> routes;
     std::vector<routed_service> services;
+    std::vector<team_record> teams;
     std::optional<caller_limits> limits;
     std::vector<QString> removed_routes;
     std::vector<QString> removed_services;
+    std::vector<QString> removed_teams;
     /** Digest of all that the operator sent; equal for a resend alone. */
     QByteArray signature;
 };
