Test of dropped log lines: no longer a race with its reader

Cause: the test let a process drop lines, read 1,024 bytes, let it go on and expected the count of dropped lines. If the reader is late, the process has written its last line and ended before there was room, and the count, which it kept, is lost with it: the test took the reader's speed for granted.

Change: the process pauses at its last line too, and sends what it has kept before it ends.

--- a/tests/unit/log_test.cpp
+++ b/tests/unit/log_test.cpp
@@ -27,11 +27,20 @@
 class logging_process
 {
 public:
+    /** What it does after its last line. */
+    enum class ending
+    {
+        exit,
+        /** Waits for `resume`, and sends what it has kept before it exits. */
+        pause_and_flush
+    };
+
     /** @param pause_at  number of lines after which it waits for `resume` */
-    explicit logging_process(int pause_at = 0)
+    explicit logging_process(int pause_at = 0, ending last = ending::exit)
     {
         REQUIRE(::pipe(output_.data()) == 0);
         REQUIRE(::pipe(resume_.data()) == 0);
+        REQUIRE(::pipe(paused_.data()) == 0);
         process_ = ::fork();
         REQUIRE(process_ >= 0);
         if (process_ == 0)
@@ -43,12 +52,16 @@
             {
                 part.info(QStringLiteral("line %1 ").arg(i) +
                           QString(100, QLatin1Char('x')));
-                char byte = 0;
-                if (i + 1 == pause_at && ::read(resume_[0], &byte, 1) < 0)
+                if (i + 1 == pause_at && !wait_for_resume())
                 {
                     ::_exit(1);
                 }
             }
+            if (last == ending::pause_and_flush)
+            {
+                wait_for_resume();
+                flush_log();
+            }
             ::_exit(0);
         }
         ::close(output_[1]);
@@ -64,11 +77,23 @@
         stop_reading();
         ::close(resume_[0]);
         ::close(resume_[1]);
+        ::close(paused_[0]);
+        ::close(paused_[1]);
     }
 
     logging_process(logging_process const&) = delete;
     logging_process& operator=(logging_process const&) = delete;
 
+    /** Waits until it pauses, and returns all that it has written by then. */
+    QByteArray read_until_paused() const
+    {
+        char byte = 0;
+        pollfd watched{paused_[0], POLLIN, 0};
+        REQUIRE(::poll(&watched, 1, patience_ms) == 1);
+        REQUIRE(::read(paused_[0], &byte, 1) == 1);
+        return read(qsizetype{1024} * 1024, 0);
+    }
+
     void resume() const { REQUIRE(::write(resume_[1], "r", 1) == 1); }
 
     void stop_reading()
@@ -98,12 +123,12 @@
     }
 
     /** Reads until nothing is left, or until a number of bytes. */
-    QByteArray read(qsizetype most) const
+    QByteArray read(qsizetype most, int wait_ms = patience_ms) const
     {
         QByteArray result;
         std::array<char, 4096> block{};
         pollfd watched{output_[0], POLLIN, 0};
-        while (result.size() < most && ::poll(&watched, 1, patience_ms) > 0)
+        while (result.size() < most && ::poll(&watched, 1, wait_ms) > 0)
         {
             auto const count = ::read(output_[0], block.data(), block.size());
             if (count <= 0)
@@ -116,8 +141,16 @@
     }
 
 private:
+    bool wait_for_resume() const
+    {
+        char byte = 'p';
+        return ::write(paused_[1], &byte, 1) == 1 &&
+               ::read(resume_[0], &byte, 1) == 1;
+    }
+
     std::array<int, 2> output_{};
     std::array<int, 2> resume_{};
+    std::array<int, 2> paused_{};
     pid_t process_ = -1;
     bool has_ended_ = false;
 };
@@ -134,9 +167,11 @@
 TEST_CASE(
     "log: nobody reads for a while: whole lines, and how many are missing")
 {
-    logging_process process(line_count / 2);
-    std::this_thread::sleep_for(std::chrono::milliseconds(300));
-    auto output = process.read(1024);
+    logging_process process(line_count / 2,
+                            logging_process::ending::pause_and_flush);
+    auto output = process.read_until_paused();
+    process.resume();
+    output += process.read_until_paused();
     process.resume();
     output += process.read(qsizetype{1024} * 1024);
     CHECK(process.ends());
