Teams: configuration, keys and homes at the entry

Cause: the product knew no teams. Every key was passed on to the upstream, nobody was refused, homes of a team were ignored.

A request on a route that is not public needs a known key (401 otherwise; 503 where team and route have no home in common). The upstream gets the team's name in place of whatever the caller sent, and never the key, also on public routes and through relays. A caller's `Connection` header can no longer make the entry leave out a header that it sets itself, where there are teams. Homes and rank of the team replace those of the route in the copy that the request carries, so upstreams, relays and repeats follow. Without teams nothing of this runs.

--- a/source/verbenacove/process/metrics.cpp
+++ b/source/verbenacove/process/metrics.cpp
@@ -64,6 +64,8 @@
                      .Register(registry_))
     , attempts_(counters(registry_, "verbenacove_entry_attempts_total",
                          "Attempts at upstreams."))
+    , key_refusals_(counters(registry_, "verbenacove_entry_key_refusals_total",
+                             "Requests refused by their key, by reason."))
     , config_version_(gauge(registry_, "verbenacove_entry_config_version",
                             "The configuration in force."))
     , entries_(gauge(registry_, "verbenacove_entry_entries",
@@ -100,6 +102,11 @@
         .Increment(sent > 1 ? sent - 1 : 0);
 }
 
+void entry_metrics::count_key_refusal(char const* reason)
+{
+    key_refusals_.Add({{"reason", reason}}).Increment();
+}
+
 void entry_metrics::set_state(qint64 config_version, std::size_t entries,
                               std::size_t upstreams, int open_requests)
 {
--- a/source/verbenacove/process/metrics.hpp
+++ b/source/verbenacove/process/metrics.hpp
@@ -43,6 +43,9 @@
         are retries. */
     void count_attempts(QString const& service, int sent);
 
+    /** Counts a request that was refused for what its key allows. */
+    void count_key_refusal(char const* reason);
+
     /** Sets what the entry knows at the moment. */
     void set_state(qint64 config_version, std::size_t entries,
                    std::size_t upstreams, int open_requests);
@@ -60,6 +63,7 @@
     prometheus::Family<prometheus::Counter>& requests_;
     prometheus::Family<prometheus::Histogram>& durations_;
     prometheus::Family<prometheus::Counter>& attempts_;
+    prometheus::Family<prometheus::Counter>& key_refusals_;
     prometheus::Gauge& config_version_;
     prometheus::Gauge& entries_;
     prometheus::Gauge& upstreams_;
--- a/source/verbenacove/process/routing/route_traffic.cpp
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -99,6 +99,7 @@
                        {{"version", view_->routes->version.value()},
                         {"queued_ms", qint64{age.count()}}});
         apply_limits();
+        team_gate_.set_configuration(*view_->routes);
         split_chooser_.keep_only(*view_->routes);
     }
     relays_.set_entries(view_->relays, view_->remote_relays);
@@ -219,9 +220,35 @@
         refuse(exchange, metadata, 404, "no-route");
         return;
     }
-    auto const service = split_chooser_.choose(*route);
-    routed_request::start(services(), exchange, std::move(metadata),
-                          {*route, view_->routes->version, pool(service)});
+    if (auto destination = destination_of(exchange, metadata, *route))
+    {
+        routed_request::start(services(), exchange, std::move(metadata),
+                              std::move(*destination));
+    }
+}
+
+std::optional<request_destination>
+route_traffic::destination_of(exchange_ptr const& exchange,
+                              request_metadata const& metadata,
+                              route_record const& route)
+{
+    auto const decision = team_gate_.decide(exchange->request(), route);
+    if (decision.refused)
+    {
+        metrics_.count_key_refusal(decision.refused->reason);
+        refuse(exchange, metadata, decision.refused->status,
+               decision.refused->reason);
+        return std::nullopt;
+    }
+    auto const* const team = decision.team;
+    request_destination result{
+        team != nullptr ? team_gate::route_for(*team, route) : route,
+        view_->routes->version, pool(split_chooser_.choose(route))};
+    if (team_gate_.has_teams())
+    {
+        result.team = team != nullptr ? team->name : team_name();
+    }
+    return result;
 }
 
 void route_traffic::refuse(exchange_ptr const& exchange,
@@ -233,6 +260,10 @@
     {
         header_codec_.set_retry_after(response.headers, refusal_delay);
     }
+    if (status == 401)
+    {
+        response.headers.push_back({"WWW-Authenticate", "Bearer"});
+    }
     if (read_relay_request(exchange->request()))
     {
         set_relay_headers(response.headers,
--- a/source/verbenacove/process/routing/route_traffic.hpp
+++ b/source/verbenacove/process/routing/route_traffic.hpp
@@ -8,11 +8,13 @@
 #include "verbenacove/process/routing/routing_view.hpp"
 #include "verbenacove/process/routing/split_chooser.hpp"
 #include "verbenacove/request/routed_request.hpp"
+#include "verbenacove/request/team_gate.hpp"
 
 #include <QHash>
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace verbenacove
 {
@@ -80,6 +82,11 @@
     using exchange_ptr = std::shared_ptr<http_exchange>;
 
     void handle_request(exchange_ptr const& exchange);
+    /** Returns where a request goes that may run; refuses one that must not,
+        and then returns nothing. */
+    std::optional<request_destination>
+    destination_of(exchange_ptr const& exchange,
+                   request_metadata const& metadata, route_record const& route);
     void refuse(exchange_ptr const& exchange, request_metadata const& metadata,
                 int status, char const* code);
     void handle_readiness(exchange_ptr const& exchange);
@@ -123,6 +130,7 @@
     path_delay_meter path_delay_;
     process_load_meter load_meter_;
     split_chooser split_chooser_;
+    team_gate team_gate_;
     routing_view_ptr view_ = std::make_shared<routing_view const>();
     bool is_refusing_ = false;
     QHash<service_name, std::shared_ptr<routed_pool>> pools_;
--- a/source/verbenacove/request/route_header_codec.hpp
+++ b/source/verbenacove/request/route_header_codec.hpp
@@ -89,6 +89,14 @@
                                      milliseconds time_left,
                                      upstream_id const& expected) const = 0;
 
+    /** Sets the name of the team that a request belongs to, for an upstream,
+       and removes the caller's key and whatever else the caller sent as a name.
+
+        @param team  empty for a request that belongs to none
+    */
+    virtual void set_team(std::vector<http_header>& headers,
+                          team_name const& team) const = 0;
+
     /** Sets the delay after which a refused caller may retry. */
     virtual void set_retry_after(std::vector<http_header>& headers,
                                  milliseconds delay) const = 0;
--- a/source/verbenacove/request/routed_request.cpp
+++ b/source/verbenacove/request/routed_request.cpp
@@ -99,6 +99,7 @@
     , route_(std::move(destination.route))
     , version_(destination.version)
     , pool_(std::move(destination.pool))
+    , team_(std::move(destination.team))
     , arrival_time_(services_.clock.now())
 {
     auto const& request = exchange_->request();
--- a/source/verbenacove/request/routed_request.hpp
+++ b/source/verbenacove/request/routed_request.hpp
@@ -18,6 +18,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace verbenacove
 {
@@ -64,11 +65,17 @@
 /** Destination of a request, as decided when it arrived. */
 struct request_destination
 {
+    /** With the homes and the rank (`priority`) that hold for the request's
+        team.
+        @see team_gate::route_for */
     route_record route;
     /** Version of the configuration that the route is from. */
     route_version version;
     /** Upstreams of the service that the route's split selected. */
     std::shared_ptr<routed_pool> pool;
+    /** Team whose key the request bears, empty on a public route; absent if the
+        configuration has no teams. */
+    std::optional<team_name> team = std::nullopt;
 };
 
 /** Handles one caller's request on a route, from its arrival to the response.
@@ -193,6 +200,8 @@
     route_record route_;
     route_version version_;
     std::shared_ptr<routed_pool> pool_;
+    /** As in request_destination. */
+    std::optional<team_name> team_;
     request_fingerprint fingerprint_;
     monotonic_time arrival_time_{};
     monotonic_time deadline_{};
--- a/source/verbenacove/request/routed_request_attempt.cpp
+++ b/source/verbenacove/request/routed_request_attempt.cpp
@@ -72,7 +72,10 @@
     attempt.address = address;
     attempt.method = request.method;
     attempt.target = target_of(request);
-    attempt.headers = request.headers;
+    // Otherwise a `Connection` header could name those that are set below, and
+    // they would not be sent.
+    attempt.headers =
+        team_ ? end_to_end_headers(request.headers) : request.headers;
     remove_relay_headers(attempt.headers);
     attempt.body = request.body;
     attempt.connect_timeout = std::min(
@@ -87,6 +90,10 @@
 attempt_request routed_request::make_attempt_request(pool_choice const& choice)
 {
     auto attempt = make_request(choice.member.address);
+    if (team_)
+    {
+        services_.header_codec.set_team(attempt.headers, *team_);
+    }
     services_.header_codec.set_request_headers(attempt.headers, time_left(),
                                                choice.member.id);
     attempt.is_own_response =
--- a/source/verbenacove/teams/team_record.cpp
+++ b/source/verbenacove/teams/team_record.cpp
@@ -3,6 +3,7 @@
 #include "verbenacove/core/cbor.hpp"
 
 #include <QCryptographicHash>
+#include <QHash>
 
 namespace verbenacove
 {
@@ -12,6 +13,30 @@
     return QCryptographicHash::hash(key, QCryptographicHash::Sha256);
 }
 
+QString invalid_teams_reason(QMap<QString, team_record> const& teams)
+{
+    QHash<QByteArray, team_name> holders;
+    for (auto const& team : teams)
+    {
+        if (team.name.value().isEmpty())
+        {
+            return QStringLiteral("a team has no name");
+        }
+        for (auto const& digest : team.key_digests)
+        {
+            auto const holder = holders.constFind(digest);
+            if (holder != holders.constEnd())
+            {
+                return QStringLiteral("key %1 of team %2 is also held by %3")
+                    .arg(QString::number(&digest - team.key_digests.data()),
+                         team.name.value(), holder->value());
+            }
+            holders.insert(digest, team.name);
+        }
+    }
+    return {};
+}
+
 QCborMap to_cbor(team_record const& team, bool has_source)
 {
     QCborArray keys;
--- a/source/verbenacove/teams/team_record.hpp
+++ b/source/verbenacove/teams/team_record.hpp
@@ -5,6 +5,8 @@
 
 #include <QByteArray>
 #include <QCborMap>
+#include <QMap>
+#include <QString>
 
 #include <optional>
 #include <vector>
@@ -42,6 +44,10 @@
 /** Returns the digest that identifies a key: its SHA-256. */
 QByteArray key_digest(QByteArray const& key);
 
+/** Returns why teams cannot be in force together: one has no name, or a key
+    has two holders. Empty when they can. Names no key. */
+QString invalid_teams_reason(QMap<QString, team_record> const& teams);
+
 /** Returns a team as CBOR, and reads it back.
 
     @param has_source  whether what the operator wrote is included
--- a/source/verbenacove/version/route_configuration.cpp
+++ b/source/verbenacove/version/route_configuration.cpp
@@ -230,7 +230,7 @@
             return reason;
         }
     }
-    return {};
+    return invalid_teams_reason(configuration.teams);
 }
 
 route_configuration changed(route_configuration const& before,
--- a/tests/platform/platform_upstream.hpp
+++ b/tests/platform/platform_upstream.hpp
@@ -140,6 +140,15 @@
         return result;
     }
 
+    /** Returns the headers of a request that ran, as they arrived last. */
+    std::vector<http_header> headers_of(QByteArray const& request) const
+    {
+        QMutexLocker const lock(&mutex_);
+        auto const found = headers_.find(request);
+        return found == headers_.end() ? std::vector<http_header>()
+                                       : found->second;
+    }
+
     /** Names this rate limit in all answers; none if negative. */
     std::atomic<double> rate_limit{-1};
 
@@ -205,6 +214,7 @@
         {
             QMutexLocker const lock(&mutex_);
             ++runs_[id];
+            headers_[id] = request.headers;
             arrivals_.push_back(std::chrono::steady_clock::now());
         }
         if (request.path.endsWith(crasher))
@@ -268,6 +278,7 @@
     std::atomic<int> crashes_ = 0;
     mutable QMutex mutex_;
     std::map<QByteArray, int> runs_;
+    std::map<QByteArray, std::vector<http_header>> headers_;
     std::vector<std::chrono::steady_clock::time_point> arrivals_;
     QThread thread_;
     QObject context_;
--- a/tests/platform/relay_test.cpp
+++ b/tests/platform/relay_test.cpp
@@ -1,12 +1,9 @@
 #define DOCTEST_CONFIG_IMPLEMENT
 #include <doctest/doctest.h>
 
-#include "platform/platform_upstream.hpp"
-#include "platform_dialect.hpp"
+#include "platform/traffic_entry.hpp"
 #include "support/wait_until.hpp"
 
-#include "verbenacove/process/routing/route_traffic.hpp"
-
 #include <QCoreApplication>
 #include <QTcpServer>
 #include <QTcpSocket>
@@ -23,138 +20,6 @@
 constexpr milliseconds longest_detection{1000};
 constexpr milliseconds longest_refusal{1000};
 
-/** The part of an entry that serves callers, on a thread of its own. */
-class traffic_entry
-{
-public:
-    explicit traffic_entry(char const* name)
-        : name_(entry_id(QString::fromLatin1(name)))
-        , address_(local(free_port()))
-    {
-        thread_.start();
-        context_.moveToThread(&thread_);
-        run(
-            [this]
-            {
-                route_entry_settings settings;
-                settings.name = name_;
-                settings.callers = address_;
-                settings.readiness = local(free_port());
-                traffic_ = std::make_unique<route_traffic>(
-                    settings, dialect_,
-                    route_traffic::listener{[](quarantine_update const&) {},
-                                            [](rate_limit_report const&) {},
-                                            [this](bool is_cut_off)
-                                            {
-                                                is_cut_off_ = is_cut_off;
-                                            }});
-                REQUIRE(traffic_->start().isEmpty());
-            });
-    }
-
-    ~traffic_entry()
-    {
-        run([this] { traffic_.reset(); });
-        thread_.quit();
-        thread_.wait();
-    }
-
-    traffic_entry(traffic_entry const&) = delete;
-    traffic_entry& operator=(traffic_entry const&) = delete;
-
-    /** Replaces the upstreams and the entries that it may relay to. */
-    void update(std::vector<socket_address> const& upstreams,
-                std::vector<traffic_entry const*> const& relays,
-                qint64 routes_version = 3)
-    {
-        std::vector<entry_view> views;
-        for (auto const* relay : relays)
-        {
-            entry_view entry;
-            entry.id = relay->name_;
-            entry.address = relay->address_;
-            views.push_back(entry);
-        }
-        update_views(upstreams, std::move(views), routes_version);
-    }
-
-    void update_views(std::vector<socket_address> const& upstreams,
-                      std::vector<entry_view> relays, qint64 routes_version = 3)
-    {
-        auto view = std::make_shared<routing_view>();
-        view->routes = configuration(routes_version);
-        view->is_ready = true;
-        auto& members = view->members[service_name(QStringLiteral("grades"))];
-        for (auto const& address : upstreams)
-        {
-            pool_member member;
-            member.id = upstream_id(
-                QStringLiteral("i-%1").arg(qint64(members.size()) + 1));
-            member.started = incarnation(1);
-            member.address = address;
-            member.slots = slot_count(4);
-            member.health_path = QStringLiteral("/health");
-            members.push_back(member);
-        }
-        view->relays = std::move(relays);
-        run([this, &view] { traffic_->update(view); });
-    }
-
-    http_answer call(QByteArray const& id, QByteArray const& method = "GET")
-    {
-        return call_http({address_,
-                          method,
-                          method == "POST" ? "/bales/7" : "/grades/7",
-                          {"Host: g.example", "Verbenacove-Request-Id: " + id,
-                           "Verbenacove-Deadline-Ms: 2500"},
-                          method == "POST" ? "bale of " + id : QByteArray()});
-    }
-
-    void refuse_requests()
-    {
-        run([this] { traffic_->refuse_requests(); });
-    }
-
-    bool is_cut_off() const { return is_cut_off_; }
-
-private:
-    static route_configuration_ptr configuration(qint64 version)
-    {
-        auto result = std::make_shared<route_configuration>();
-        result->version = route_version(version);
-        service_name const service(QStringLiteral("grades"));
-        result->services[service.value()].name = service;
-        for (bool const is_idempotent : {true, false})
-        {
-            route_record route;
-            route.name = QString::number(is_idempotent ? 1 : 0);
-            route.host = QStringLiteral("g.example");
-            route.path_prefix = is_idempotent ? QStringLiteral("/grades/")
-                                              : QStringLiteral("/bales/");
-            route.is_idempotent = is_idempotent;
-            route.maximum_attempts = 2;
-            route.split = {{service, 1}};
-            result->routes[route.name] = route;
-        }
-        return result;
-    }
-
-    template <class Function>
-    void run(Function function)
-    {
-        QMetaObject::invokeMethod(&context_, function,
-                                  Qt::BlockingQueuedConnection);
-    }
-
-    entry_id name_;
-    socket_address address_;
-    platform::platform_dialect dialect_;
-    std::atomic<bool> is_cut_off_ = false;
-    QThread thread_;
-    QObject context_;
-    std::unique_ptr<route_traffic> traffic_;
-};
-
 /** An entry to relay to whose link repeats what it has carried: before the
     answer to a request on a kept connection comes another copy of the answer
     before it. On a thread of its own. */
