Placement of objects by weighted rendezvous hashing

Cause: which upstream an object prefers ignored the upstreams' sizes; one of 16 slots was preferred by as many objects as one of a single slot.

Change: object_placement ranks upstreams by Gumbel noise plus the logarithm of the size, in a class of its own. Where all upstreams of a service have the same slots, nothing changes.

--- a/source/verbenacove/request/upstream_pool.cpp
+++ b/source/verbenacove/request/upstream_pool.cpp
@@ -1,6 +1,7 @@
 #include "verbenacove/request/upstream_pool.hpp"
 
 #include "verbenacove/core/stable_hash.hpp"
+#include "verbenacove/request/object_placement.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -155,20 +156,18 @@
     return milliseconds(0);
 }
 
-// Returns Gumbel noise derived from a hash of object and upstream, which is the
-// same at all entries. Choosing the maximum of value plus noise spreads the
-// objects over upstreams of similar value, and few objects move when one value
-// changes. Requests without an object get random noise.
+// Choosing the maximum of value plus a scaled rank spreads the objects over
+// upstreams of similar value, and few objects move when one value changes.
 double upstream_pool::object_preference(QByteArray const& key,
-                                        upstream_id const& id)
+                                        pool_member const& member)
 {
-    constexpr double range = 18446744073709551616.0;
-    bool const has_object = !key.isEmpty();
-    quint64 const hash =
-        has_object ? stable_hash(key, id.value().toUtf8()) : quint64{random_()};
-    double const uniform = (static_cast<double>(hash) + 1) / (range + 2);
-    return settings_.object_spread * (has_object ? 1 : jitter_share) *
-           -std::log(-std::log(uniform));
+    if (key.isEmpty())
+    {
+        return settings_.object_spread * jitter_share *
+               object_placement::random_rank(random_(), member.slots);
+    }
+    return settings_.object_spread *
+           object_placement::rank(key, member.id, member.slots);
 }
 
 upstream_pool::candidate upstream_pool::assess(pool_member const& member,
@@ -223,7 +222,7 @@
     result.cost = crossing_cost(result.distance) +
                   failure_penalty * monitor.failure_share(now) +
                   (member.is_silent ? silence_penalty : 0);
-    result.affinity = object_preference(query.affinity_key, member.id);
+    result.affinity = object_preference(query.affinity_key, member);
     result.score = result.response_value - result.cost;
     // Prefers a cold upstream of the local zone that has had no request from
     // this entry yet, so that a first request measures it.
--- a/source/verbenacove/request/upstream_pool.hpp
+++ b/source/verbenacove/request/upstream_pool.hpp
@@ -267,8 +267,9 @@
                      pool_query const& query, monotonic_time now);
     double crossing_cost(network_distance distance) const;
     milliseconds round_trip(network_distance distance) const;
-    /** Returns the preference of an object for an upstream. */
-    double object_preference(QByteArray const& key, upstream_id const& id);
+    /** Returns the preference of an object for an upstream.
+        @see object_placement */
+    double object_preference(QByteArray const& key, pool_member const& member);
     /** Returns the probability that a response arrives within the time left.
 
         @param scale  the latency objective, which sets how gradually the
