Teams: an entry's right to use its keys ends by itself

Cause: an entry that is cut off, frozen or reads a minority of the replicas used the keys that it had for any time, so a withdrawn key ran for as long.

Change: where [teams] revocation is set and the configuration has teams, each replica confirms about every 300 ms up to which time its routes hold all that was accepted: the leader by a majority, the others by the leader's next answer. Replies to entries carry that time relative to the request, with the revision it is for. The entry counts it from when it asked, by CLOCK_BOOTTIME; a keyed request that comes once the revocation time less a margin has passed gets 503 keys-unconfirmed. A confirmation that is for later routes than those in use has no effect before these come, so the order between the threads doesn't matter. With a lease to keep, reads without a leader are spread evenly instead of in rounds, at the same rate. Without the setting nothing of this runs.

--- a/source/verbenacove/process/control_server.cpp
+++ b/source/verbenacove/process/control_server.cpp
@@ -29,13 +29,15 @@
     return cbor_text(request, "m").startsWith(QLatin1String("raft."));
 }
 
-/** Returns whether a call goes before others: those of the replicated log, and
-    orders that another replica hands on. */
+/** Returns whether a call goes before others: those of the replicated log,
+    orders that another replica hands on, and questions whose answers limit how
+    long keys may be used. */
 bool is_urgent(QCborMap const& request)
 {
     auto const name = cbor_text(request, "m");
     return is_consensus(request) || name == QLatin1String("order") ||
-           name == QLatin1String("routes") || name == QLatin1String("push");
+           name == QLatin1String("routes") || name == QLatin1String("push") ||
+           name == QLatin1String("confirmation");
 }
 
 raft_settings seeded(raft_settings settings)
--- a/source/verbenacove/process/discovery/discovery_service.cpp
+++ b/source/verbenacove/process/discovery/discovery_service.cpp
@@ -214,7 +214,8 @@
         crash_position::parse(request),
         is_replica ? now + replica_update_interval : now,
         now + hold,
-        reply};
+        reply,
+        boot_clock::now()};
     if (is_urgent(reader) || waiting_.size() >= maximum_waiting)
     {
         respond(reader);
@@ -239,7 +240,13 @@
     return !membership_.is_known(reader.position) ||
            cbor_flag(reader.request, "replicas_only") ||
            (has_older_routes && is_current()) || is_leader_contact_changed ||
-           clock_.now() >= reader.deadline;
+           has_confirmation_for(reader) || clock_.now() >= reader.deadline;
+}
+
+bool discovery_service::has_confirmation_for(waiting_reader const& reader) const
+{
+    auto const known = find_confirmation_();
+    return known && is_wanted_at_once(reader.request, *known, reader.received);
 }
 
 bool discovery_service::is_response_due(waiting_reader const& reader) const
@@ -303,6 +310,11 @@
         response[QLatin1String("routes_revision")] = routes.revision();
         response[QLatin1String("evacuated")] = evacuated;
     }
+    auto const confirmation = is_replica ? std::nullopt : find_confirmation_();
+    if (confirmation)
+    {
+        add_to(response, *confirmation, reader.received);
+    }
     if (crash_scope(reader) == record_scope::own)
     {
         add_crashes(response, known_crashes_, reader.crash_cursor,
--- a/source/verbenacove/process/discovery/discovery_service.hpp
+++ b/source/verbenacove/process/discovery/discovery_service.hpp
@@ -7,6 +7,7 @@
 #include "verbenacove/process/discovery/departure_log.hpp"
 #include "verbenacove/process/discovery/membership_view.hpp"
 #include "verbenacove/process/discovery/view_settling.hpp"
+#include "verbenacove/teams/key_confirmation.hpp"
 
 #include <QHash>
 #include <QSet>
@@ -48,6 +49,10 @@
     /** Maximum number of readers that wait for updates concurrently. */
     static constexpr std::size_t maximum_waiting = 4096;
 
+    /** Returns the latest confirmation of the keys that this replica has. */
+    using confirmation_lookup =
+        std::function<std::optional<key_confirmation>()>;
+
     /** Creates a service and registers its handlers.
 
         @param settings  identity and seeds of the replica
@@ -81,6 +86,13 @@
     void handle_leave(upstream_id const& id, std::function<bool()> is_awaited,
                       acknowledge_callback done);
 
+    /** Sets where the confirmation is looked up that entries are sent; none is
+        sent before. */
+    void set_confirmation_lookup(confirmation_lookup lookup)
+    {
+        find_confirmation_ = std::move(lookup);
+    }
+
     /** Replaces the seed addresses. */
     void set_seeds(std::vector<socket_address> seeds)
     {
@@ -147,6 +159,8 @@
         /** Time at which the response is sent even without updates. */
         monotonic_time deadline;
         reply_function reply;
+        /** Time at which the request was taken. */
+        boot_time received;
     };
 
     /** Departure that is not stored yet. */
@@ -195,6 +209,9 @@
     bool is_urgent(waiting_reader const& reader) const;
     bool is_response_due(waiting_reader const& reader) const;
     bool has_changes_for(waiting_reader const& reader) const;
+    /** Returns whether an entry whose keys were last confirmed long ago would
+        get a much later confirmation. */
+    bool has_confirmation_for(waiting_reader const& reader) const;
     /** Returns which crashes a reader needs of this replica. */
     static record_scope crash_scope(waiting_reader const& reader);
     /** Returns those of the given replicas with which this one has contact. */
@@ -259,6 +276,10 @@
 
     discovery_settings settings_;
     control_server& server_;
+    confirmation_lookup find_confirmation_ = []
+    {
+        return std::nullopt;
+    };
     steady_clock_source clock_;
     timer_service timers_;
     membership_view membership_;
--- a/source/verbenacove/process/discovery/replica_link.cpp
+++ b/source/verbenacove/process/discovery/replica_link.cpp
@@ -22,6 +22,10 @@
 /** Time for which a replica without updates delays its response (long
     polling). */
 constexpr milliseconds hold{600};
+/** Part of the revocation time for which a response may be delayed: it carries
+    the confirmation that extends the lease of the keys. */
+constexpr int hold_divisor = 8;
+constexpr milliseconds minimum_hold{100};
 /** Time to wait for a response, in addition to the hold, before another replica
     is read. */
 constexpr milliseconds read_margin{500};
@@ -179,10 +183,12 @@
     }
     is_reading_ = true;
     read_started_ = clock_.now();
+    read_sent_ = boot_clock::now();
     auto const number = ++read_number_;
     // A replica without a leader would delay its response, too, so an immediate
     // one is requested.
-    auto const requested_hold = was_replica_current_ ? hold : milliseconds(0);
+    auto const requested_hold =
+        was_replica_current_ ? poll_hold() : milliseconds(0);
     auto message = make_request(requested_hold);
     message[QLatin1String("brief")] =
         !was_replica_current_ &&
@@ -199,6 +205,10 @@
     auto const sent_crashes =
         add_crashes(message, own_crashes_, confirmed_crashes_);
     rate_limits_.add_to(message, position_.view_id);
+    if (settings_.revocation && routes_ && !routes_->teams.isEmpty())
+    {
+        add_age_to(message, confirmation_, read_sent_);
+    }
     client_of(*current_).call(
         std::move(message),
         {requested_hold + read_margin, maximum_read_duration},
@@ -255,6 +265,7 @@
         failed_reads_ = 0;
         apply_routes(*reply);
     }
+    apply_confirmation(*reply);
     if (std::exchange(has_changes_, false))
     {
         calls_.changed();
@@ -322,12 +333,19 @@
     ++failed_reads_;
     auto const round = std::min(selector_.candidate_count(membership_),
                                 maximum_reads_per_round);
+    auto const factor = static_cast<qint64>(
+        std::min(failed_reads_ / round, maximum_pause_factor));
+    auto const pause = pause_between_rounds * factor;
+    // A lease may end soon: at the same rate, but spread evenly, the reads find
+    // a new leader earlier.
+    if (settings_.revocation && factor > 0)
+    {
+        next_read_ = clock_.now() + pause / static_cast<qint64>(round);
+        return;
+    }
     if (failed_reads_ % round == 0)
     {
-        auto const factor =
-            std::min(failed_reads_ / round, maximum_pause_factor);
-        next_read_ =
-            clock_.now() + pause_between_rounds * static_cast<qint64>(factor);
+        next_read_ = clock_.now() + pause;
         return;
     }
     read();
@@ -380,6 +398,30 @@
                    {"evacuated", evacuated_.size()}});
 }
 
+// Also that of a replica without contact with a leader is used: it says up to
+// which time it is true.
+void replica_link::apply_confirmation(QCborMap const& reply)
+{
+    if (!settings_.revocation)
+    {
+        return;
+    }
+    auto const received =
+        parse_key_confirmation(reply, read_sent_, boot_clock::now());
+    if (received && advance(confirmation_, *received))
+    {
+        calls_.confirmed(*received);
+    }
+}
+
+milliseconds replica_link::poll_hold() const
+{
+    return settings_.revocation
+               ? std::clamp(*settings_.revocation / hold_divisor, minimum_hold,
+                            hold)
+               : hold;
+}
+
 // Selection of a replica.
 
 void replica_link::leave_replica(socket_address const& failed,
--- a/source/verbenacove/process/discovery/replica_link.hpp
+++ b/source/verbenacove/process/discovery/replica_link.hpp
@@ -7,6 +7,7 @@
 #include "verbenacove/process/discovery/membership_view.hpp"
 #include "verbenacove/process/discovery/rate_limit_reporter.hpp"
 #include "verbenacove/process/discovery/replica_selector.hpp"
+#include "verbenacove/teams/key_confirmation.hpp"
 #include "verbenacove/version/route_configuration.hpp"
 
 #include <QHash>
@@ -26,6 +27,9 @@
     entry_content self;
     /** Addresses of some replicas; they may be down or outdated. */
     std::vector<socket_address> seeds;
+    /** Time after which a withdrawn key must not be accepted; absent where
+        keys need no confirmation. */
+    std::optional<milliseconds> revocation = std::nullopt;
 };
 
 /** Connects an entry to the control replicas.
@@ -46,6 +50,9 @@
         /** Called when other entries report requests that crash
             upstreams. */
         std::function<void(quarantine_update)> crashed;
+        /** Called with each later confirmation of the keys; not called without
+            a revocation time, and may then be left out. */
+        std::function<void(key_confirmation)> confirmed = {};
     };
 
     replica_link(replica_link_settings settings, listener calls);
@@ -78,6 +85,9 @@
     /** Returns the active routes; null before the first ones were received. */
     route_configuration_ptr const& routes() const { return routes_; }
 
+    /** Returns the revision of the active routes; -1 before the first ones. */
+    qint64 routes_revision() const { return routes_revision_; }
+
     /** Returns the evacuated zones, whose upstreams receive no requests. */
     QSet<zone_name> const& evacuated() const { return evacuated_; }
 
@@ -102,6 +112,9 @@
     void log_departures(monotonic_time now);
     void apply_routes(QCborMap const& reply);
     void report_received_crashes(QCborMap const& reply);
+    void apply_confirmation(QCborMap const& reply);
+    /** Returns how long a replica without updates may delay its response. */
+    milliseconds poll_hold() const;
     void leave_replica(socket_address const& failed, char const* reason);
     void select_replica();
     rpc_client& client_of(socket_address const& address);
@@ -140,6 +153,10 @@
     /** Time at which a membership view, or changes of one, were read last. */
     monotonic_time last_view_{};
     monotonic_time read_started_{};
+    /** Time before the read in progress was sent. */
+    boot_time read_sent_{};
+    /** Latest confirmation of the keys of the active routes or later ones. */
+    std::optional<key_confirmation> confirmation_;
     /** Lag of the control thread since the last logged read. */
     loop_lag lag_;
     qint64 routes_revision_ = -1;
--- a/source/verbenacove/process/metrics.cpp
+++ b/source/verbenacove/process/metrics.cpp
@@ -109,6 +109,17 @@
     open_requests_.Set(open_requests);
 }
 
+void entry_metrics::set_key_lease(std::chrono::milliseconds left)
+{
+    if (key_lease_ == nullptr)
+    {
+        key_lease_ =
+            &gauge(registry_, "verbenacove_entry_key_lease_seconds",
+                   "How long keys may be used without a confirmation.");
+    }
+    key_lease_->Set(std::chrono::duration<double>(left).count());
+}
+
 control_metrics::control_metrics()
     : leader_(add("verbenacove_control_leader", "1 on the leader."))
     , voter_(
--- a/source/verbenacove/process/metrics.hpp
+++ b/source/verbenacove/process/metrics.hpp
@@ -50,6 +50,10 @@
     /** Sets whether the entry is cut off from all upstreams. */
     void set_cut_off(bool is_cut_off) { cut_off_.Set(is_cut_off ? 1 : 0); }
 
+    /** Sets how long keys may be used from now on; the metric is there from the
+        first call on. */
+    void set_key_lease(std::chrono::milliseconds left);
+
     /** Returns the metrics in Prometheus' text format. */
     QByteArray text() const { return metrics_text(registry_); }
 
@@ -65,6 +69,8 @@
     prometheus::Gauge& upstreams_;
     prometheus::Gauge& open_requests_;
     prometheus::Gauge& cut_off_;
+    /** Null before the first value. */
+    prometheus::Gauge* key_lease_ = nullptr;
 };
 
 /** What a control replica shows. Metrics have the prefix
--- a/source/verbenacove/process/routing/replica_process.cpp
+++ b/source/verbenacove/process/routing/replica_process.cpp
@@ -173,12 +173,16 @@
     directory_ = std::make_unique<entry_directory>(*discovery_);
     routes_ = std::make_unique<route_service>(
         *server_, [this] { discovery_->routes_changed(); });
+    confirmations_ = std::make_unique<key_confirmation_service>(*server_);
+    discovery_->set_confirmation_lookup([this]
+                                        { return confirmations_->latest(); });
     if (!server_->start())
     {
         return settings_.listen.text() + QStringLiteral(": ") +
                server_->error_text();
     }
     routes_->start();
+    confirmations_->start();
     discovery_->start();
     load_reporter_.start();
     return open_endpoints(make_handlers());
--- a/source/verbenacove/process/routing/route_entry_process.cpp
+++ b/source/verbenacove/process/routing/route_entry_process.cpp
@@ -58,12 +58,18 @@
     , header_codec_(header_codec)
     , link_({settings_.name,
              {settings_.callers, settings_.zone, settings_.region},
-             settings_.replicas},
+             settings_.replicas,
+             settings_.revocation},
             {[this] { handle_update(); },
              [this](quarantine_update reports)
              {
                  call_on_traffic([this, reports = std::move(reports)]
                                  { traffic_->merge_crash_reports(reports); });
+             },
+             [this](key_confirmation const& confirmation)
+             {
+                 call_on_traffic([this, confirmation]
+                                 { traffic_->confirm_keys(confirmation); });
              }})
 {
 }
@@ -233,6 +239,7 @@
     reopened_zones_.update(link_.evacuated(), clock_.now());
     auto view = std::make_shared<routing_view>();
     view->routes = link_.routes();
+    view->routes_revision = link_.routes_revision();
     view->is_ready = is_ready_ && !is_stopping_;
     view->published_at = clock_.now();
     add_relays(*view);
--- a/source/verbenacove/process/routing/route_entry_settings.cpp
+++ b/source/verbenacove/process/routing/route_entry_settings.cpp
@@ -10,6 +10,9 @@
 constexpr milliseconds maximum_duration{60000};
 /** In megabits per second. */
 constexpr double maximum_link_rate = 1000000;
+/** The lower limit of the revocation time: a lease must last for longer than it
+    takes to extend it. */
+constexpr milliseconds minimum_revocation{1000};
 constexpr qint64 one_mebibyte = 1024 * 1024;
 
 void parse_steering(setting_reader& reader, steering_settings& steering)
@@ -118,6 +121,13 @@
     {
         settings.link = megabits_per_second(link);
     }
+    auto const revocation =
+        reader.duration("teams", "revocation", milliseconds(0),
+                        minimum_revocation, maximum_duration);
+    if (revocation.count() > 0)
+    {
+        settings.revocation = revocation;
+    }
     settings.steering.zone = settings.zone;
     settings.steering.region = settings.region;
     BOOST_LEAF_CHECK(reader.finish());
--- a/source/verbenacove/process/routing/route_entry_settings.hpp
+++ b/source/verbenacove/process/routing/route_entry_settings.hpp
@@ -35,6 +35,9 @@
     /** The rate of the VM's link in each direction; absent if it is not
         known. */
     std::optional<megabits_per_second> link;
+    /** The time after which a withdrawn key must not be accepted anywhere.
+        Absent where entries may use the keys that they have for any time. */
+    std::optional<milliseconds> revocation;
     /** The maximum time from the stop request to the exit of the process. */
     milliseconds stop_grace{6000};
     /** The time for which callers may cache a look-up response. */
--- a/source/verbenacove/process/routing/route_traffic.cpp
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -20,6 +20,8 @@
 /** The interval between crash reports. Crashes within one interval are
     reported together. */
 constexpr milliseconds crash_report_interval{250};
+/** The interval at which the end of the lease of the keys is looked for. */
+constexpr milliseconds lease_log_interval{200};
 /** The retry delay that a 503 response asks of the caller. */
 constexpr milliseconds refusal_delay{250};
 
@@ -49,6 +51,7 @@
     , path_delay_(clock_)
     , load_meter_([this](process_load_meter::load const& used)
                   { report_load(used); })
+    , key_gate_(settings_.revocation)
     , caller_endpoint_(settings_.limits, [this](exchange_ptr const& exchange)
                        { handle_request(exchange); })
     , readiness_endpoint_(internal_endpoint_limits(settings_),
@@ -85,6 +88,11 @@
     probe_timer_ = timers_.call_every(probe_interval, [this] { probe(); });
     crash_report_timer_ =
         timers_.call_every(crash_report_interval, [this] { report_crashes(); });
+    if (settings_.revocation)
+    {
+        lease_log_timer_ = timers_.call_every(lease_log_interval, [this]
+                                              { key_gate_.log_changes(); });
+    }
     return {};
 }
 
@@ -92,6 +100,8 @@
 {
     bool const has_new_routes = view->routes != view_->routes;
     view_ = std::move(view);
+    key_gate_.set_routes(view_->routes_revision,
+                         view_->routes && !view_->routes->teams.isEmpty());
     if (has_new_routes && view_->routes)
     {
         auto const age = elapsed(view_->published_at, clock_.now());
@@ -219,6 +229,11 @@
         refuse(exchange, metadata, 404, "no-route");
         return;
     }
+    if (!route->is_public && !key_gate_.permits_request())
+    {
+        refuse(exchange, metadata, 503, "keys-unconfirmed");
+        return;
+    }
     auto const service = split_chooser_.choose(*route);
     routed_request::start(services(), exchange, std::move(metadata),
                           {*route, view_->routes->version, pool(service)});
@@ -298,6 +313,10 @@
     metrics_.set_state(view_->routes ? view_->routes->version.value() : 0,
                        static_cast<std::size_t>(view_->live_entries), upstreams,
                        caller_endpoint_.open_exchanges());
+    if (auto const left = key_gate_.remaining())
+    {
+        metrics_.set_key_lease(*left);
+    }
     exchange->respond({200,
                        {{"Content-Type", "text/plain; version=0.0.4"}},
                        metrics_.text()});
--- a/source/verbenacove/process/routing/route_traffic.hpp
+++ b/source/verbenacove/process/routing/route_traffic.hpp
@@ -8,6 +8,7 @@
 #include "verbenacove/process/routing/routing_view.hpp"
 #include "verbenacove/process/routing/split_chooser.hpp"
 #include "verbenacove/request/routed_request.hpp"
+#include "verbenacove/teams/key_lease_gate.hpp"
 
 #include <QHash>
 
@@ -65,6 +66,12 @@
     /** Replaces the current view. */
     void update(routing_view_ptr view);
 
+    /** Extends the time for which keys may be used. */
+    void confirm_keys(key_confirmation const& confirmation)
+    {
+        key_gate_.confirm(confirmation);
+    }
+
     /** Closes each caller connection after its next response. New connections
         are still accepted. */
     void prepare_stop() { caller_endpoint_.prepare_stop(); }
@@ -112,6 +119,7 @@
     timer_service timers_;
     timer_service::subscription probe_timer_;
     timer_service::subscription crash_report_timer_;
+    timer_service::subscription lease_log_timer_;
     entry_metrics metrics_;
     quarantine request_quarantine_;
     listener calls_;
@@ -124,6 +132,7 @@
     process_load_meter load_meter_;
     split_chooser split_chooser_;
     routing_view_ptr view_ = std::make_shared<routing_view const>();
+    key_lease_gate key_gate_;
     bool is_refusing_ = false;
     QHash<service_name, std::shared_ptr<routed_pool>> pools_;
     upstream_client upstream_client_;
--- a/source/verbenacove/process/routing/routing_view.hpp
+++ b/source/verbenacove/process/routing/routing_view.hpp
@@ -21,6 +21,8 @@
 {
     /** The current routes. Null until the first routes are received. */
     route_configuration_ptr routes;
+    /** The revision of these routes; -1 if there are none. */
+    qint64 routes_revision = -1;
     /** The upstreams that may receive requests, by service. */
     QHash<service_name, std::vector<pool_member>> members;
     /** The number of entries that are serving and not silent, including this
