Teams: form 4 of the log, and entries that do not read teams

Cause: an earlier build that applies a change with teams leaves them out, and so does one that an operator's call comes to; it would then serve without keys.

Change: changes with teams or public routes need form 4. One that comes before it is in use asks for it: the leader raises it as soon as all replicas that answer read it, and a majority answers, and the order is tried again. Waiting for those that do not answer, as for forms 2 and 3, would keep every configuration with teams out while one VM is down. Such a change is handed on as `team_order`, which earlier leaders do not know; from form 4 on the leader takes no change of the routes from a sender that does not say that it reads it. An entry says `teams: true` in its poll; without that a replica whose configuration has teams answers as not current and gives no routes.

--- a/source/verbenacove/process/control_server.cpp
+++ b/source/verbenacove/process/control_server.cpp
@@ -269,7 +269,19 @@
 
 void control_server::raise_form()
 {
-    auto const common = node_.common_form();
+    raise_form_to(node_.common_form());
+}
+
+void control_server::request_form(control_state::form wanted)
+{
+    if (node_.answering_form() >= static_cast<int>(wanted))
+    {
+        raise_form_to(static_cast<int>(wanted));
+    }
+}
+
+void control_server::raise_form_to(int common)
+{
     if (is_raising_form_ || common <= static_cast<int>(state_.used_form()))
     {
         return;
--- a/source/verbenacove/process/control_server.hpp
+++ b/source/verbenacove/process/control_server.hpp
@@ -54,6 +54,11 @@
         @see raft_node::propose */
     void submit(QCborMap command, raft_node::proposal_callback done);
 
+    /** On the leader, puts a form into use if all replicas that answer can read
+        it; for a change that cannot be proposed in an earlier one.
+        @see raft_node::answering_form */
+    void request_form(control_state::form wanted);
+
     /** Calls another replica. */
     void call(socket_address const& to, QCborMap request, milliseconds timeout,
               raft_transport::callback done);
@@ -107,6 +112,7 @@
     /** On the leader, puts the latest form into use that all replicas can
         read. */
     void raise_form();
+    void raise_form_to(int common);
     void handle_grants(QCborMap const& request, reply_function const& reply);
     void abandon_former(QCborMap const& request);
     void schedule_flush();
--- a/source/verbenacove/process/control_state.cpp
+++ b/source/verbenacove/process/control_state.cpp
@@ -53,7 +53,8 @@
 QCborMap control_state::route_command(route_change const& change, form used)
 {
     bool const is_small =
-        change.routes.size() + change.services.size() <= maximum_plain_items;
+        change.routes.size() + change.services.size() + change.teams.size() <=
+        maximum_plain_items;
     if (is_small || used < form::packed_routes)
     {
         return {{route_key, to_cbor(change)}};
@@ -78,6 +79,26 @@
     return change ? QCborMap{{route_key, *change}} : command;
 }
 
+control_state::form control_state::lowest_form(QCborMap const& command)
+{
+    if (!is_route_command(command))
+    {
+        return form::first;
+    }
+    auto const packed = command.value(packed_route_key).toByteArray();
+    auto const change = command.contains(route_key)
+                            ? command.value(route_key).toMap()
+                            : unpack_cbor(packed).value_or(QCborMap());
+    auto const routes = cbor_array(change, "routes");
+    bool const has_public_route =
+        std::any_of(routes.begin(), routes.end(),
+                    [](QCborValue const& route)
+                    { return cbor_flag(route.toMap(), "public"); });
+    return has_public_route || change.contains(QLatin1String("teams"))
+               ? form::teams
+               : form::first;
+}
+
 bool control_state::is_route_command(QCborMap const& command)
 {
     return command.contains(route_key) || command.contains(packed_route_key);
--- a/source/verbenacove/process/control_state.hpp
+++ b/source/verbenacove/process/control_state.hpp
@@ -34,7 +34,10 @@
         /** Evacuation orders are counted, and name the count at a time when
             their caller was still waiting. */
         counted_orders = 3,
-        latest = counted_orders
+        /** Changes of the routes have teams and public routes, which earlier
+            builds would leave out. */
+        teams = 4,
+        latest = teams
     };
 
     /** Returns the log command that puts a form into use. */
@@ -53,6 +56,9 @@
     /** Returns a command of an operator in a form that may be used. */
     static QCborMap in_form(QCborMap const& command, form used);
 
+    /** Returns the lowest form in which a command may be proposed. */
+    static form lowest_form(QCborMap const& command);
+
     /** Returns whether a log command is a change of the routes. */
     static bool is_route_command(QCborMap const& command);
 
--- a/source/verbenacove/process/discovery/discovery_service.cpp
+++ b/source/verbenacove/process/discovery/discovery_service.cpp
@@ -153,6 +153,14 @@
     return elapsed(created_, now) > sole_replica_timeout;
 }
 
+bool discovery_service::is_current_for(QCborMap const& request) const
+{
+    bool const reads_all = cbor_flag(request, "replica") ||
+                           cbor_flag(request, "teams") ||
+                           server_.state().routes().current()->teams.isEmpty();
+    return reads_all && is_current();
+}
+
 std::optional<location>
 discovery_service::location_of(socket_address const& replica) const
 {
@@ -231,14 +239,15 @@
 {
     bool const has_older_routes = cbor_number(reader.request, "routes", -1) <
                                   server_.state().routes().revision();
+    bool const is_current = is_current_for(reader.request);
     // An entry must learn that this replica lost its leader, to read another
     // one.
     bool const is_leader_contact_changed =
         !cbor_flag(reader.request, "replica") &&
-        cbor_flag(reader.request, "current") != is_current();
+        cbor_flag(reader.request, "current") != is_current;
     return !membership_.is_known(reader.position) ||
            cbor_flag(reader.request, "replicas_only") ||
-           (has_older_routes && is_current()) || is_leader_contact_changed ||
+           (has_older_routes && is_current) || is_leader_contact_changed ||
            clock_.now() >= reader.deadline;
 }
 
@@ -278,13 +287,14 @@
         response[QLatin1String("vouched")] = vouched_replicas(reader.view.lost);
         response[QLatin1String("sends_vouched_only")] = true;
     }
-    response[QLatin1String("current")] = is_current();
+    bool const is_current = is_current_for(reader.request);
+    response[QLatin1String("current")] = is_current;
     response[QLatin1String("settled")] =
         settling_.is_settled() && !isolated_since_;
     auto const& routes = server_.state().routes();
     bool const has_older_routes =
         cbor_number(reader.request, "routes", -1) < routes.revision();
-    if (!is_replica && has_older_routes && is_current())
+    if (!is_replica && has_older_routes && is_current)
     {
         QCborArray evacuated;
         for (auto const& zone : routes.evacuated())
@@ -321,7 +331,7 @@
     auto const& request = reader.request;
     // An entry that looks for a replica with a leader would receive the view of
     // each one without over its narrow link.
-    if (cbor_flag(request, "brief") && !is_current())
+    if (cbor_flag(request, "brief") && !is_current_for(request))
     {
         return {};
     }
--- a/source/verbenacove/process/discovery/discovery_service.hpp
+++ b/source/verbenacove/process/discovery/discovery_service.hpp
@@ -149,6 +149,11 @@
         reply_function reply;
     };
 
+    /** Returns whether the reader may use what this replica knows: as
+        `is_current`, but an entry that cannot read teams has to serve nothing
+       of a configuration that has some. */
+    bool is_current_for(QCborMap const& request) const;
+
     /** Departure that is not stored yet. */
     struct unstored_departure
     {
--- a/source/verbenacove/process/discovery/replica_link.cpp
+++ b/source/verbenacove/process/discovery/replica_link.cpp
@@ -164,6 +164,7 @@
             {QLatin1String("hold"), qint64{hold_time.count()}},
             {QLatin1String("packed"), true},
             {QLatin1String("packed_view"), true},
+            {QLatin1String("teams"), true},
             {QLatin1String("self"), to_cbor(self, self.last_heartbeat)}};
 }
 
--- a/source/verbenacove/process/raft_node.cpp
+++ b/source/verbenacove/process/raft_node.cpp
@@ -227,6 +227,24 @@
     return result;
 }
 
+int raft_node::answering_form() const
+{
+    auto const now = clock_.now();
+    if (!is_leader() ||
+        elapsed(majority_acknowledged(), now) >= settings_.election_timeout)
+    {
+        return 1;
+    }
+    int result = settings_.readable_form;
+    for (auto const& [id, peer] : peers_)
+    {
+        bool const is_heard =
+            elapsed(peer.acknowledged, now) < settings_.election_timeout;
+        result = is_heard ? std::min(result, peer.readable_form) : result;
+    }
+    return result;
+}
+
 bool raft_node::is_voter() const
 {
     return has_identity(members_, identity());
--- a/source/verbenacove/process/raft_node.hpp
+++ b/source/verbenacove/process/raft_node.hpp
@@ -180,6 +180,11 @@
         first one. */
     int common_form() const;
 
+    /** Returns the lowest form that a replica which answers now has told, while
+        a majority does. One that does not answer, and cannot read a form that
+       is raised, takes no part any more when it is back. */
+    int answering_form() const;
+
     /** Returns whether this replica takes no part, because it has met what a
         later build has written. */
     bool is_halted() const { return is_halted_; }
--- a/source/verbenacove/process/route_service.cpp
+++ b/source/verbenacove/process/route_service.cpp
@@ -16,6 +16,10 @@
 
 event_log const route_log{"routes"};
 
+auto const order_method = QLatin1String("order");
+/** The same for a change that earlier builds would read only in part; they do
+    not know the method. */
+auto const team_order_method = QLatin1String("team_order");
 /** Operators go to another replica after 1 s without an answer. */
 constexpr milliseconds longest_call{900};
 /** Added for each item of a change; operators wait longer for large ones. */
@@ -36,10 +40,12 @@
     : server_(server)
     , changed_(std::move(changed))
 {
-    server_.add_handler(
-        QStringLiteral("order"),
-        [this](QCborMap const& request, reply_function const& reply)
-        { handle_order(request, reply); });
+    for (auto const& method : {order_method, team_order_method})
+    {
+        server_.add_handler(
+            method, [this](QCborMap const& request, reply_function const& reply)
+            { handle_order(request, reply); });
+    }
     server_.add_handler(
         QStringLiteral("routes"),
         [this](QCborMap const& request, reply_function const& reply)
@@ -67,7 +73,8 @@
 
 void route_service::change(route_change const& change, order_callback done)
 {
-    auto const items = change.routes.size() + change.services.size();
+    auto const items =
+        change.routes.size() + change.services.size() + change.teams.size();
     order(control_state::route_command(change, server_.state().used_form()),
           change.version,
           clock_.now() + longest_call +
@@ -153,8 +160,13 @@
 {
     auto call = std::make_shared<pending_call>();
     auto const received = clock_.now();
-    call->request = {{QLatin1String("m"), QLatin1String("order")},
-                     {QLatin1String("command"), std::move(command)}};
+    bool const is_for_later_builds =
+        control_state::lowest_form(command) >= control_state::form::teams;
+    call->request = {
+        {QLatin1String("m"),
+         is_for_later_builds ? team_order_method : order_method},
+        {QLatin1String("reads"), static_cast<int>(control_state::form::latest)},
+        {QLatin1String("command"), std::move(command)}};
     call->until = until;
     call->done = [this, done = std::move(done), version, received,
                   ended = call.get()](std::optional<QCborMap> const& reply)
@@ -243,8 +255,7 @@
     if (server_.node().is_leader())
     {
         ++call->sent;
-        bool const is_order =
-            cbor_text(call->request, "m") == QLatin1String("order");
+        bool const is_order = call->request.contains(QLatin1String("command"));
         auto const own = [reply](QCborMap answer)
         {
             reply(std::move(answer));
@@ -300,6 +311,11 @@
                {QLatin1String("result"), to_cbor(refusal)}});
         return;
     }
+    if (!is_readable_by_all(request, command, form))
+    {
+        reply({{QLatin1String("status"), QLatin1String("form-not-in-use")}});
+        return;
+    }
     auto const key = key_of(command);
     auto& waiting = undecided_[key];
     if (waiting.size() >= maximum_waiting_calls)
@@ -336,6 +352,26 @@
     server_.submit(command, answer);
 }
 
+// Earlier builds leave teams out: of what they read from the log, and of what
+// operators send them.
+bool route_service::is_readable_by_all(QCborMap const& request,
+                                       QCborMap const& command,
+                                       control_state::form used)
+{
+    auto constexpr teams = control_state::form::teams;
+    if (used >= teams)
+    {
+        return !control_state::is_route_command(command) ||
+               cbor_number(request, "reads", 1) >= static_cast<int>(teams);
+    }
+    auto const lowest = control_state::lowest_form(command);
+    if (lowest > used)
+    {
+        server_.request_form(lowest);
+    }
+    return lowest <= used;
+}
+
 // An evacuation that is ordered, ended and ordered again is not one that is
 // sent again.
 QByteArray route_service::key_of(QCborMap const& command)
--- a/source/verbenacove/process/route_service.hpp
+++ b/source/verbenacove/process/route_service.hpp
@@ -95,6 +95,10 @@
     void send_evacuation(std::shared_ptr<pending_evacuation> const& order,
                          std::optional<order_count> seen);
     void handle_order(QCborMap const& request, reply_function const& reply);
+    /** Returns whether a change may be proposed, and comes from a build that
+        reads all of it; if not, asks for the form that it needs. */
+    bool is_readable_by_all(QCborMap const& request, QCborMap const& command,
+                            control_state::form used);
     /** Replies to all that have sent the same order. */
     void finish_order(QByteArray const& key, QCborMap const& answer);
     /** Returns the same key for a change that is sent again, and for each
--- a/tests/platform/platform_cluster.hpp
+++ b/tests/platform/platform_cluster.hpp
@@ -172,6 +172,22 @@
              method == "POST" ? "bale of " + id : QByteArray()});
     }
 
+    /** Sends a request with further headers. */
+    http_answer call_entry(int entry, QByteArray const& id,
+                           QByteArray const& target,
+                           QList<QByteArray> const& headers)
+    {
+        return call_http(
+            {local(entries_[static_cast<std::size_t>(entry)].callers),
+             "GET",
+             target,
+             QList<QByteArray>{"Host: g.example",
+                               "Verbenacove-Request-Id: " + id,
+                               "Verbenacove-Deadline-Ms: 2500"} +
+                 headers,
+             {}});
+    }
+
     bool serves(int entry)
     {
         static int number = 0;
--- a/tests/unit/discovery_test_tools.hpp
+++ b/tests/unit/discovery_test_tools.hpp
@@ -90,6 +90,7 @@
 
     socket_address const& address() const { return address_; }
     discovery_service& discovery() { return *discovery_; }
+    control_server& server() { return *server_; }
 
 private:
     QTemporaryDir folder_;
--- a/tests/unit/form_version_test.cpp
+++ b/tests/unit/form_version_test.cpp
@@ -114,6 +114,63 @@
     CHECK(restored.routes().evacuated().contains(zone));
 }
 
+TEST_CASE("forms: a change with teams or public routes, packed or not: needs "
+          "the form of teams; others need none")
+{
+    auto const lowest = [](route_change const& change)
+    {
+        auto const plain = control_state::lowest_form(
+            control_state::route_command(change, control_state::form::first));
+        CHECK(plain == control_state::lowest_form(control_state::route_command(
+                           change, control_state::form::latest)));
+        return plain;
+    };
+    auto const form_of_teams = control_state::form::teams;
+    auto change = large_change();
+    CHECK(is_packed(
+        control_state::route_command(change, control_state::form::latest)));
+    CHECK(lowest(change) == control_state::form::first);
+    change.routes.back().is_public = true;
+    CHECK(lowest(change) == form_of_teams);
+    change.routes.back().is_public = false;
+    team_record team;
+    team.name = team_name(QStringLiteral("wool"));
+    change.teams = {team};
+    CHECK(lowest(change) == form_of_teams);
+    change.routes.clear();
+    CHECK(lowest(change) == form_of_teams);
+    change.teams.clear();
+    change.removed_teams = {QStringLiteral("wool")};
+    CHECK(lowest(change) == control_state::form::first);
+    CHECK(control_state::lowest_form(control_state::form_command(
+              form_of_teams)) == control_state::form::first);
+}
+
+TEST_CASE("forms: teams in force: all there after a snapshot")
+{
+    control_state state;
+    state.apply(control_state::form_command(control_state::form::teams),
+                log_index(1));
+    auto change = large_change();
+    for (int number = 0; number < 100; ++number)
+    {
+        team_record team;
+        team.name = team_name(QStringLiteral("t-%1").arg(number));
+        team.key_digests = {key_digest("a" + QByteArray::number(number)),
+                            key_digest("b" + QByteArray::number(number))};
+        change.teams.push_back(team);
+    }
+    auto const command =
+        control_state::route_command(change, state.used_form());
+    CHECK(is_packed(command));
+    REQUIRE(parse_order_result(state.apply(command, log_index(2))).outcome ==
+            order_outcome::accepted);
+    control_state restored;
+    REQUIRE(restored.restore(state.snapshot()));
+    CHECK(restored.snapshot() == state.snapshot());
+    CHECK(restored.routes().current()->teams.size() == 100);
+}
+
 TEST_CASE("forms: a command or a state of a later build: cannot be read")
 {
     control_state state;
--- a/tests/unit/raft_node_test.cpp
+++ b/tests/unit/raft_node_test.cpp
@@ -1068,6 +1068,41 @@
     CHECK(cluster.elect().node->common_form() == raft_fixture::latest_form);
 }
 
+TEST_CASE("raft: replicas of several builds: the form of those that answer is "
+          "not held back by one that does not")
+{
+    raft_fixture cluster(3);
+    cluster.commit(1);
+    cluster.run(milliseconds(500));
+    auto const earlier = (cluster.index_of(&cluster.elect()) + 1) % 3;
+    cluster.stop(earlier);
+    cluster.run(milliseconds(1000));
+    auto* const leader = cluster.elect().node.get();
+    CHECK(leader->common_form() == 1);
+    CHECK(leader->answering_form() == raft_fixture::latest_form);
+    cluster.readable_forms[earlier] = 1;
+    cluster.start(earlier);
+    cluster.run(milliseconds(1000));
+    CHECK(cluster.elect().node->answering_form() == 1);
+    // Not before a majority answers, and on no follower.
+    for (int i = 0; i < 3; ++i)
+    {
+        auto const& node = cluster.replicas[std::size_t(i)]->node;
+        CHECK((node->is_leader() || node->answering_form() == 1));
+    }
+    cluster.readable_forms.clear();
+    auto const last = cluster.index_of(&cluster.elect());
+    for (int i = 0; i < 3; ++i)
+    {
+        if (i != last)
+        {
+            cluster.stop(i);
+        }
+    }
+    cluster.run(milliseconds(1000));
+    CHECK(cluster.replicas[std::size_t(last)]->node->answering_form() == 1);
+}
+
 TEST_CASE("raft: seeded cuts and restarts: what was committed stays")
 {
     for (quint64 seed = 1; seed <= 40; ++seed)
--- a/tests/unit/route_service_test.cpp
+++ b/tests/unit/route_service_test.cpp
@@ -87,14 +87,22 @@
         return *result;
     }
 
-    /** Sends an order as another replica does. */
-    std::optional<QCborMap> order_from_replica(QCborMap const& command)
+    /** Sends an order as another replica does.
+
+        @param reads  the form that it reads; 0 if it does not say it
+    */
+    std::optional<QCborMap> order_from_replica(QCborMap const& command,
+                                               int reads = 0)
     {
         rpc_client client(address());
         std::optional<std::optional<QCborMap>> response;
-        client.call({{QLatin1String("m"), QLatin1String("order")},
-                     {QLatin1String("command"), command}},
-                    milliseconds(2000),
+        QCborMap request{{QLatin1String("m"), QLatin1String("order")},
+                         {QLatin1String("command"), command}};
+        if (reads > 0)
+        {
+            request[QLatin1String("reads")] = reads;
+        }
+        client.call(request, milliseconds(2000),
                     [&](std::optional<QCborMap> const& reply)
                     { response = reply; });
         REQUIRE(wait_until([&] { return response.has_value(); }));
@@ -213,3 +221,41 @@
           order_outcome::conflict);
     CHECK(is_evacuated());
 }
+
+TEST_CASE_FIXTURE(route_service_fixture,
+                  "route service: a change with teams comes before its form is "
+                  "in use: it is raised, and the change accepted")
+{
+    CHECK_FALSE(has_latest_form());
+    auto change = large_change();
+    team_record team;
+    team.name = team_name(QStringLiteral("wool"));
+    change.teams = {team};
+    send(change);
+    // Sooner than the form is raised by itself.
+    CHECK(wait_until([&] { return accepted == 1; }, milliseconds(900)));
+    CHECK(has_latest_form());
+    CHECK(server->state().routes().current()->teams.size() == 1);
+}
+
+// It would have left out teams that an operator sent it.
+TEST_CASE_FIXTURE(route_service_fixture,
+                  "route service: a change from a replica of an earlier build "
+                  "once the form of teams is in use: not proposed")
+{
+    REQUIRE(wait_until([&] { return has_latest_form(); }));
+    auto const command = control_state::route_command(
+        large_change(), server->state().used_form());
+    for (int const reads : {0, 3})
+    {
+        auto const reply = order_from_replica(command, reads);
+        REQUIRE(reply);
+        CHECK(cbor_text(*reply, "status") != QLatin1String("ok"));
+    }
+    CHECK(server->state().routes().current()->version == route_version(0));
+    auto const reply = order_from_replica(
+        command, static_cast<int>(control_state::form::teams));
+    REQUIRE(reply);
+    CHECK(cbor_text(*reply, "status") == QLatin1String("ok"));
+    CHECK(server->state().routes().current()->version == route_version(7));
+}
--- a/tests/unit/team_key_test.cpp
+++ b/tests/unit/team_key_test.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <QCborArray>
+
 #include <string>
 
 using namespace verbenacove;
