--- a/source/verbenacove/process/control_server.cpp
+++ b/source/verbenacove/process/control_server.cpp
@@ -29,13 +29,15 @@
     return cbor_text(request, "m").startsWith(QLatin1String("raft."));
 }
 
-/** Returns whether a call goes before others: those of the replicated log, and
-    orders that another replica hands on. */
+/** Returns whether a call goes before others: those of the replicated log,
+    orders that another replica hands on, and questions whose answers limit how
+    long keys may be used. */
 bool is_urgent(QCborMap const& request)
 {
     auto const name = cbor_text(request, "m");
     return is_consensus(request) || name == QLatin1String("order") ||
-           name == QLatin1String("routes") || name == QLatin1String("push");
+           name == QLatin1String("routes") || name == QLatin1String("push") ||
+           name == QLatin1String("confirmation");
 }
 
 raft_settings seeded(raft_settings settings)
@@ -269,7 +271,19 @@
 
 void control_server::raise_form()
 {
-    auto const common = node_.common_form();
+    raise_form_to(node_.common_form());
+}
+
+void control_server::request_form(control_state::form wanted)
+{
+    if (node_.answering_form() >= static_cast<int>(wanted))
+    {
+        raise_form_to(static_cast<int>(wanted));
+    }
+}
+
+void control_server::raise_form_to(int common)
+{
     if (is_raising_form_ || common <= static_cast<int>(state_.used_form()))
     {
         return;
