Load header of four figures: the time that work takes now, and stages of attempts in the logs

read_load took exactly three figures and dropped the header where upstreams send a fourth, so no upstream's load was known there. The fourth figure is decoded into upstream_load::work_factor and scales the expected processing time; it changes several times a second, so its deviation from 1 halves every 250 ms. A load that cannot be read is left out as before, and counted now (entry.load, metric verbenacove_entry_unreadable_loads).

request.attempt tells connect_ms, first_byte_ms and work_percent, request.ended body_bytes and read_ms.

--- a/source/verbenacove/connection/http_connection.cpp
+++ b/source/verbenacove/connection/http_connection.cpp
@@ -267,6 +267,7 @@
     if (!parser_)
     {
         parser_ = std::make_unique<http_request_parser>(limits_);
+        reading_since_ = std::chrono::steady_clock::now();
     }
     input_.remove(0, parser_->put(input_));
     auto const state = parser_->state();
@@ -344,6 +345,8 @@
     slot.body_bytes = parser_->body_bytes();
     auto request = parser_->take_request();
     request.remote = socket_->peerAddress();
+    request.reading_time =
+        elapsed(reading_since_, std::chrono::steady_clock::now());
     slot.form.is_head = request.method == "HEAD";
     auto exchange = std::make_shared<http_exchange>(
         std::move(request), this, first_sequence_ + pending_.size());
--- a/source/verbenacove/connection/http_connection.hpp
+++ b/source/verbenacove/connection/http_connection.hpp
@@ -151,6 +151,8 @@
     qint64 held_bytes_ = 0;
     progress phase_ = progress::nothing;
     monotonic_time phase_start_;
+    /** When the first byte of the request on its way was read. */
+    monotonic_time reading_since_{};
     std::optional<monotonic_time> unsent_since_;
     bool is_reading_ = false;
     bool awaits_input_ = false;
--- a/source/verbenacove/connection/http_message.hpp
+++ b/source/verbenacove/connection/http_message.hpp
@@ -5,6 +5,7 @@
 #include <QByteArrayView>
 #include <QHostAddress>
 
+#include <chrono>
 #include <vector>
 
 namespace verbenacove
@@ -58,6 +59,8 @@
     QByteArray body;
     /** The caller's address. */
     QHostAddress remote;
+    /** Time from its first byte to its last, as they were read. */
+    std::chrono::milliseconds reading_time{0};
 
     /** Returns a header's value; the name's case does not matter. */
     QByteArray header(QByteArrayView name) const;
--- a/source/verbenacove/connection/upstream_attempt.cpp
+++ b/source/verbenacove/connection/upstream_attempt.cpp
@@ -251,6 +251,7 @@
     auto& self = *static_cast<upstream_attempt*>(attempt);
     auto const length = size * count;
     self.last_progress_ = std::chrono::steady_clock::now();
+    self.response_begun_ = self.response_begun_.value_or(self.last_progress_);
     bool const is_taken =
         self.take_header_line({bytes, static_cast<qsizetype>(length)});
     return is_taken ? length : 0;
@@ -299,6 +300,7 @@
     result.end = end_of(code);
     result.reason = reason_of(code);
     result.connected = connected_;
+    result.response_begun = response_begun_;
     if (result.end == attempt_end::answered)
     {
         result.response = answer_.take_response();
@@ -366,6 +368,7 @@
     result.end = end;
     result.reason = reason;
     result.connected = connected_;
+    result.response_begun = response_begun_;
     result.duration = elapsed(start_, now);
     answer_.take_response();
     count_held_bytes(0);
--- a/source/verbenacove/connection/upstream_attempt.hpp
+++ b/source/verbenacove/connection/upstream_attempt.hpp
@@ -122,6 +122,8 @@
     monotonic_time connecting_since_{};
     /** When a new connection was open. */
     std::optional<monotonic_time> connected_;
+    /** When the first byte of the answer came. */
+    std::optional<monotonic_time> response_begun_;
     bool is_foreign_response_ = false;
     monotonic_time last_progress_;
 };
--- a/source/verbenacove/connection/upstream_client.hpp
+++ b/source/verbenacove/connection/upstream_client.hpp
@@ -91,6 +91,8 @@
     QString reason;
     /** When a new connection was opened for it, whatever came of it. */
     std::optional<monotonic_time> connected = std::nullopt;
+    /** When the first byte of the answer came. */
+    std::optional<monotonic_time> response_begun = std::nullopt;
     /** How long it took. */
     milliseconds duration{0};
 };
--- a/source/verbenacove/process/metrics.cpp
+++ b/source/verbenacove/process/metrics.cpp
@@ -74,6 +74,8 @@
                            "Requests in hand."))
     , cut_off_(gauge(registry_, "verbenacove_entry_cut_off",
                      "1 while no upstream can be reached."))
+    , unreadable_loads_(gauge(registry_, "verbenacove_entry_unreadable_loads",
+                              "Responses with a load that could not be read."))
 {
 }
 
--- a/source/verbenacove/process/metrics.hpp
+++ b/source/verbenacove/process/metrics.hpp
@@ -47,6 +47,13 @@
     void set_state(qint64 config_version, std::size_t entries,
                    std::size_t upstreams, int open_requests);
 
+    /** Sets how many responses had a load that could not be read, since the
+        start. */
+    void set_unreadable_loads(qint64 count)
+    {
+        unreadable_loads_.Set(static_cast<double>(count));
+    }
+
     /** Sets whether the entry is cut off from all upstreams. */
     void set_cut_off(bool is_cut_off) { cut_off_.Set(is_cut_off ? 1 : 0); }
 
@@ -65,6 +72,7 @@
     prometheus::Gauge& upstreams_;
     prometheus::Gauge& open_requests_;
     prometheus::Gauge& cut_off_;
+    prometheus::Gauge& unreadable_loads_;
 };
 
 /** What a control replica shows. Metrics have the prefix
--- a/source/verbenacove/process/routing/route_traffic.cpp
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -255,6 +255,16 @@
     metrics_.count_attempts(result.service.value(), result.attempts);
 }
 
+qint64 route_traffic::unreadable_loads() const
+{
+    qint64 result = 0;
+    for (auto const& each : pools_)
+    {
+        result += each->unreadable_loads;
+    }
+    return result;
+}
+
 void route_traffic::report_load(process_load_meter::load const& used)
 {
     auto const link = link_.take_usage();
@@ -270,6 +280,7 @@
          {"link_refused", link.refused},
          {"received_bytes", link.bytes.received},
          {"sent_bytes", link.bytes.sent},
+         {"unreadable_loads", unreadable_loads()},
          {"connections", caller_endpoint_.connection_count()},
          {"woken_connections", caller_endpoint_.woken_connections()},
          {"open_requests", caller_endpoint_.open_exchanges()},
@@ -298,6 +309,7 @@
     metrics_.set_state(view_->routes ? view_->routes->version.value() : 0,
                        static_cast<std::size_t>(view_->live_entries), upstreams,
                        caller_endpoint_.open_exchanges());
+    metrics_.set_unreadable_loads(unreadable_loads());
     exchange->respond({200,
                        {{"Content-Type", "text/plain; version=0.0.4"}},
                        metrics_.text()});
--- a/source/verbenacove/process/routing/route_traffic.hpp
+++ b/source/verbenacove/process/routing/route_traffic.hpp
@@ -103,6 +103,8 @@
     void update_pool(service_name const& service,
                      std::vector<pool_member> members);
     void report_crashes();
+    /** Returns how many responses had a load that could not be read. */
+    qint64 unreadable_loads() const;
     void record_result(routed_request_result const& result);
     void report_load(process_load_meter::load const& used);
 
--- a/source/verbenacove/request/route_header_codec.hpp
+++ b/source/verbenacove/request/route_header_codec.hpp
@@ -31,6 +31,10 @@
     int waiting = 0;
     /** Number of requests that can run at once. */
     int slots = 0;
+    /** How long work takes there now, as a multiple of the usual time; absent
+       if not sent. An upstream may share its machine with others, so this
+       changes many times a second. */
+    std::optional<double> work_factor = std::nullopt;
 };
 
 /** Steering information that an upstream sends with a response. */
@@ -45,6 +49,8 @@
     /** Id of the upstream that responded; empty if not sent. */
     upstream_id responder;
     std::optional<upstream_load> load;
+    /** True if the upstream sent a load that cannot be read. */
+    bool is_load_unreadable = false;
     /** Remaining cold-start time, during which the upstream can handle only few
         requests; sent in responses to probes. */
     std::optional<milliseconds> cold_start_remaining;
--- a/source/verbenacove/request/routed_pool.hpp
+++ b/source/verbenacove/request/routed_pool.hpp
@@ -58,6 +58,8 @@
     response_size_average response_size;
     upstream_pool upstreams;
     retry_budget retries;
+    /** Number of responses with a load that could not be read. */
+    qint64 unreadable_loads = 0;
 
 private:
     double retry_slack_;
--- a/source/verbenacove/request/routed_request.cpp
+++ b/source/verbenacove/request/routed_request.cpp
@@ -321,18 +321,21 @@
     has_ended_ = true;
     retry_timer_.cancel();
     auto const duration = elapsed(arrival_time_, services_.clock.now());
-    request_log.note("request.ended",
-                     {{"request", QString::fromLatin1(metadata_.id)},
-                      {"route", route_.name},
-                      {"service", pool_->service.value()},
-                      {"version", version_.value()},
-                      {"status", response.status},
-                      {"reason", QLatin1String(reason)},
-                      {"verdict", QString::fromLatin1(verdict_word(verdict))},
-                      {"relayed_from_entry", relayed_from_.has_value()},
-                      {"attempts", sent_attempts_},
-                      {"took_ms", qint64{duration.count()}},
-                      {"left_ms", qint64{time_left().count()}}});
+    request_log.note(
+        "request.ended",
+        {{"request", QString::fromLatin1(metadata_.id)},
+         {"route", route_.name},
+         {"service", pool_->service.value()},
+         {"version", version_.value()},
+         {"status", response.status},
+         {"reason", QLatin1String(reason)},
+         {"verdict", QString::fromLatin1(verdict_word(verdict))},
+         {"relayed_from_entry", relayed_from_.has_value()},
+         {"attempts", sent_attempts_},
+         {"body_bytes", exchange_->request().body.size()},
+         {"read_ms", qint64{exchange_->request().reading_time.count()}},
+         {"took_ms", qint64{duration.count()}},
+         {"left_ms", qint64{time_left().count()}}});
     span_.end();
     auto const bytes = size_of(response.headers) + response.body.size();
     bool const is_from_upstream = verdict == run_verdict::ran;
--- a/source/verbenacove/request/routed_request.hpp
+++ b/source/verbenacove/request/routed_request.hpp
@@ -127,6 +127,15 @@
         process_evidence process = process_evidence::none;
     };
 
+    /** When an attempt reached its stages; absent if it did not. */
+    struct attempt_stages
+    {
+        /** When a new connection was open. */
+        std::optional<monotonic_time> connected;
+        /** When the first byte of the response came. */
+        std::optional<monotonic_time> response_begun;
+    };
+
     routed_request(routed_request_services const& services,
                    std::shared_ptr<http_exchange> exchange,
                    request_metadata metadata, request_destination destination);
@@ -197,6 +206,7 @@
     monotonic_time arrival_time_{};
     monotonic_time deadline_{};
     std::optional<pool_choice> choice_;
+    attempt_stages stages_;
     std::optional<upstream_client::attempt_id> running_attempt_;
     /** Set if another entry has relayed the request to this one. */
     std::optional<relay_request> relayed_from_;
--- a/source/verbenacove/request/routed_request_attempt.cpp
+++ b/source/verbenacove/request/routed_request_attempt.cpp
@@ -17,6 +17,22 @@
 constexpr int lowest_server_error = 500;
 constexpr int misdirected_status = 421;
 
+/** Returns the time since the start in milliseconds, or -1 without an end. */
+qint64 time_to(std::optional<monotonic_time> end, monotonic_time start)
+{
+    return end ? qint64{elapsed(start, *end).count()} : -1;
+}
+
+/** Returns the reported time that work takes, in percent of the usual, or -1
+    if there is none. */
+int work_percent(std::optional<upstream_load> const& load)
+{
+    constexpr double whole = 100;
+    return load && load->work_factor
+               ? static_cast<int>(*load->work_factor * whole)
+               : -1;
+}
+
 bool is_success(int status)
 {
     return status >= 200 && status < 300;
@@ -120,6 +136,7 @@
 void routed_request::handle_result(attempt_result result)
 {
     running_attempt_.reset();
+    stages_ = {result.connected, result.response_begun};
     if (auto const id = std::exchange(cut_off_callback_, std::nullopt))
     {
         services_.reachability.remove(*id);
@@ -289,6 +306,8 @@
             : crashes.ended(*number);
     }
     attempt_span_.end();
+    auto const stages = std::exchange(stages_, {});
+    pool_->unreadable_loads += report.response.is_load_unreadable ? 1 : 0;
     auto const& load = report.response.load;
     auto const& named_limit = report.response.rate_limit;
     auto const& rate_limit = choice->member.rate_limit;
@@ -307,8 +326,11 @@
          {"work", static_cast<qint64>(choice->recency.value())},
          {"expected_ms", qint64{choice->expected.count()}},
          {"load", load ? load->running + load->waiting : -1},
+         {"work_percent", work_percent(load)},
          {"named_limit", named_limit ? named_limit->value() : -1},
          {"rate_share", rate_limit ? rate_limit->share.value() : -1},
+         {"connect_ms", time_to(stages.connected, choice->started)},
+         {"first_byte_ms", time_to(stages.response_begun, choice->started)},
          {"took_ms",
           qint64{elapsed(choice->started, services_.clock.now()).count()}}});
 }
--- a/source/verbenacove/request/upstream_monitor.cpp
+++ b/source/verbenacove/request/upstream_monitor.cpp
@@ -34,6 +34,9 @@
 constexpr milliseconds probe_interval{500};
 /** The half-life of the reported load of other entries. */
 constexpr double load_half_life_ms = 600;
+/** The half-life of the deviation of the reported work factor from 1. Others on
+    the upstream's machine change it several times a second. */
+constexpr double work_factor_half_life_ms = 250;
 
 double decay(monotonic_time from, monotonic_time to, double half_life_ms)
 {
@@ -113,6 +116,14 @@
 {
     load_of_others_ = std::max(0, load.running + load.waiting - in_flight_);
     load_at_ = now;
+    work_factor_ = std::clamp(load.work_factor.value_or(1), 1 / maximum_ratio,
+                              maximum_ratio);
+}
+
+double upstream_monitor::work_factor(monotonic_time now) const
+{
+    return 1 +
+           (work_factor_ - 1) * decay(load_at_, now, work_factor_half_life_ms);
 }
 
 double upstream_monitor::load(monotonic_time now) const
--- a/source/verbenacove/request/upstream_monitor.hpp
+++ b/source/verbenacove/request/upstream_monitor.hpp
@@ -55,6 +55,11 @@
         decays with time. */
     double load(monotonic_time now) const;
 
+    /** Returns how long work takes at the upstream now, as a multiple of its
+        usual time. It is what the upstream reported last and decays to 1 within
+        about a second, because the figure is as old as the report. */
+    double work_factor(monotonic_time now) const;
+
     int in_flight() const { return in_flight_; }
 
     /** Returns the ratio of the upstream's response times to those expected at
@@ -106,6 +111,7 @@
     std::optional<monotonic_time> last_used_;
     /** The requests of other entries when the load was last reported. */
     double load_of_others_ = 0;
+    double work_factor_ = 1;
     monotonic_time load_at_{};
 };
 
--- a/source/verbenacove/request/upstream_pool.cpp
+++ b/source/verbenacove/request/upstream_pool.cpp
@@ -187,7 +187,8 @@
     double const load = monitor.load(now);
     auto const objective = static_cast<double>(query.objective.count());
     double const processing_ms =
-        averages_.average_ms(result.recency, objective) * monitor.slowness(now);
+        averages_.average_ms(result.recency, objective) *
+        monitor.slowness(now) * monitor.work_factor(now);
     double const queue_ms =
         std::max(0.0, load + 1 - slots) / slots * processing_ms;
     double const crowding = crowding_ms * std::min(1.0, load / slots);
--- a/tests/platform/platform_documents_test.cpp
+++ b/tests/platform/platform_documents_test.cpp
@@ -340,16 +340,39 @@
     CHECK(metadata.cold_start_remaining == milliseconds(901));
 }
 
-TEST_CASE("platform dialect: a load that cannot be: left out")
+TEST_CASE("platform dialect: a load that cannot be: left out and marked")
 {
     platform_dialect const dialect;
-    for (char const* const load : {"-1,0,4", "2147483647,2147483647,4", "1,2",
-                                   "1,2,x", "99999999999,0,4"})
+    for (char const* const load :
+         {"-1,0,4", "2147483647,2147483647,4", "1,2", "1,2,x",
+          "99999999999,0,4", "1,0,4,x", "1,0,4,", "1,0,4,-5", "1,0,4,0",
+          "1,0,4,nan", "1,0,4,1e9", "1,0,4,100,7"})
     {
         http_response const response{
             200, {{"Verbenacove-Backend-Load", load}}, {}};
         CHECK_FALSE(dialect.read_response(response).load);
+        CHECK(dialect.read_response(response).is_load_unreadable);
     }
+    CHECK_FALSE(dialect.read_response({}).is_load_unreadable);
+}
+
+TEST_CASE("platform dialect: a load of four figures: the time work takes read")
+{
+    platform_dialect const dialect;
+    http_response response;
+    response.headers = {{"Verbenacove-Backend-Load", "3, 1, 6, 250"}};
+    auto const four = dialect.read_response(response);
+    REQUIRE(four.load);
+    CHECK(four.load->running == 3);
+    CHECK(four.load->waiting == 1);
+    CHECK(four.load->slots == 6);
+    REQUIRE(four.load->work_factor);
+    CHECK(*four.load->work_factor == doctest::Approx(2.5));
+    CHECK_FALSE(four.is_load_unreadable);
+    response.headers = {{"Verbenacove-Backend-Load", "3,1,6"}};
+    auto const three = dialect.read_response(response);
+    REQUIRE(three.load);
+    CHECK_FALSE(three.load->work_factor);
 }
 
 TEST_CASE("platform dialect: outgoing headers: replaced, not added twice")
