Large request bodies go to upstreams in slices, so that short messages get between

A body of 60 KB that is written at once keeps a link of 3 Mbit/s for 160 ms, and every connection, request and response behind it waits: attempts needed 39 ms on average to connect, and 131 of 2,265 ended in a connect time-out of 300 ms, which also ejected a sound upstream. body_pacer lets all large bodies together have 0.9 of the link's rate, in slices of 4 to 6 KB; it is in force where the link's rate is set.

--- a/source/verbenacove/connection/upstream_attempt.cpp
+++ b/source/verbenacove/connection/upstream_attempt.cpp
@@ -41,12 +41,14 @@
 upstream_attempt::upstream_attempt(attempt_request request,
                                    upstream_client::callback call,
                                    upstream_sockets& sockets,
-                                   response_memory& memory, monotonic_time now)
+                                   response_memory& memory, body_pacer* pacer,
+                                   monotonic_time now)
     : request_(std::move(request))
     , call_(std::move(call))
     , start_(now)
     , sockets_(sockets)
     , memory_(memory)
+    , pacer_(pacer)
     , answer_(request_.method == "HEAD", request_.maximum_response_bytes)
     , handle_(curl_easy_init())
     , last_progress_(now)
@@ -133,8 +135,16 @@
     if (sends_length)
     {
         curl_easy_setopt(handle_, CURLOPT_POST, 1L);
-        curl_easy_setopt(handle_, CURLOPT_POSTFIELDS,
-                         request_.body.constData());
+        if (is_paced())
+        {
+            curl_easy_setopt(handle_, CURLOPT_READFUNCTION, &give_body);
+            curl_easy_setopt(handle_, CURLOPT_READDATA, this);
+        }
+        else
+        {
+            curl_easy_setopt(handle_, CURLOPT_POSTFIELDS,
+                             request_.body.constData());
+        }
         curl_easy_setopt(handle_, CURLOPT_POSTFIELDSIZE_LARGE,
                          static_cast<curl_off_t>(request_.body.size()));
     }
@@ -240,11 +250,53 @@
 void upstream_attempt::use_new_connection(monotonic_time now)
 {
     held_back_ = hold_back::none;
+    given_bytes_ = 0;
+    waits_for_slice_ = false;
     curl_easy_setopt(handle_, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(handle_, CURLOPT_TIMEOUT_MS,
                      timeout_ms(request_.time_left - elapsed(start_, now)));
 }
 
+bool upstream_attempt::is_paced() const
+{
+    return pacer_ != nullptr &&
+           request_.body.size() > body_pacer::short_body_bytes;
+}
+
+size_t upstream_attempt::give_body(char* buffer, size_t size, size_t count,
+                                   void* attempt)
+{
+    return static_cast<upstream_attempt*>(attempt)->next_slice(buffer,
+                                                               size * count);
+}
+
+size_t upstream_attempt::next_slice(char* buffer, size_t size)
+{
+    auto const left = std::min(request_.body.size() - given_bytes_,
+                               static_cast<qint64>(size));
+    if (left == 0)
+    {
+        return 0;
+    }
+    auto const due = pacer_->take(left, std::chrono::steady_clock::now());
+    waits_for_slice_ = due == 0;
+    if (waits_for_slice_)
+    {
+        return CURL_READFUNC_PAUSE;
+    }
+    std::copy_n(request_.body.constData() + given_bytes_, due, buffer);
+    given_bytes_ += due;
+    return static_cast<size_t>(due);
+}
+
+void upstream_attempt::continue_body()
+{
+    if (std::exchange(waits_for_slice_, false))
+    {
+        curl_easy_pause(handle_, CURLPAUSE_CONT);
+    }
+}
+
 size_t upstream_attempt::take_header(char* bytes, size_t size, size_t count,
                                      void* attempt)
 {
--- a/source/verbenacove/connection/upstream_attempt.hpp
+++ b/source/verbenacove/connection/upstream_attempt.hpp
@@ -1,6 +1,7 @@
 #ifndef VERBENACOVE_CONNECTION_UPSTREAM_ATTEMPT_HPP
 #define VERBENACOVE_CONNECTION_UPSTREAM_ATTEMPT_HPP
 
+#include "verbenacove/connection/body_pacer.hpp"
 #include "verbenacove/connection/upstream_answer.hpp"
 #include "verbenacove/connection/upstream_client.hpp"
 #include "verbenacove/connection/upstream_sockets.hpp"
@@ -33,10 +34,12 @@
 
         @param sockets  must outlive all connections of the multi interface
         @param memory   counts what the response takes; must outlive the attempt
+        @param pacer    paces a large body; null to send it at once; must
+                        outlive the attempt
     */
     upstream_attempt(attempt_request request, upstream_client::callback call,
                      upstream_sockets& sockets, response_memory& memory,
-                     monotonic_time now);
+                     body_pacer* pacer, monotonic_time now);
     ~upstream_attempt();
     upstream_attempt(upstream_attempt const&) = delete;
     upstream_attempt& operator=(upstream_attempt const&) = delete;
@@ -71,6 +74,9 @@
     /** Returns true when an answer has begun and then stood still. */
     bool is_stalled(monotonic_time now) const;
 
+    /** Lets a paced body go on; does nothing if it does not wait. */
+    void continue_body();
+
     /** Calls back with the result. */
     void call_back(attempt_result result);
 
@@ -89,6 +95,10 @@
     static int close_socket(void* sockets, curl_socket_t socket);
     static int before_send(void* attempt, char* remote_host, char* local_host,
                            int remote_port, int local_port);
+    static size_t give_body(char* buffer, size_t size, size_t count,
+                            void* attempt);
+    size_t next_slice(char* buffer, size_t size);
+    bool is_paced() const;
     static size_t take_header(char* bytes, size_t size, size_t count,
                               void* attempt);
     static size_t take_body(char* bytes, size_t size, size_t count,
@@ -109,6 +119,11 @@
     monotonic_time const start_;
     upstream_sockets& sockets_;
     response_memory& memory_;
+    body_pacer* pacer_;
+    /** Bytes of a paced body that have been handed to libcurl. */
+    qint64 given_bytes_ = 0;
+    /** Whether a paced body waits for its next slice. */
+    bool waits_for_slice_ = false;
     upstream_answer answer_;
     /** What is counted in `memory_`. */
     qint64 held_bytes_ = 0;
--- a/source/verbenacove/connection/upstream_client.cpp
+++ b/source/verbenacove/connection/upstream_client.cpp
@@ -73,13 +73,20 @@
     core(core const&) = delete;
     core& operator=(core const&) = delete;
 
+    void pace_bodies(double link_bytes_per_second)
+    {
+        pacer_.emplace(link_bytes_per_second);
+        slice_timer_ = timers_.call_every(pacer_->slice_time(),
+                                          [this] { continue_bodies(); });
+    }
+
     attempt_id start(attempt_request request, callback call)
     {
         attempt_id const id(++last_id_);
         bool const has_time = request.time_left.count() > 0;
         auto attempt = std::make_unique<upstream_attempt>(
             std::move(request), std::move(call), open_sockets_, memory_,
-            clock_.now());
+            pacer_ ? &*pacer_ : nullptr, clock_.now());
         auto& started = *attempt;
         attempts_.emplace(id.value(), std::move(attempt));
         if (attempts_.size() > maximum_attempts)
@@ -250,6 +257,18 @@
         }
     }
 
+    // The oldest first, so that it ends soonest.
+    void continue_bodies()
+    {
+        for (auto const& [id, attempt] : attempts_)
+        {
+            if (ids_.contains(attempt->handle()))
+            {
+                attempt->continue_body();
+            }
+        }
+    }
+
     void end_stalled()
     {
         auto const now = clock_.now();
@@ -351,6 +370,8 @@
 
     upstream_sockets open_sockets_;
     response_memory memory_;
+    std::optional<body_pacer> pacer_;
+    timer_service::subscription slice_timer_;
     QObject context_;
     QTimer timer_;
     QTimer ended_timer_;
@@ -380,6 +401,11 @@
 
 upstream_client::~upstream_client() = default;
 
+void upstream_client::pace_bodies(double link_bytes_per_second)
+{
+    core_->pace_bodies(link_bytes_per_second);
+}
+
 upstream_client::attempt_id upstream_client::start(attempt_request request,
                                                    callback call)
 {
--- a/source/verbenacove/connection/upstream_client.hpp
+++ b/source/verbenacove/connection/upstream_client.hpp
@@ -134,6 +134,13 @@
     upstream_client(upstream_client const&) = delete;
     upstream_client& operator=(upstream_client const&) = delete;
 
+    /** Paces large request bodies, so that short messages on the same link do
+        not wait behind them. To be called before the first attempt.
+
+        @param link_bytes_per_second  rate of the link; above 0
+    */
+    void pace_bodies(double link_bytes_per_second);
+
     /** Starts an attempt.
 
         @param call  called exactly once, never from within start
--- a/source/verbenacove/process/routing/route_traffic.cpp
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -20,6 +20,7 @@
 /** The interval between crash reports. Crashes within one interval are
     reported together. */
 constexpr milliseconds crash_report_interval{250};
+constexpr double bytes_per_megabit = 125000;
 /** The retry delay that a 503 response asks of the caller. */
 constexpr milliseconds refusal_delay{250};
 
@@ -62,6 +63,11 @@
 
 QString route_traffic::start()
 {
+    if (settings_.link)
+    {
+        upstream_client_.pace_bodies(settings_.link->value() *
+                                     bytes_per_megabit);
+    }
     struct endpoint
     {
         http_server& server;
