--- a/source/verbenacove/process/metrics.hpp
+++ b/source/verbenacove/process/metrics.hpp
@@ -50,6 +50,13 @@
     void set_state(qint64 config_version, std::size_t entries,
                    std::size_t upstreams, int open_requests);
 
+    /** Sets how many responses had a load that could not be read, since the
+        start. */
+    void set_unreadable_loads(qint64 count)
+    {
+        unreadable_loads_.Set(static_cast<double>(count));
+    }
+
     /** Sets whether the entry is cut off from all upstreams. */
     void set_cut_off(bool is_cut_off) { cut_off_.Set(is_cut_off ? 1 : 0); }
 
@@ -73,6 +80,7 @@
     prometheus::Gauge& upstreams_;
     prometheus::Gauge& open_requests_;
     prometheus::Gauge& cut_off_;
+    prometheus::Gauge& unreadable_loads_;
     /** Null before the first value. */
     prometheus::Gauge* key_lease_ = nullptr;
 };
--- a/source/verbenacove/process/routing/route_traffic.cpp
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -22,6 +22,7 @@
 constexpr milliseconds crash_report_interval{250};
 /** The interval at which the end of the lease of the keys is looked for. */
 constexpr milliseconds lease_log_interval{200};
+constexpr double bytes_per_megabit = 125000;
 /** The retry delay that a 503 response asks of the caller. */
 constexpr milliseconds refusal_delay{250};
 
@@ -65,6 +66,11 @@
 
 QString route_traffic::start()
 {
+    if (settings_.link)
+    {
+        upstream_client_.pace_bodies(settings_.link->value() *
+                                     bytes_per_megabit);
+    }
     struct endpoint
     {
         http_server& server;
@@ -303,6 +309,16 @@
     metrics_.count_attempts(result.service.value(), result.attempts);
 }
 
+qint64 route_traffic::unreadable_loads() const
+{
+    qint64 result = 0;
+    for (auto const& each : pools_)
+    {
+        result += each->unreadable_loads;
+    }
+    return result;
+}
+
 void route_traffic::report_load(process_load_meter::load const& used)
 {
     auto const link = link_.take_usage();
@@ -318,6 +334,7 @@
          {"link_refused", link.refused},
          {"received_bytes", link.bytes.received},
          {"sent_bytes", link.bytes.sent},
+         {"unreadable_loads", unreadable_loads()},
          {"connections", caller_endpoint_.connection_count()},
          {"woken_connections", caller_endpoint_.woken_connections()},
          {"open_requests", caller_endpoint_.open_exchanges()},
@@ -350,6 +367,7 @@
     {
         metrics_.set_key_lease(*left);
     }
+    metrics_.set_unreadable_loads(unreadable_loads());
     exchange->respond({200,
                        {{"Content-Type", "text/plain; version=0.0.4"}},
                        metrics_.text()});
