Allowances of teams: reports of entries, sums of replicas, 429

The decision is taken after the team of a request is known; a request that was not run gives its token back; one that another entry relayed is not counted again. Entries and replicas without teams that have allowances send nothing.

--- a/source/verbenacove/process/discovery/replica_link.cpp
+++ b/source/verbenacove/process/discovery/replica_link.cpp
@@ -132,6 +132,23 @@
     }
 }
 
+void replica_link::report_allowances(allowance_report const& report,
+                                     allowance_callback done)
+{
+    if (!current_)
+    {
+        done(std::nullopt);
+        return;
+    }
+    auto message = to_cbor(report.uses);
+    message[QLatin1String("m")] = QLatin1String("allowance");
+    // Not given up before a read, since the connection is then closed.
+    client_of(*current_).call(
+        std::move(message), hold + read_margin,
+        [done = std::move(done)](std::optional<QCborMap> const& reply)
+        { done(reply ? parse_allowance_answer(*reply) : std::nullopt); });
+}
+
 void replica_link::handle_tick()
 {
     lag_.record_tick(clock_.now());
--- a/source/verbenacove/process/discovery/replica_link.hpp
+++ b/source/verbenacove/process/discovery/replica_link.hpp
@@ -7,6 +7,7 @@
 #include "verbenacove/process/discovery/membership_view.hpp"
 #include "verbenacove/process/discovery/rate_limit_reporter.hpp"
 #include "verbenacove/process/discovery/replica_selector.hpp"
+#include "verbenacove/teams/allowance_gate.hpp"
 #include "verbenacove/version/route_configuration.hpp"
 
 #include <QHash>
@@ -72,6 +73,15 @@
         reports it to the other entries. */
     void report_rate_limit(rate_limit_report const& report);
 
+    /** Gets the answer to a report of allowances, or nothing. */
+    using allowance_callback =
+        std::function<void(std::optional<allowance_answer> const&)>;
+
+    /** Sends a report of allowances to the replica that is being read; calls
+        back once. */
+    void report_allowances(allowance_report const& report,
+                           allowance_callback done);
+
     /** Replaces the seed addresses. */
     void set_seeds(std::vector<socket_address> seeds);
 
--- a/source/verbenacove/process/metrics.cpp
+++ b/source/verbenacove/process/metrics.cpp
@@ -66,6 +66,12 @@
                          "Attempts at upstreams."))
     , key_refusals_(counters(registry_, "verbenacove_entry_key_refusals_total",
                              "Requests refused by their key, by reason."))
+    , allowance_refusals_(
+          counters(registry_, "verbenacove_entry_allowance_refusals_total",
+                   "Requests refused by their team's allowance.")
+              .Add({}))
+    , restricted_teams_(gauge(registry_, "verbenacove_entry_restricted_teams",
+                              "Teams that the leader restricts."))
     , config_version_(gauge(registry_, "verbenacove_entry_config_version",
                             "The configuration in force."))
     , entries_(gauge(registry_, "verbenacove_entry_entries",
@@ -134,6 +140,9 @@
           add("verbenacove_control_log_bytes", "The size of the log's file."))
     , serving_entries_(add("verbenacove_control_serving_entries",
                            "Entries that look-ups can return."))
+    , restricted_teams_(
+          add("verbenacove_control_restricted_teams",
+              "Teams that the leader restricts to their allowance."))
 {
 }
 
@@ -149,6 +158,7 @@
     open_claims_.Set(static_cast<double>(now.open_claims));
     log_bytes_.Set(static_cast<double>(now.log_bytes));
     serving_entries_.Set(static_cast<double>(now.serving_entries));
+    restricted_teams_.Set(static_cast<double>(now.restricted_teams));
     return metrics_text(registry_);
 }
 
--- a/source/verbenacove/process/metrics.hpp
+++ b/source/verbenacove/process/metrics.hpp
@@ -43,6 +43,13 @@
         are retries. */
     void count_attempts(QString const& service, int sent);
 
+    /** Counts a request that was refused because its team has used up its
+        allowance. */
+    void count_allowance_refusal() { allowance_refusals_.Increment(); }
+
+    /** Sets the number of teams that the leader restricts. */
+    void set_restricted_teams(int teams) { restricted_teams_.Set(teams); }
+
     /** Counts a request that was refused for what its key allows. */
     void count_key_refusal(char const* reason);
 
@@ -64,6 +71,8 @@
     prometheus::Family<prometheus::Histogram>& durations_;
     prometheus::Family<prometheus::Counter>& attempts_;
     prometheus::Family<prometheus::Counter>& key_refusals_;
+    prometheus::Counter& allowance_refusals_;
+    prometheus::Gauge& restricted_teams_;
     prometheus::Gauge& config_version_;
     prometheus::Gauge& entries_;
     prometheus::Gauge& upstreams_;
@@ -90,6 +99,8 @@
         qint64 log_bytes = 0;
         /** Entries that look-ups can return. */
         qint64 serving_entries = 0;
+        /** Teams that the replica restricts as leader. */
+        qint64 restricted_teams = 0;
     };
 
     control_metrics();
@@ -113,6 +124,7 @@
     prometheus::Gauge& open_claims_;
     prometheus::Gauge& log_bytes_;
     prometheus::Gauge& serving_entries_;
+    prometheus::Gauge& restricted_teams_;
 };
 
 } // namespace verbenacove
--- a/source/verbenacove/process/routing/replica_process.cpp
+++ b/source/verbenacove/process/routing/replica_process.cpp
@@ -173,12 +173,14 @@
     directory_ = std::make_unique<entry_directory>(*discovery_);
     routes_ = std::make_unique<route_service>(
         *server_, [this] { discovery_->routes_changed(); });
+    allowances_ = std::make_unique<allowance_service>(*server_);
     if (!server_->start())
     {
         return settings_.listen.text() + QStringLiteral(": ") +
                server_->error_text();
     }
     routes_->start();
+    allowances_->start();
     discovery_->start();
     load_reporter_.start();
     return open_endpoints(make_handlers());
@@ -347,6 +349,7 @@
     state.log_bytes = storage_->log_bytes();
     state.serving_entries =
         static_cast<qint64>(directory_->serving_entries().size());
+    state.restricted_teams = allowances_->restricted_teams();
     return metrics_.text(state);
 }
 
--- a/source/verbenacove/process/routing/replica_process.hpp
+++ b/source/verbenacove/process/routing/replica_process.hpp
@@ -7,6 +7,7 @@
 #include "verbenacove/process/route_service.hpp"
 #include "verbenacove/process/routing/entry_directory.hpp"
 #include "verbenacove/process/routing/replica_load.hpp"
+#include "verbenacove/teams/allowance_service.hpp"
 
 #include <functional>
 #include <memory>
@@ -114,6 +115,7 @@
     std::unique_ptr<control_server> server_;
     std::unique_ptr<discovery_service> discovery_;
     std::unique_ptr<route_service> routes_;
+    std::unique_ptr<allowance_service> allowances_;
     std::unique_ptr<entry_directory> directory_;
     replica_load_reporter load_reporter_{[this]
                                          {
--- a/source/verbenacove/process/routing/route_entry_process.cpp
+++ b/source/verbenacove/process/routing/route_entry_process.cpp
@@ -111,6 +111,11 @@
                         call_on_control(
                             [this, is_cut_off]
                             { handle_reachability_change(is_cut_off); });
+                    },
+                    [this](allowance_report const& report)
+                    {
+                        call_on_control([this, report]
+                                        { report_allowances(report); });
                     }});
             error = traffic_->start();
         },
@@ -174,6 +179,19 @@
         reported_outage, [this] { link_.set_reaches_upstreams(false); });
 }
 
+void route_entry_process::report_allowances(allowance_report const& report)
+{
+    link_.report_allowances(
+        report,
+        [this,
+         number = report.number](std::optional<allowance_answer> const& answer)
+        {
+            call_on_traffic(
+                [this, number, answer]
+                { traffic_->handle_allowance_answer(number, answer); });
+        });
+}
+
 std::vector<entry_view> route_entry_process::other_entries() const
 {
     std::vector<std::pair<quint64, entry_view>> order;
--- a/source/verbenacove/process/routing/route_entry_process.hpp
+++ b/source/verbenacove/process/routing/route_entry_process.hpp
@@ -57,6 +57,9 @@
 private:
     void handle_update();
     void handle_reachability_change(bool is_cut_off);
+    /** Sends a report to the control replicas, and the answer to the traffic
+        thread. */
+    void report_allowances(allowance_report const& report);
     /** Sets the entries that requests are relayed to while this one reaches no
         upstream. */
     void add_relays(routing_view& view) const;
--- a/source/verbenacove/process/routing/route_traffic.cpp
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -20,8 +20,8 @@
 /** The interval between crash reports. Crashes within one interval are
     reported together. */
 constexpr milliseconds crash_report_interval{250};
-/** The retry delay that a 503 response asks of the caller. */
-constexpr milliseconds refusal_delay{250};
+/** The interval between reports of the use of allowances. */
+constexpr milliseconds allowance_report_interval{250};
 
 /** Returns the limits of the readiness and metrics endpoints. Their clients may
     stay idle for longer than callers. */
@@ -49,6 +49,7 @@
     , path_delay_(clock_)
     , load_meter_([this](process_load_meter::load const& used)
                   { report_load(used); })
+    , allowance_gate_(QRandomGenerator::system()->generate64())
     , caller_endpoint_(settings_.limits, [this](exchange_ptr const& exchange)
                        { handle_request(exchange); })
     , readiness_endpoint_(internal_endpoint_limits(settings_),
@@ -85,12 +86,16 @@
     probe_timer_ = timers_.call_every(probe_interval, [this] { probe(); });
     crash_report_timer_ =
         timers_.call_every(crash_report_interval, [this] { report_crashes(); });
+    allowance_timer_ = timers_.call_every(allowance_report_interval,
+                                          [this] { report_allowances(); });
     return {};
 }
 
 void route_traffic::update(routing_view_ptr view)
 {
     bool const has_new_routes = view->routes != view_->routes;
+    bool const has_new_allowances =
+        has_new_routes || view->live_entries != view_->live_entries;
     view_ = std::move(view);
     if (has_new_routes && view_->routes)
     {
@@ -102,6 +107,11 @@
         team_gate_.set_configuration(*view_->routes);
         split_chooser_.keep_only(*view_->routes);
     }
+    if (has_new_allowances && view_->routes)
+    {
+        allowance_gate_.set_teams(view_->routes->teams, view_->live_entries,
+                                  clock_.now());
+    }
     relays_.set_entries(view_->relays, view_->remote_relays);
     request_quarantine_.set_trial_turns(settings_.callers.text().toUtf8(),
                                         view_->live_entries);
@@ -220,11 +230,31 @@
         refuse(exchange, metadata, 404, "no-route");
         return;
     }
-    if (auto destination = destination_of(exchange, metadata, *route))
+    auto destination = destination_of(exchange, metadata, *route);
+    if (!destination)
     {
-        routed_request::start(services(), exchange, std::move(metadata),
-                              std::move(*destination));
+        return;
     }
+    auto request_services = services();
+    // The entry that relayed a request has counted it.
+    if (!relayed && has_allowance(*destination))
+    {
+        if (!is_within_allowance(exchange, metadata, *destination->team))
+        {
+            return;
+        }
+        request_services.on_result =
+            [this, team = *destination->team](routed_request_result const& end)
+        {
+            if (end.verdict == run_verdict::not_run)
+            {
+                allowance_gate_.refund(team, clock_.now());
+            }
+            record_result(end);
+        };
+    }
+    routed_request::start(request_services, exchange, std::move(metadata),
+                          std::move(*destination));
 }
 
 std::optional<request_destination>
@@ -253,12 +283,12 @@
 
 void route_traffic::refuse(exchange_ptr const& exchange,
                            request_metadata const& metadata, int status,
-                           char const* code)
+                           char const* code, milliseconds delay)
 {
     auto response = not_run_response(status, code, "It was not run.");
-    if (status == 503)
+    if (status == 503 || status == 429)
     {
-        header_codec_.set_retry_after(response.headers, refusal_delay);
+        header_codec_.set_retry_after(response.headers, delay);
     }
     if (status == 401)
     {
@@ -329,6 +359,7 @@
     metrics_.set_state(view_->routes ? view_->routes->version.value() : 0,
                        static_cast<std::size_t>(view_->live_entries), upstreams,
                        caller_endpoint_.open_exchanges());
+    metrics_.set_restricted_teams(allowance_gate_.restricted_teams());
     exchange->respond({200,
                        {{"Content-Type", "text/plain; version=0.0.4"}},
                        metrics_.text()});
--- a/source/verbenacove/process/routing/route_traffic.hpp
+++ b/source/verbenacove/process/routing/route_traffic.hpp
@@ -9,6 +9,7 @@
 #include "verbenacove/process/routing/split_chooser.hpp"
 #include "verbenacove/request/routed_request.hpp"
 #include "verbenacove/request/team_gate.hpp"
+#include "verbenacove/teams/allowance_gate.hpp"
 
 #include <QHash>
 
@@ -41,6 +42,10 @@
         /** Called when this entry has lost or regained the path to all
             upstreams. */
         std::function<void(bool is_cut_off)> reachability;
+        /** Called with each report of the use of allowances;
+            handle_allowance_answer is then called once. May be left out:
+            there are then no reports. */
+        std::function<void(allowance_report const&)> allowances = {};
     };
 
     /** Creates the endpoints without opening them.
@@ -67,6 +72,11 @@
     /** Replaces the current view. */
     void update(routing_view_ptr view);
 
+    /** Applies the answer to a report of the use of allowances, if there is
+        one. */
+    void handle_allowance_answer(allowance_report_number number,
+                                 std::optional<allowance_answer> const& answer);
+
     /** Closes each caller connection after its next response. New connections
         are still accepted. */
     void prepare_stop() { caller_endpoint_.prepare_stop(); }
@@ -79,6 +89,9 @@
     int busy_connections() const { return caller_endpoint_.busy_connections(); }
 
 private:
+    /** Retry delay of a response that does not know a better one. */
+    static constexpr milliseconds refusal_delay{250};
+
     using exchange_ptr = std::shared_ptr<http_exchange>;
 
     void handle_request(exchange_ptr const& exchange);
@@ -87,8 +100,18 @@
     std::optional<request_destination>
     destination_of(exchange_ptr const& exchange,
                    request_metadata const& metadata, route_record const& route);
+    /** @param delay  retry delay of a 503 or 429 response */
     void refuse(exchange_ptr const& exchange, request_metadata const& metadata,
-                int status, char const* code);
+                int status, char const* code,
+                milliseconds delay = refusal_delay);
+    // Allowances; see route_traffic_allowances.cpp.
+    bool has_allowance(request_destination const& destination) const;
+    /** Refuses a request of a team that has used up its allowance; returns
+        whether it is admitted. */
+    bool is_within_allowance(exchange_ptr const& exchange,
+                             request_metadata const& metadata,
+                             team_name const& team);
+    void report_allowances();
     void handle_readiness(exchange_ptr const& exchange);
     void handle_metrics(exchange_ptr const& exchange);
     void apply_limits();
@@ -119,6 +142,7 @@
     timer_service timers_;
     timer_service::subscription probe_timer_;
     timer_service::subscription crash_report_timer_;
+    timer_service::subscription allowance_timer_;
     entry_metrics metrics_;
     quarantine request_quarantine_;
     listener calls_;
@@ -131,6 +155,9 @@
     process_load_meter load_meter_;
     split_chooser split_chooser_;
     team_gate team_gate_;
+    allowance_gate allowance_gate_;
+    /** Whether the answer to a report of allowances has not come yet. */
+    bool is_reporting_allowances_ = false;
     routing_view_ptr view_ = std::make_shared<routing_view const>();
     bool is_refusing_ = false;
     QHash<service_name, std::shared_ptr<routed_pool>> pools_;
--- /dev/null
+++ b/source/verbenacove/process/routing/route_traffic_allowances.cpp
@@ -0,0 +1,51 @@
+#include "verbenacove/core/stable_hash.hpp"
+#include "verbenacove/process/routing/route_traffic.hpp"
+
+namespace verbenacove
+{
+
+bool route_traffic::has_allowance(request_destination const& destination) const
+{
+    return allowance_gate_.has_allowances() && destination.team &&
+           !destination.team->value().isEmpty();
+}
+
+bool route_traffic::is_within_allowance(exchange_ptr const& exchange,
+                                        request_metadata const& metadata,
+                                        team_name const& team)
+{
+    auto const delay = allowance_gate_.admit(
+        team, stable_hash(metadata.id, "allowance"), clock_.now());
+    if (delay)
+    {
+        metrics_.count_allowance_refusal();
+        refuse(exchange, metadata, 429, "over-allowance", *delay);
+    }
+    return !delay;
+}
+
+void route_traffic::report_allowances()
+{
+    if (is_reporting_allowances_ || !calls_.allowances)
+    {
+        return;
+    }
+    if (auto const report = allowance_gate_.take_report(clock_.now()))
+    {
+        is_reporting_allowances_ = true;
+        calls_.allowances(*report);
+    }
+}
+
+void route_traffic::handle_allowance_answer(
+    allowance_report_number number,
+    std::optional<allowance_answer> const& answer)
+{
+    is_reporting_allowances_ = false;
+    if (answer)
+    {
+        allowance_gate_.confirm(number, *answer);
+    }
+}
+
+} // namespace verbenacove
