--- a/source/verbenacove/process/routing/replica_process.cpp
+++ b/source/verbenacove/process/routing/replica_process.cpp
@@ -176,6 +176,7 @@
     confirmations_ = std::make_unique<key_confirmation_service>(*server_);
     discovery_->set_confirmation_lookup([this]
                                         { return confirmations_->latest(); });
+    allowances_ = std::make_unique<allowance_service>(*server_);
     if (!server_->start())
     {
         return settings_.listen.text() + QStringLiteral(": ") +
@@ -183,6 +184,7 @@
     }
     routes_->start();
     confirmations_->start();
+    allowances_->start();
     discovery_->start();
     load_reporter_.start();
     return open_endpoints(make_handlers());
@@ -351,6 +353,7 @@
     state.log_bytes = storage_->log_bytes();
     state.serving_entries =
         static_cast<qint64>(directory_->serving_entries().size());
+    state.restricted_teams = allowances_->restricted_teams();
     return metrics_.text(state);
 }
 
--- a/source/verbenacove/process/routing/route_traffic.cpp
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -16,15 +16,14 @@
 event_log const entry_log{"entry"};
 
 constexpr milliseconds probe_interval{200};
-constexpr milliseconds probe_timeout{1000};
 /** The interval between crash reports. Crashes within one interval are
     reported together. */
 constexpr milliseconds crash_report_interval{250};
 /** The interval at which the end of the lease of the keys is looked for. */
 constexpr milliseconds lease_log_interval{200};
 constexpr double bytes_per_megabit = 125000;
-/** The retry delay that a 503 response asks of the caller. */
-constexpr milliseconds refusal_delay{250};
+/** The interval between reports of the use of allowances. */
+constexpr milliseconds allowance_report_interval{250};
 
 /** Returns the limits of the readiness and metrics endpoints. Their clients may
     stay idle for longer than callers. */
@@ -52,6 +51,7 @@
     , path_delay_(clock_)
     , load_meter_([this](process_load_meter::load const& used)
                   { report_load(used); })
+    , allowance_gate_(QRandomGenerator::system()->generate64())
     , key_gate_(settings_.revocation)
     , caller_endpoint_(settings_.limits, [this](exchange_ptr const& exchange)
                        { handle_request(exchange); })
@@ -99,12 +99,16 @@
         lease_log_timer_ = timers_.call_every(lease_log_interval, [this]
                                               { key_gate_.log_changes(); });
     }
+    allowance_timer_ = timers_.call_every(allowance_report_interval,
+                                          [this] { report_allowances(); });
     return {};
 }
 
 void route_traffic::update(routing_view_ptr view)
 {
     bool const has_new_routes = view->routes != view_->routes;
+    bool const has_new_allowances =
+        has_new_routes || view->live_entries != view_->live_entries;
     view_ = std::move(view);
     key_gate_.set_routes(view_->routes_revision,
                          view_->routes && !view_->routes->teams.isEmpty());
@@ -118,6 +122,11 @@
         team_gate_.set_configuration(*view_->routes);
         split_chooser_.keep_only(*view_->routes);
     }
+    if (has_new_allowances && view_->routes)
+    {
+        allowance_gate_.set_teams(view_->routes->teams, view_->live_entries,
+                                  clock_.now());
+    }
     relays_.set_entries(view_->relays, view_->remote_relays);
     request_quarantine_.set_trial_turns(settings_.callers.text().toUtf8(),
                                         view_->live_entries);
@@ -236,11 +245,31 @@
         refuse(exchange, metadata, 404, "no-route");
         return;
     }
-    if (auto destination = destination_of(exchange, metadata, *route))
+    auto destination = destination_of(exchange, metadata, *route);
+    if (!destination)
     {
-        routed_request::start(services(), exchange, std::move(metadata),
-                              std::move(*destination));
+        return;
     }
+    auto request_services = services();
+    // The entry that relayed a request has counted it.
+    if (!relayed && has_allowance(*destination))
+    {
+        if (!is_within_allowance(exchange, metadata, *destination->team))
+        {
+            return;
+        }
+        request_services.on_result =
+            [this, team = *destination->team](routed_request_result const& end)
+        {
+            if (end.verdict == run_verdict::not_run)
+            {
+                allowance_gate_.refund(team, clock_.now());
+            }
+            record_result(end);
+        };
+    }
+    routed_request::start(request_services, exchange, std::move(metadata),
+                          std::move(*destination));
 }
 
 std::optional<request_destination>
@@ -276,12 +305,12 @@
 
 void route_traffic::refuse(exchange_ptr const& exchange,
                            request_metadata const& metadata, int status,
-                           char const* code)
+                           char const* code, milliseconds delay)
 {
     auto response = not_run_response(status, code, "It was not run.");
-    if (status == 503)
+    if (status == 503 || status == 429)
     {
-        header_codec_.set_retry_after(response.headers, refusal_delay);
+        header_codec_.set_retry_after(response.headers, delay);
     }
     if (status == 401)
     {
@@ -341,7 +370,7 @@
          {"open_attempts", upstream_client_.attempts_in_flight()}});
 }
 
-// Readiness, metrics and health probes.
+// Readiness and metrics.
 
 void route_traffic::handle_readiness(exchange_ptr const& exchange)
 {
@@ -368,130 +397,10 @@
         metrics_.set_key_lease(*left);
     }
     metrics_.set_unreadable_loads(unreadable_loads());
+    metrics_.set_restricted_teams(allowance_gate_.restricted_teams());
     exchange->respond({200,
                        {{"Content-Type", "text/plain; version=0.0.4"}},
                        metrics_.text()});
 }
 
-void route_traffic::handle_reachability_change(bool is_cut_off)
-{
-    entry_log.note(is_cut_off ? "upstreams.unreachable" : "upstreams.reachable",
-                   {{"relays", static_cast<qint64>(view_->relays.size())}});
-    metrics_.set_cut_off(is_cut_off);
-    if (!is_cut_off)
-    {
-        for (auto const& each : pools_)
-        {
-            each->upstreams.end_connection_ejections();
-        }
-    }
-    calls_.reachability(is_cut_off);
-}
-
-void route_traffic::probe_path()
-{
-    if (!reachability_.start_due_probe())
-    {
-        return;
-    }
-    std::vector<std::pair<std::shared_ptr<routed_pool>, pool_member>> targets;
-    for (auto const& each : pools_)
-    {
-        for (auto const& member : each->upstreams.members())
-        {
-            targets.emplace_back(each, member);
-        }
-    }
-    if (targets.empty())
-    {
-        return;
-    }
-    auto const chosen = QRandomGenerator::global()->bounded(
-        static_cast<quint32>(targets.size()));
-    probe_upstream(targets[chosen].first, targets[chosen].second);
-}
-
-void route_traffic::probe()
-{
-    if (reachability_.is_cut_off())
-    {
-        probe_path();
-        return;
-    }
-    for (auto const& each : pools_)
-    {
-        for (auto const& member : each->upstreams.start_due_probes())
-        {
-            probe_upstream(each, member);
-        }
-    }
-}
-
-void route_traffic::probe_upstream(std::shared_ptr<routed_pool> const& target,
-                                   pool_member const& member)
-{
-    if (member.health_path.isEmpty())
-    {
-        return;
-    }
-    attempt_request probe;
-    probe.address = member.address;
-    probe.method = "GET";
-    probe.target = member.health_path.toUtf8();
-    probe.headers = {{"Host", member.address.text().toLatin1()}};
-    probe.time_left = probe_timeout;
-    probe.connect_timeout = probe_timeout;
-    probe.on_connected = [this](milliseconds)
-    {
-        reachability_.record_connection(clock_.now());
-    };
-    upstream_client_.start(std::move(probe),
-                           [this, target, member](attempt_result const& result)
-                           { handle_probe_response(target, member, result); });
-}
-
-void route_traffic::handle_probe_response(
-    std::shared_ptr<routed_pool> const& target, pool_member const& member,
-    attempt_result const& result)
-{
-    reachability_.record_attempt(member.id, result);
-    auto const metadata = header_codec_.read_response(result.response);
-    bool const is_healthy = result.end == attempt_end::answered &&
-                            result.response.status == 200 &&
-                            metadata.responder == member.id;
-    if (metadata.responder == member.id)
-    {
-        apply_signals(*target, member, result, metadata);
-    }
-    if (result.end == attempt_end::connect_failed)
-    {
-        request_quarantine_.upstream_gone(member.id, member.started);
-    }
-    auto const cold_start_remaining =
-        metadata.cold_start_remaining.value_or(milliseconds(0));
-    entry_log.note("upstream.probed",
-                   {{"upstream", member.id.value()},
-                    {"healthy", is_healthy},
-                    {"cold_ms", qint64{cold_start_remaining.count()}}});
-    target->upstreams.handle_probe_result(member.id, is_healthy,
-                                          cold_start_remaining);
-}
-
-void route_traffic::apply_signals(routed_pool& target,
-                                  pool_member const& member,
-                                  attempt_result const& result,
-                                  response_metadata const& metadata) const
-{
-    if (metadata.is_leaving)
-    {
-        target.upstreams.mark_leaving(member);
-    }
-    auto const sent = clock_.now() - result.duration;
-    if (auto const report =
-            target.upstreams.observe_rate_limit(member, sent, metadata))
-    {
-        calls_.rate_limit(*report);
-    }
-}
-
 } // namespace verbenacove
