Test: what 100 teams add to the configuration that entries get

Cause: the table of teams goes to each entry with each version, over links of 2 Mbit/s; nothing bounded what it adds.

Change: a unit test, 100 teams with two keys and an allowance each beside 1,400 routes, at most 16 KB more.

--- a/tests/unit/form_version_test.cpp
+++ b/tests/unit/form_version_test.cpp
@@ -1,4 +1,5 @@
 #include "verbenacove/core/cbor.hpp"
+#include "verbenacove/core/packed_cbor.hpp"
 #include "verbenacove/process/control_state.hpp"
 
 #include <doctest/doctest.h>
@@ -171,6 +172,31 @@
     CHECK(restored.routes().current()->teams.size() == 100);
 }
 
+// Entries get the whole configuration at each change, over narrow links.
+TEST_CASE("forms: 100 teams with two keys each beside 1,400 routes: an entry "
+          "gets at most 16 KB more")
+{
+    auto const packed_size = [](int teams)
+    {
+        auto change = large_change();
+        for (int number = 0; number < teams; ++number)
+        {
+            team_record team;
+            team.name = team_name(QStringLiteral("team-%1").arg(number));
+            team.key_digests = {key_digest("a" + QByteArray::number(number)),
+                                key_digest("b" + QByteArray::number(number))};
+            team.allowance = {requests_per_second(number + 0.5), 20};
+            change.teams.push_back(team);
+        }
+        return pack_cbor(to_cbor(changed({}, change), route_detail::effective))
+            .size();
+    };
+    auto const without = packed_size(0);
+    auto const with = packed_size(100);
+    MESSAGE("packed: ", without, " bytes without teams, ", with, " with");
+    CHECK(with - without < 16 * 1024);
+}
+
 TEST_CASE("forms: a command or a state of a later build: cannot be read")
 {
     control_state state;
