--- a/tests/unit/team_gate_test.cpp
+++ b/tests/unit/team_gate_test.cpp
@@ -1,3 +1,4 @@
+#include "verbenacove/process/metrics.hpp"
 #include "verbenacove/request/team_gate.hpp"
 
 #include <doctest/doctest.h>
@@ -134,3 +135,15 @@
     team.priority = 9;
     CHECK(team_gate::route_for(team, route).priority == 9);
 }
+
+TEST_CASE("team gate: refusals: counted by reason, and not there without any")
+{
+    entry_metrics metrics;
+    QByteArray const name = "verbenacove_entry_key_refusals_total";
+    CHECK_FALSE(metrics.text().contains(name));
+    metrics.count_key_refusal("no-key");
+    metrics.count_key_refusal("unknown-key");
+    metrics.count_key_refusal("unknown-key");
+    CHECK(metrics.text().contains(name + "{reason=\"no-key\"} 1"));
+    CHECK(metrics.text().contains(name + "{reason=\"unknown-key\"} 2"));
+}
