--- a/tests/platform/platform_cluster.hpp
+++ b/tests/platform/platform_cluster.hpp
@@ -23,8 +23,12 @@
 {
 public:
     /** Starts replicas and entries; the caller makes upstreams announce
-        themselves. */
-    platform_cluster(int replicas, int entries)
+        themselves.
+
+        @param entry_settings  further lines for the settings of entries
+    */
+    platform_cluster(int replicas, int entries, QString entry_settings = {})
+        : entry_settings_(std::move(entry_settings))
     {
         for (int i = 0; i < replicas; ++i)
         {
@@ -82,7 +86,8 @@
                            "wcape-b = wcape\n")
                 .arg(number)
                 .arg(local(ports.callers).text(), local(ports.readiness).text(),
-                     seeds());
+                     seeds()) +
+            entry_settings_;
         start(entry_processes_[number], QStringLiteral("entry"), number, text);
     }
 
@@ -272,6 +277,7 @@
             {}, path + QStringLiteral(".log")));
     }
 
+    QString entry_settings_;
     QTemporaryDir folder_;
     std::vector<replica_ports> replicas_;
     std::vector<entry_ports> entries_;
