--- a/tests/platform/key_withdrawal_test.cpp
+++ b/tests/platform/key_withdrawal_test.cpp
@@ -61,6 +61,11 @@
                            QStringLiteral("[teams]\nrevocation = %1ms\n")
                                .arg(revocation.count()))
     {
+        if (qEnvironmentVariableIsSet("KEEP"))
+        {
+            keep_folder();
+            qWarning("%s", qPrintable(folder()));
+        }
         send(with_team(3, "k-1"), "r0");
         beats_ = std::jthread([this](std::stop_token const& stop)
                               { send_heartbeats(stop); });
--- a/tests/platform/traffic_entry.hpp
+++ b/tests/platform/traffic_entry.hpp
@@ -21,16 +21,19 @@
 class traffic_entry
 {
 public:
-    explicit traffic_entry(char const* name)
+    /** @param revocation  that of its settings, if any */
+    explicit traffic_entry(
+        char const* name, std::optional<milliseconds> revocation = std::nullopt)
         : name_(entry_id(QString::fromLatin1(name)))
         , address_(local(free_port()))
     {
         thread_.start();
         context_.moveToThread(&thread_);
         run(
-            [this]
+            [this, revocation]
             {
                 route_entry_settings settings;
+                settings.revocation = revocation;
                 settings.name = name_;
                 settings.callers = address_;
                 settings.readiness = local(free_port());
@@ -81,6 +84,7 @@
              std::vector<entry_view> relays)
     {
         auto view = std::make_shared<routing_view>();
+        view->routes_revision = routes->version.value();
         view->routes = std::move(routes);
         view->is_ready = true;
         auto& members = view->members[service_name(QStringLiteral("grades"))];
@@ -128,6 +132,15 @@
         region_ = region_name(QString::fromLatin1(region));
     }
 
+    /** Confirms its keys as of some time ago. */
+    void confirm_keys(milliseconds age, qint64 revision)
+    {
+        run(
+            [this, age, revision] {
+                traffic_->confirm_keys({boot_clock::now() - age, revision});
+            });
+    }
+
     void refuse_requests()
     {
         run([this] { traffic_->refuse_requests(); });
--- a/tests/unit/fractional_settings_test.cpp
+++ b/tests/unit/fractional_settings_test.cpp
@@ -95,3 +95,28 @@
     CHECK(replica_with("tolerated_losses = 2")->tolerated_losses == 2);
     CHECK_FALSE(replica_with("tolerated_losses = 3.1"));
 }
+
+TEST_CASE("entry settings: no revocation time: keys need no confirmation")
+{
+    QString errors;
+    auto const settings = entry_with("[teams]", errors);
+    REQUIRE(settings);
+    CHECK_FALSE(settings->revocation);
+}
+
+TEST_CASE("entry settings: revocation time: read; out of range, empty or "
+          "without a unit: an error that names it")
+{
+    QString errors;
+    auto const settings = entry_with("[teams]\nrevocation = 5000ms", errors);
+    REQUIRE(settings);
+    CHECK(settings->revocation == milliseconds(5000));
+    for (char const* value : {"999ms", "61s", "0ms", "-5s", "", "5000", "true"})
+    {
+        CAPTURE(value);
+        errors.clear();
+        auto const line = QByteArray("[teams]\nrevocation = ") + value;
+        CHECK_FALSE(entry_with(line.constData(), errors));
+        CHECK(errors.contains(QLatin1String("revocation")));
+    }
+}
