--- a/tests/platform/platform_cluster.hpp
+++ b/tests/platform/platform_cluster.hpp
@@ -23,8 +23,15 @@
 {
 public:
     /** Starts replicas and entries; the caller makes upstreams announce
-        themselves. */
-    platform_cluster(int replicas, int entries)
+        themselves.
+
+        @param entry_keys      more lines of the section `[entry]`
+        @param entry_sections  more sections of the entries' settings
+    */
+    platform_cluster(int replicas, int entries, QString entry_keys = {},
+                     QString entry_sections = {})
+        : entry_keys_(std::move(entry_keys))
+        , entry_sections_(std::move(entry_sections))
     {
         for (int i = 0; i < replicas; ++i)
         {
@@ -76,13 +83,13 @@
         auto const& ports = entries_[static_cast<std::size_t>(number)];
         auto const text =
             QStringLiteral("[entry]\nname = entry-%1\nregion = wcape\n"
-                           "zone = wcape-a\ncallers = %2\nreadiness = %3\n"
+                           "zone = wcape-a\ncallers = %2\nreadiness = %3\n%5"
                            "[discovery]\nreplicas = %4\n"
                            "[zones]\nwcape-a = wcape\n"
-                           "wcape-b = wcape\n")
+                           "wcape-b = wcape\n%6")
                 .arg(number)
                 .arg(local(ports.callers).text(), local(ports.readiness).text(),
-                     seeds());
+                     seeds(), entry_keys_, entry_sections_);
         start(entry_processes_[number], QStringLiteral("entry"), number, text);
     }
 
@@ -101,6 +108,21 @@
         return local(replicas_[static_cast<std::size_t>(number)].control);
     }
 
+    socket_address directory(int number) const
+    {
+        return local(replicas_[static_cast<std::size_t>(number)].directory);
+    }
+
+    socket_address callers(int entry) const
+    {
+        return local(entries_[static_cast<std::size_t>(entry)].callers);
+    }
+
+    socket_address readiness(int entry) const
+    {
+        return local(entries_[static_cast<std::size_t>(entry)].readiness);
+    }
+
     http_answer order(int replica, char const* method, QByteArray const& body,
                       QByteArray const& base)
     {
@@ -256,6 +278,8 @@
             {}, path + QStringLiteral(".log")));
     }
 
+    QString const entry_keys_;
+    QString const entry_sections_;
     QTemporaryDir folder_;
     std::vector<replica_ports> replicas_;
     std::vector<entry_ports> entries_;
