One budget of memory and connections for the callers of a process

Cause: each HTTP server bounded bodies by itself (64 MiB each, three servers a process); headers, read buffers, requests in hand and unread answers were counted nowhere, and 4,096 connections a server met processes with fewer descriptors, so that accepting and connecting to upstreams stopped.

Change: caller_budget, which all endpoints of an entry or a replica share. Each connection is charged for what it holds. When there is no room, the one that has gone longest without a further KiB is refused (503, not run) or closed; one that has made progress within 250 ms isn't released for memory. An eighth is left to connections that hold little; one large request alone is served. While memory or descriptors are scarce, no connection takes a further request beside one in hand. Callers get half of the descriptors, with their upstream connections five eighths; a request beyond is refused (503, not run). Settings `[limits] memory_mb` and `max_fds` come from the deployment; without them 64 MiB a process, and the process's own limit of descriptors. Kept upstream connections are at most an eighth of the descriptors (256 as before from 2,048 on).

--- a/source/verbenacove/connection/http_connection.cpp
+++ b/source/verbenacove/connection/http_connection.cpp
@@ -22,6 +22,9 @@
 // that time, its unread bytes would make the kernel drop the answer.
 constexpr milliseconds linger_timeout{2000};
 
+// Memory of a request in hand besides its texts, in bytes.
+constexpr qint64 request_overhead = 2 * 1024;
+
 http_response timeout_response(bool is_body)
 {
     return not_run_response(408, "request-timeout",
@@ -37,20 +40,23 @@
     : socket_(std::move(socket))
     , limits_(limits)
     , listener_(receiver)
+    , progress_(idle_since)
     , phase_start_(idle_since)
 {
     socket_->setReadBufferSize(read_buffer_bytes);
     socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
     connect(socket_.get(), &QTcpSocket::readyRead, this, [this] { read(); });
     connect(socket_.get(), &QTcpSocket::bytesWritten, this,
-            [this]
+            [this](qint64 bytes)
             {
+                progress_.add(bytes);
                 note_unsent();
                 send_answers();
                 read();
             });
     connect(socket_.get(), &QTcpSocket::disconnected, this,
             [this] { finish(); });
+    charge();
 }
 
 http_connection::~http_connection()
@@ -81,10 +87,14 @@
     }
     slot.bytes = write_http_response(response, slot.form);
     pending_body_bytes_ -= slot.body_bytes;
+    pending_cost_ -= slot.request_cost;
     waiting_answer_bytes_ += slot.bytes->size();
     send_answers();
     hold_bytes();
-    if (waiting_answer_bytes_ > 0 && listener_.holds_too_much())
+    charge();
+    bool const is_read = waiting_answer_bytes_ == 0 && !unsent_since_;
+    if ((waiting_answer_bytes_ > 0 && listener_.holds_too_much()) ||
+        (!is_read && !listener_.make_room(charged_bytes_)))
     {
         abort();
         return;
@@ -107,6 +117,7 @@
     waiting_answer_bytes_ += slot.bytes->size();
     pending_.push_back(std::move(slot));
     send_answers();
+    charge();
 }
 
 void http_connection::check_time(monotonic_time now)
@@ -124,6 +135,11 @@
     {
         refuse(timeout_response(phase_ == progress::body));
     }
+    // It may have waited for memory to be free.
+    else if (!input_.isEmpty() || socket_->bytesAvailable() > 0)
+    {
+        read();
+    }
 }
 
 void http_connection::abort()
@@ -162,15 +178,11 @@
         socket_->disconnect(this);
         socket_->abort();
         is_finished_ = true;
+        charge();
     }
     return result;
 }
 
-monotonic_time http_connection::phase_start() const
-{
-    return phase_start_;
-}
-
 int http_connection::open_exchanges() const
 {
     return static_cast<int>(std::count_if(pending_.begin(), pending_.end(),
@@ -184,7 +196,8 @@
     return pending_.size() <
                static_cast<std::size_t>(limits_.maximum_pipelined) &&
            waiting_answer_bytes_ < limits_.maximum_unsent_bytes &&
-           !unsent_since_;
+           !unsent_since_ &&
+           (pending_.empty() || !listener_.is_memory_scarce());
 }
 
 bool http_connection::is_unread_too_long(monotonic_time now) const
@@ -210,6 +223,7 @@
     }
     is_reading_ = false;
     discard_input();
+    charge();
 }
 
 // Reading all that is there lets Qt hand its buffer over, so that an idle
@@ -217,6 +231,7 @@
 void http_connection::take_input()
 {
     auto const bytes = socket_->read(socket_->bytesAvailable());
+    progress_.add(bytes.size());
     if (input_.isEmpty())
     {
         input_ = bytes;
@@ -282,6 +297,7 @@
     {
         set_phase(state);
         hold_bytes();
+        charge();
         send_continue();
         refuse_what_is_too_large();
     }
@@ -303,10 +319,10 @@
         refuse(not_run_response(431, "headers-too-large",
                                 "A line is over the bound."));
     }
-    else if (listener_.holds_too_much() && parser_->body_bytes() > 0)
+    else if ((listener_.holds_too_much() && parser_->body_bytes() > 0) ||
+             !listener_.make_room(charged_bytes_))
     {
-        refuse(not_run_response(503, "overloaded",
-                                "There are too many large requests."));
+        refuse_for_memory();
     }
 }
 
@@ -316,6 +332,7 @@
     {
         phase_ = phase;
         phase_start_ = std::chrono::steady_clock::now();
+        progress_.restart(phase_start_);
     }
 }
 
@@ -338,10 +355,19 @@
 
 void http_connection::take_request()
 {
+    charge();
+    if (!listener_.make_room(charged_bytes_))
+    {
+        refuse_for_memory();
+        return;
+    }
     pending_answer slot;
     slot.form.is_http_1_1 = parser_->is_http_1_1();
     slot.form.closes = !parser_->keeps_alive() || listener_.is_stopping();
     slot.body_bytes = parser_->body_bytes();
+    // The headers are copied for the attempt.
+    slot.request_cost =
+        request_overhead + parser_->held_bytes() * 2 - slot.body_bytes;
     auto request = parser_->take_request();
     request.remote = socket_->peerAddress();
     slot.form.is_head = request.method == "HEAD";
@@ -350,6 +376,7 @@
     slot.exchange = exchange;
     takes_requests_ = !slot.form.closes;
     pending_body_bytes_ += slot.body_bytes;
+    pending_cost_ += slot.request_cost;
     pending_.push_back(std::move(slot));
     drop_parser();
     listener_.request_arrived(std::move(exchange));
@@ -360,6 +387,7 @@
     parser_.reset();
     phase_ = progress::nothing;
     phase_start_ = std::chrono::steady_clock::now();
+    progress_.restart(phase_start_);
     has_sent_continue_ = false;
     hold_bytes();
 }
@@ -392,6 +420,7 @@
     {
         hold_bytes();
         phase_start_ = std::chrono::steady_clock::now();
+        progress_.restart(phase_start_);
         note_unsent();
         send_continue();
     }
@@ -438,14 +467,6 @@
     ::shutdown(static_cast<int>(socket_->socketDescriptor()), SHUT_WR);
 }
 
-void http_connection::hold_bytes()
-{
-    auto const bytes = pending_body_bytes_ + waiting_answer_bytes_ +
-                       (parser_ ? parser_->body_bytes() : 0);
-    listener_.held_bytes_changed(bytes - held_bytes_);
-    held_bytes_ = bytes;
-}
-
 void http_connection::finish()
 {
     if (is_finished_)
@@ -457,6 +478,7 @@
     pending_body_bytes_ = 0;
     waiting_answer_bytes_ = 0;
     hold_bytes();
+    charge();
     auto const pending = std::exchange(pending_, {});
     for (auto const& answer : pending)
     {
--- a/source/verbenacove/connection/http_connection.hpp
+++ b/source/verbenacove/connection/http_connection.hpp
@@ -1,6 +1,7 @@
 #ifndef VERBENACOVE_CONNECTION_HTTP_CONNECTION_HPP
 #define VERBENACOVE_CONNECTION_HTTP_CONNECTION_HPP
 
+#include "verbenacove/connection/connection_progress.hpp"
 #include "verbenacove/connection/http_exchange.hpp"
 #include "verbenacove/connection/http_limits.hpp"
 #include "verbenacove/connection/http_request_parser.hpp"
@@ -48,6 +49,17 @@
         /** Returns true when all connections together hold too much. */
         virtual bool holds_too_much() const = 0;
 
+        /** Called when the connection's memory grows or shrinks. */
+        virtual void charged_bytes_changed(qint64 change) = 0;
+
+        /** Returns true when a connection with a request in hand is to take
+            no further one. */
+        virtual bool is_memory_scarce() const = 0;
+
+        /** Returns whether a connection may keep the bytes that it has been
+            charged; others may be released for it. */
+        virtual bool make_room(qint64 charged_bytes) = 0;
+
         /** Returns true when no further request is to be taken. */
         virtual bool is_stopping() const = 0;
     };
@@ -78,6 +90,17 @@
     /** Closes at once, without what is still to be sent. */
     void abort();
 
+    /** Returns when the connection last made progress, if it waits for its
+        caller: for a request, the rest of one, or the reading of answers. */
+    std::optional<monotonic_time> stalled_since() const;
+
+    /** Refuses the request that is on its way, or closes the connection.
+
+        @param is_closed_at_once  whether it is to be closed in any case
+        @see stalled_since
+    */
+    void release(bool is_closed_at_once);
+
     /** Returns true when no request is in hand or on its way, and every
         answer has been sent. */
     bool is_idle() const;
@@ -98,7 +121,7 @@
 
     /** Returns since when the connection is as it is: idle, in a request's
         headers, in its body, or waiting for the caller to close. */
-    monotonic_time phase_start() const;
+    monotonic_time phase_start() const { return phase_start_; }
 
     /** Returns how many requests are in hand. */
     int open_exchanges() const;
@@ -111,6 +134,8 @@
         std::weak_ptr<http_exchange> exchange;
         std::optional<QByteArray> bytes;
         qint64 body_bytes = 0;
+        /** Memory of the request, in bytes, until it is answered. */
+        qint64 request_cost = 0;
         http_response_form form;
     };
 
@@ -130,6 +155,8 @@
     void start_lingering();
     void finish();
     void hold_bytes();
+    void charge();
+    void refuse_for_memory();
     void drop_parser();
     void set_phase(progress phase);
     bool may_take_more() const;
@@ -149,6 +176,9 @@
     /** Bytes of answers that wait behind earlier ones. */
     qint64 waiting_answer_bytes_ = 0;
     qint64 held_bytes_ = 0;
+    qint64 pending_cost_ = 0;
+    qint64 charged_bytes_ = 0;
+    connection_progress progress_;
     progress phase_ = progress::nothing;
     monotonic_time phase_start_;
     std::optional<monotonic_time> unsent_since_;
--- /dev/null
+++ b/source/verbenacove/connection/http_connection_memory.cpp
@@ -0,0 +1,58 @@
+// What a connection holds, and how it is let go when memory is scarce.
+
+#include "verbenacove/connection/http_connection.hpp"
+
+#include <QTcpSocket>
+
+namespace verbenacove
+{
+
+std::optional<monotonic_time> http_connection::stalled_since() const
+{
+    bool const waits_for_caller =
+        is_idle() || unsent_since_ || phase_ != progress::nothing;
+    return !is_finished_ && waits_for_caller ? std::optional(progress_.last())
+                                             : std::nullopt;
+}
+
+void http_connection::release(bool is_closed_at_once)
+{
+    bool const is_refused = !is_lingering_ && !unsent_since_ &&
+                            takes_requests_ && phase_ != progress::nothing;
+    if (is_refused)
+    {
+        refuse_for_memory();
+    }
+    if (!is_refused || (is_closed_at_once && !is_finished_))
+    {
+        abort();
+    }
+}
+
+void http_connection::refuse_for_memory()
+{
+    refuse(not_run_response(503, "overloaded",
+                            "There are too many large requests."));
+}
+
+void http_connection::hold_bytes()
+{
+    auto const bytes = pending_body_bytes_ + waiting_answer_bytes_ +
+                       (parser_ ? parser_->body_bytes() : 0);
+    listener_.held_bytes_changed(bytes - held_bytes_);
+    held_bytes_ = bytes;
+}
+
+void http_connection::charge()
+{
+    auto const bytes =
+        is_finished_
+            ? 0
+            : connection_cost + pending_cost_ + waiting_answer_bytes_ +
+                  (parser_ ? parser_->held_bytes() : 0) + input_.capacity() +
+                  socket_->bytesAvailable() + socket_->bytesToWrite();
+    listener_.charged_bytes_changed(bytes - charged_bytes_);
+    charged_bytes_ = bytes;
+}
+
+} // namespace verbenacove
--- a/source/verbenacove/connection/http_parked_connections.hpp
+++ b/source/verbenacove/connection/http_parked_connections.hpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -48,6 +49,13 @@
         there is none. */
     bool close_longest_idle();
 
+    /** Returns since when that connection has been idle. */
+    std::optional<monotonic_time> longest_idle_since() const
+    {
+        return by_age_.empty() ? std::nullopt
+                               : std::optional(by_age_.begin()->first);
+    }
+
     /** Closes all that have been idle since before a time. */
     void close_idle_before(monotonic_time time);
 
--- a/source/verbenacove/connection/http_request_parser.cpp
+++ b/source/verbenacove/connection/http_request_parser.cpp
@@ -1,5 +1,7 @@
 #include "verbenacove/connection/http_request_parser.hpp"
 
+#include "verbenacove/connection/connection_progress.hpp"
+
 // GCC 12 sees an uninitialised value in Beast where there is none, when the
 // sanitizers are on.
 #if defined(__GNUC__) && !defined(__clang__)
@@ -342,6 +344,11 @@
     return grammar_->request_.body.size();
 }
 
+qint64 http_request_parser::held_bytes() const
+{
+    return body_bytes() + header_cost(grammar_->request_.headers);
+}
+
 http_request http_request_parser::take_request()
 {
     return std::move(grammar_->request_);
--- a/source/verbenacove/connection/http_request_parser.hpp
+++ b/source/verbenacove/connection/http_request_parser.hpp
@@ -58,6 +58,10 @@
     /** Returns the bytes of the body that are stored so far. */
     qint64 body_bytes() const;
 
+    /** Returns the approximate memory that the request takes so far, in
+        bytes. */
+    qint64 held_bytes() const;
+
     /** Moves the request out, once it is complete. */
     http_request take_request();
 
--- a/source/verbenacove/connection/http_server.cpp
+++ b/source/verbenacove/connection/http_server.cpp
@@ -31,12 +31,15 @@
 
 } // namespace
 
-class http_server::core : public QTcpServer, public http_connection::listener
+class http_server::core : public QTcpServer,
+                          public http_connection::listener,
+                          public caller_budget::endpoint
 {
 public:
-    core(http_limits limits, handler handle)
+    core(http_limits limits, handler handle, caller_budget* budget)
         : limits_(limits)
         , handle_(std::move(handle))
+        , budget_(budget)
         , parked_([this](int socket, monotonic_time idle_since)
                   { wake(socket, idle_since); })
     {
@@ -45,6 +48,10 @@
             timers_.call_every(check_interval, [this] { check_connections(); });
         connect(this, &QTcpServer::acceptError, this,
                 [this] { wait_to_accept(); });
+        if (budget_ != nullptr)
+        {
+            budget_->add(*this);
+        }
     }
 
     ~core() override
@@ -54,6 +61,11 @@
         {
             delete connection;
         }
+        if (budget_ != nullptr)
+        {
+            budget_->charge(-charged_bytes_);
+            budget_->remove(*this);
+        }
     }
 
     void set_limits(http_limits const& limits) { limits_ = limits; }
@@ -126,12 +138,63 @@
         return held_bytes_ > limits_.maximum_held_bytes;
     }
 
+    void charged_bytes_changed(qint64 change) override
+    {
+        charged_bytes_ += change;
+        if (budget_ != nullptr)
+        {
+            budget_->charge(change);
+        }
+    }
+
+    bool is_memory_scarce() const override
+    {
+        return budget_ != nullptr && budget_->is_scarce();
+    }
+
+    bool make_room(qint64 charged_bytes) override
+    {
+        return budget_ == nullptr ||
+               budget_->make_room(charged_bytes, clock_.now());
+    }
+
     bool is_stopping() const override { return is_stopping_; }
 
+    int open_connections() const override
+    {
+        return static_cast<int>(connection_count());
+    }
+
+    std::optional<monotonic_time> longest_stalled() const override
+    {
+        auto result = parked_.longest_idle_since();
+        if (auto const* const stalled = most_stalled())
+        {
+            auto const since = stalled->stalled_since();
+            result = result ? std::min(result, since) : since;
+        }
+        return result;
+    }
+
+    void release_longest_stalled(bool is_closed_at_once) override
+    {
+        auto const parked = parked_.longest_idle_since();
+        auto* const stalled = most_stalled();
+        if (stalled == nullptr ||
+            (parked && *parked <= stalled->stalled_since()))
+        {
+            parked_.close_longest_idle();
+            return;
+        }
+        stalled->release(is_closed_at_once);
+    }
+
 protected:
     void incomingConnection(qintptr descriptor) override
     {
-        bool const has_room = make_room();
+        bool const has_room = (budget_ == nullptr ||
+                               budget_->make_connection_room(clock_.now())) &&
+                              make_room();
         auto* const connection = take(descriptor, clock_.now());
         if (connection == nullptr || has_room)
         {
@@ -209,6 +272,20 @@
         return result;
     }
 
+    http_connection* most_stalled() const
+    {
+        http_connection* result = nullptr;
+        for (auto* const connection : connections_)
+        {
+            auto const since = connection->stalled_since();
+            if (since && (result == nullptr || since < result->stalled_since()))
+            {
+                result = connection;
+            }
+        }
+        return result;
+    }
+
     void check_connections()
     {
         auto const now = clock_.now();
@@ -268,6 +345,7 @@
 
     http_limits limits_;
     handler const handle_;
+    caller_budget* const budget_;
     steady_clock_source clock_;
     timer_service timers_;
     timer_service::subscription check_timer_;
@@ -275,13 +353,15 @@
     std::unordered_set<http_connection*> connections_;
     http_parked_connections parked_;
     qint64 held_bytes_ = 0;
+    qint64 charged_bytes_ = 0;
     qint64 woken_connections_ = 0;
     bool is_stopping_ = false;
     bool has_high_priority_ = false;
 };
 
-http_server::http_server(http_limits limits, handler handle)
-    : core_(std::make_unique<core>(limits, std::move(handle)))
+http_server::http_server(http_limits limits, handler handle,
+                         caller_budget* budget)
+    : core_(std::make_unique<core>(limits, std::move(handle), budget))
 {
 }
 
--- a/source/verbenacove/connection/http_server.hpp
+++ b/source/verbenacove/connection/http_server.hpp
@@ -1,6 +1,7 @@
 #ifndef VERBENACOVE_CONNECTION_HTTP_SERVER_HPP
 #define VERBENACOVE_CONNECTION_HTTP_SERVER_HPP
 
+#include "verbenacove/connection/caller_budget.hpp"
 #include "verbenacove/connection/http_exchange.hpp"
 #include "verbenacove/connection/http_limits.hpp"
 #include "verbenacove/core/socket_address.hpp"
@@ -24,8 +25,13 @@
     /** What is called with each request; it may answer at once or later. */
     using handler = std::function<void(std::shared_ptr<http_exchange>)>;
 
-    /** Creates a server that does not listen yet. */
-    http_server(http_limits limits, handler handle);
+    /** Creates a server that does not listen yet.
+
+        @param budget  shared with the process's other servers; must outlive
+                       this one; none if null
+    */
+    http_server(http_limits limits, handler handle,
+                caller_budget* budget = nullptr);
 
     /** Closes all connections at once; open exchanges are cancelled, but
         nobody is called back. */
--- a/source/verbenacove/connection/upstream_client.cpp
+++ b/source/verbenacove/connection/upstream_client.cpp
@@ -1,5 +1,6 @@
 #include "verbenacove/connection/upstream_client.hpp"
 
+#include "verbenacove/connection/caller_budget.hpp"
 #include "verbenacove/connection/upstream_attempt.hpp"
 #include "verbenacove/core/timer_service.hpp"
 
@@ -9,6 +10,7 @@
 
 #include <curl/curl.h>
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <unordered_map>
@@ -21,9 +23,19 @@
 {
 
 constexpr long maximum_kept_connections = 256;
+/** Kept connections are at most this part of the process's descriptors. */
+constexpr long kept_descriptor_share = 8;
 constexpr std::size_t maximum_attempts = 4096;
 constexpr milliseconds stall_check_interval{250};
 
+long kept_connections()
+{
+    auto const descriptors = static_cast<long>(process_descriptors());
+    return descriptors == 0 ? maximum_kept_connections
+                            : std::clamp(descriptors / kept_descriptor_share,
+                                         1L, maximum_kept_connections);
+}
+
 void start_library()
 {
     static CURLcode const started = curl_global_init(CURL_GLOBAL_NOTHING);
@@ -48,8 +60,7 @@
         curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
         curl_multi_setopt(multi_, CURLMOPT_PIPELINING,
                           static_cast<long>(CURLPIPE_NOTHING));
-        curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS,
-                          maximum_kept_connections);
+        curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, kept_connections());
         timer_.setSingleShot(true);
         timer_.setTimerType(Qt::PreciseTimer);
         QObject::connect(&timer_, &QTimer::timeout, &context_,
--- a/source/verbenacove/process/routing/replica_process.cpp
+++ b/source/verbenacove/process/routing/replica_process.cpp
@@ -143,6 +143,7 @@
     settings.raft.snapshot_after_bytes =
         reader.size("replica", "snapshot_after", 4 * one_mebibyte, 4096,
                     1024 * one_mebibyte);
+    settings.callers_share = parse_caller_share(reader);
     settings.log = reader.level("log", "level");
     settings.seeds = parse_replica_addresses(reader);
     BOOST_LEAF_CHECK(reader.finish());
@@ -151,6 +152,7 @@
 
 replica_process::replica_process(replica_settings settings)
     : settings_(std::move(settings))
+    , caller_budget_(settings_.callers_share)
 {
 }
 
@@ -239,7 +241,8 @@
     for (auto& each : endpoints)
     {
         each.server = std::make_unique<http_server>(
-            endpoint_limits(each.maximum_connections), each.handle);
+            endpoint_limits(each.maximum_connections), each.handle,
+            &caller_budget_);
         // Orders and departures must not wait behind the reads of all entries.
         if (each.server.get() == control_endpoint_.get())
         {
--- a/source/verbenacove/process/routing/replica_process.hpp
+++ b/source/verbenacove/process/routing/replica_process.hpp
@@ -39,6 +39,8 @@
     /** The number of replicas that may lose their disks at the same time
         without losing committed changes. */
     int tolerated_losses = 1;
+    /** What callers of all endpoints may make the process hold. */
+    caller_share callers_share;
     /** The time for which callers may cache a look-up response. */
     milliseconds lookup_ttl{1000};
     /** The maximum time from the stop request to the exit of the process. */
@@ -119,6 +121,7 @@
                                          {
                                              return measure_load();
                                          }};
+    caller_budget caller_budget_;
     std::unique_ptr<http_server> control_endpoint_;
     std::unique_ptr<http_server> directory_endpoint_;
     std::unique_ptr<http_server> metrics_endpoint_;
--- a/source/verbenacove/process/routing/route_entry_settings.cpp
+++ b/source/verbenacove/process/routing/route_entry_settings.cpp
@@ -11,6 +11,9 @@
 /** In megabits per second. */
 constexpr double maximum_link_rate = 1000000;
 constexpr qint64 one_mebibyte = 1024 * 1024;
+constexpr double maximum_memory_mb = 100000000;
+constexpr double bytes_per_mb = 1000000;
+constexpr qint64 maximum_descriptors = 1000000000;
 
 void parse_steering(setting_reader& reader, steering_settings& steering)
 {
@@ -52,6 +55,16 @@
 
 } // namespace
 
+caller_share parse_caller_share(setting_reader& reader)
+{
+    auto const memory =
+        reader.fraction("limits", "memory_mb", 0, 0, maximum_memory_mb);
+    auto const descriptors =
+        reader.number("limits", "max_fds", 0, 0, maximum_descriptors);
+    return caller_share_of(static_cast<qint64>(memory * bytes_per_mb),
+                           descriptors);
+}
+
 std::vector<socket_address> parse_replica_addresses(setting_reader& reader)
 {
     auto addresses = reader.addresses("discovery", "replicas");
@@ -108,9 +121,11 @@
     settings.log = reader.level("log", "level");
     settings.replicas = parse_replica_addresses(reader);
     settings.zones = parse_zones(reader);
-    settings.limits.maximum_held_bytes =
-        reader.size("limits", "held_bytes", settings.limits.maximum_held_bytes,
+    settings.callers_share = parse_caller_share(reader);
+    settings.callers_share.memory_bytes =
+        reader.size("limits", "held_bytes", settings.callers_share.memory_bytes,
                     one_mebibyte, 1024 * one_mebibyte);
+    settings.limits.maximum_held_bytes = settings.callers_share.memory_bytes;
     parse_steering(reader, settings.steering);
     auto const link = reader.fraction("limits", "link_mbit_per_second", 0, 0,
                                       maximum_link_rate);
--- a/source/verbenacove/process/routing/route_entry_settings.hpp
+++ b/source/verbenacove/process/routing/route_entry_settings.hpp
@@ -1,6 +1,7 @@
 #ifndef VERBENACOVE_PROCESS_ROUTING_ROUTE_ENTRY_SETTINGS_HPP
 #define VERBENACOVE_PROCESS_ROUTING_ROUTE_ENTRY_SETTINGS_HPP
 
+#include "verbenacove/connection/caller_budget.hpp"
 #include "verbenacove/connection/http_limits.hpp"
 #include "verbenacove/core/ini_document.hpp"
 #include "verbenacove/core/log.hpp"
@@ -31,6 +32,8 @@
     /** The region of each zone. */
     QHash<zone_name, region_name> zones;
     http_limits limits;
+    /** What callers of all endpoints may make the process hold. */
+    caller_share callers_share;
     steering_settings steering;
     /** The rate of the VM's link in each direction; absent if it is not
         known. */
@@ -49,6 +52,10 @@
 boost::leaf::result<route_entry_settings>
 parse_route_entry_settings(ini_document const& document);
 
+/** Reads `memory_mb` and `max_fds`, the machine's memory in MB and the most
+    descriptors of a process, from the section `[limits]`. */
+caller_share parse_caller_share(setting_reader& reader);
+
 /** Reads the replica addresses from the section `[discovery]`. The key `port`,
     if given, replaces their ports. */
 std::vector<socket_address> parse_replica_addresses(setting_reader& reader);
--- a/source/verbenacove/process/routing/route_traffic.cpp
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -49,14 +49,20 @@
     , path_delay_(clock_)
     , load_meter_([this](process_load_meter::load const& used)
                   { report_load(used); })
-    , caller_endpoint_(settings_.limits, [this](exchange_ptr const& exchange)
-                       { handle_request(exchange); })
-    , readiness_endpoint_(internal_endpoint_limits(settings_),
-                          [this](exchange_ptr const& exchange)
-                          { handle_readiness(exchange); })
-    , metrics_endpoint_(internal_endpoint_limits(settings_),
-                        [this](exchange_ptr const& exchange)
-                        { handle_metrics(exchange); })
+    , caller_budget_(settings_.callers_share,
+                     [this] { return upstream_client_.attempts_in_flight(); })
+    , caller_endpoint_(
+          settings_.limits,
+          [this](exchange_ptr const& exchange) { handle_request(exchange); },
+          &caller_budget_)
+    , readiness_endpoint_(
+          internal_endpoint_limits(settings_),
+          [this](exchange_ptr const& exchange) { handle_readiness(exchange); },
+          &caller_budget_)
+    , metrics_endpoint_(
+          internal_endpoint_limits(settings_),
+          [this](exchange_ptr const& exchange) { handle_metrics(exchange); },
+          &caller_budget_)
 {
 }
 
@@ -219,6 +225,11 @@
         refuse(exchange, metadata, 404, "no-route");
         return;
     }
+    if (!caller_budget_.has_upstream_room())
+    {
+        refuse(exchange, metadata, 503, "overloaded");
+        return;
+    }
     auto const service = split_chooser_.choose(*route);
     routed_request::start(services(), exchange, std::move(metadata),
                           {*route, view_->routes->version, pool(service)});
@@ -273,7 +284,12 @@
          {"connections", caller_endpoint_.connection_count()},
          {"woken_connections", caller_endpoint_.woken_connections()},
          {"open_requests", caller_endpoint_.open_exchanges()},
-         {"open_attempts", upstream_client_.attempts_in_flight()}});
+         {"open_attempts", upstream_client_.attempts_in_flight()},
+         {"caller_bytes", caller_budget_.charged_bytes()},
+         {"released_for_memory", caller_budget_.totals().released_for_memory},
+         {"released_for_connections",
+          caller_budget_.totals().released_for_connections},
+         {"callers_refused", caller_budget_.totals().refused}});
 }
 
 // Readiness, metrics and health probes.
--- a/source/verbenacove/process/routing/route_traffic.hpp
+++ b/source/verbenacove/process/routing/route_traffic.hpp
@@ -127,6 +127,7 @@
     bool is_refusing_ = false;
     QHash<service_name, std::shared_ptr<routed_pool>> pools_;
     upstream_client upstream_client_;
+    caller_budget caller_budget_;
     http_server caller_endpoint_;
     http_server readiness_endpoint_;
     http_server metrics_endpoint_;
