--- a/source/verbenacove/connection/caller_budget.cpp
+++ b/source/verbenacove/connection/caller_budget.cpp
@@ -84,13 +84,30 @@
     return limits_.connections + limits_.connections / 4;
 }
 
-// A single large request is served in calm, whatever its size.
-bool caller_budget::has_room(qint64 own_bytes) const
+// A single large request is served in calm, whatever its size. What it takes
+// beyond the bound doesn't count for the others.
+bool caller_budget::has_room(qint64 own_bytes)
 {
-    bool const is_alone = own_bytes >= charged_bytes_ / 4 * 3;
-    auto const reserve =
-        own_bytes <= ordinary_bytes ? 0 : limits_.memory_bytes / 8;
-    return is_alone || charged_bytes_ <= limits_.memory_bytes - reserve;
+    auto const reserve = limits_.memory_bytes / 8;
+    if (own_bytes >= charged_bytes_ / 4 * 3)
+    {
+        exempt_bytes_ = std::max(exempt_bytes_,
+                                 own_bytes - (limits_.memory_bytes - reserve));
+        return true;
+    }
+    auto const bound = own_bytes <= ordinary_bytes
+                           ? limits_.memory_bytes
+                           : limits_.memory_bytes - reserve;
+    return charged_bytes_ - exempt_bytes_ <= bound;
+}
+
+void caller_budget::charge(qint64 change)
+{
+    charged_bytes_ += change;
+    if (charged_bytes_ <= limits_.memory_bytes)
+    {
+        exempt_bytes_ = 0;
+    }
 }
 
 bool caller_budget::make_room(qint64 own_bytes, monotonic_time now)
--- a/source/verbenacove/connection/caller_budget.hpp
+++ b/source/verbenacove/connection/caller_budget.hpp
@@ -97,7 +97,7 @@
     void remove(endpoint& each) { std::erase(endpoints_, &each); }
 
     /** Adds to the bytes that connections hold, or subtracts from them. */
-    void charge(qint64 change) { charged_bytes_ += change; }
+    void charge(qint64 change);
 
     /** Returns whether connections are to take no further request while one
         is in hand. */
@@ -130,7 +130,7 @@
 
 private:
     bool release_one(monotonic_time stalled_before, bool is_closed_at_once);
-    bool has_room(qint64 own_bytes) const;
+    bool has_room(qint64 own_bytes);
     int open_connections() const;
     int used_connections() const;
     int maximum_used_connections() const;
@@ -139,6 +139,8 @@
     std::function<int()> const count_upstreams_;
     std::vector<endpoint*> endpoints_;
     qint64 charged_bytes_ = 0;
+    /** What a request that was alone holds beyond the bound. */
+    qint64 exempt_bytes_ = 0;
     bool is_releasing_ = false;
     counts totals_;
 };
--- a/source/verbenacove/process/routing/route_entry_settings.cpp
+++ b/source/verbenacove/process/routing/route_entry_settings.cpp
@@ -122,10 +122,13 @@
     settings.replicas = parse_replica_addresses(reader);
     settings.zones = parse_zones(reader);
     settings.callers_share = parse_caller_share(reader);
-    settings.callers_share.memory_bytes =
-        reader.size("limits", "held_bytes", settings.callers_share.memory_bytes,
-                    one_mebibyte, 1024 * one_mebibyte);
-    settings.limits.maximum_held_bytes = settings.callers_share.memory_bytes;
+    if (auto const held = reader.size("limits", "held_bytes", 0, one_mebibyte,
+                                      1024 * one_mebibyte);
+        held > 0)
+    {
+        settings.limits.maximum_held_bytes = held;
+        settings.callers_share.memory_bytes = held;
+    }
     parse_steering(reader, settings.steering);
     auto const link = reader.fraction("limits", "link_mbit_per_second", 0, 0,
                                       maximum_link_rate);
--- a/tests/unit/fractional_settings_test.cpp
+++ b/tests/unit/fractional_settings_test.cpp
@@ -95,3 +95,21 @@
     CHECK(replica_with("tolerated_losses = 2")->tolerated_losses == 2);
     CHECK_FALSE(replica_with("tolerated_losses = 3.1"));
 }
+
+TEST_CASE("entry and replica settings: memory and descriptors of the machine: "
+          "callers get their share")
+{
+    QString errors;
+    auto const entry =
+        entry_with("[limits]\nmemory_mb = 112.5\nmax_fds = 1000", errors);
+    REQUIRE(entry);
+    CHECK(entry->callers_share.memory_bytes == 28125000);
+    CHECK(entry->callers_share.connections <= 500);
+    // A body of any configured size is still taken.
+    CHECK(entry->limits.maximum_held_bytes == http_limits().maximum_held_bytes);
+    auto const replica = replica_with("[limits]\nmemory_mb = 112.5");
+    REQUIRE(replica);
+    CHECK(replica->callers_share.memory_bytes == 28125000);
+    CHECK_FALSE(entry_with("[limits]\nmax_fds = many", errors));
+    CHECK_FALSE(replica_with("[limits]\nmemory_mb = -1"));
+}
