--- a/source/verbenacove/process/routing/route_entry_settings.cpp
+++ b/source/verbenacove/process/routing/route_entry_settings.cpp
@@ -14,6 +14,9 @@
     takes to extend it. */
 constexpr milliseconds minimum_revocation{1000};
 constexpr qint64 one_mebibyte = 1024 * 1024;
+constexpr double maximum_memory_mb = 100000000;
+constexpr double bytes_per_mb = 1000000;
+constexpr qint64 maximum_descriptors = 1000000000;
 
 void parse_steering(setting_reader& reader, steering_settings& steering)
 {
@@ -55,6 +58,16 @@
 
 } // namespace
 
+caller_share parse_caller_share(setting_reader& reader)
+{
+    auto const memory =
+        reader.fraction("limits", "memory_mb", 0, 0, maximum_memory_mb);
+    auto const descriptors =
+        reader.number("limits", "max_fds", 0, 0, maximum_descriptors);
+    return caller_share_of(static_cast<qint64>(memory * bytes_per_mb),
+                           descriptors);
+}
+
 std::vector<socket_address> parse_replica_addresses(setting_reader& reader)
 {
     auto addresses = reader.addresses("discovery", "replicas");
@@ -111,9 +124,14 @@
     settings.log = reader.level("log", "level");
     settings.replicas = parse_replica_addresses(reader);
     settings.zones = parse_zones(reader);
-    settings.limits.maximum_held_bytes =
-        reader.size("limits", "held_bytes", settings.limits.maximum_held_bytes,
-                    one_mebibyte, 1024 * one_mebibyte);
+    settings.callers_share = parse_caller_share(reader);
+    if (auto const held = reader.size("limits", "held_bytes", 0, one_mebibyte,
+                                      1024 * one_mebibyte);
+        held > 0)
+    {
+        settings.limits.maximum_held_bytes = held;
+        settings.callers_share.memory_bytes = held;
+    }
     parse_steering(reader, settings.steering);
     auto const link = reader.fraction("limits", "link_mbit_per_second", 0, 0,
                                       maximum_link_rate);
--- a/tests/platform/key_withdrawal_test.cpp
+++ b/tests/platform/key_withdrawal_test.cpp
@@ -57,7 +57,7 @@
 {
 public:
     withdrawal_cluster()
-        : platform_cluster(replica_count, 2,
+        : platform_cluster(replica_count, 2, QString(),
                            QStringLiteral("[teams]\nrevocation = %1ms\n")
                                .arg(revocation.count()))
     {
--- a/tests/unit/fractional_settings_test.cpp
+++ b/tests/unit/fractional_settings_test.cpp
@@ -120,3 +120,21 @@
         CHECK(errors.contains(QLatin1String("revocation")));
     }
 }
+
+TEST_CASE("entry and replica settings: memory and descriptors of the machine: "
+          "callers get their share")
+{
+    QString errors;
+    auto const entry =
+        entry_with("[limits]\nmemory_mb = 112.5\nmax_fds = 1000", errors);
+    REQUIRE(entry);
+    CHECK(entry->callers_share.memory_bytes == 28125000);
+    CHECK(entry->callers_share.connections <= 500);
+    // A body of any configured size is still taken.
+    CHECK(entry->limits.maximum_held_bytes == http_limits().maximum_held_bytes);
+    auto const replica = replica_with("[limits]\nmemory_mb = 112.5");
+    REQUIRE(replica);
+    CHECK(replica->callers_share.memory_bytes == 28125000);
+    CHECK_FALSE(entry_with("[limits]\nmax_fds = many", errors));
+    CHECK_FALSE(replica_with("[limits]\nmemory_mb = -1"));
+}
