Admission under overload: by priority and fair among teams, from the queues that upstreams report

Where more requests arrive than upstreams can run, all were sent, waited in the upstreams' queues and came late; the VM's link was given to whoever came first. overload_admission, one for each service and entry, admits at the rate of responses once the reported queues are longer than the objective leaves time for, less while they are longer still. The most urgent priority goes first, half of each priority's part is kept for it, and teams of one priority share by max-min fairness (all requests count as one team until requests carry one). The time to come back grows with the age of the shortage and is spread by the request's id. The link budget keeps up to a quarter of its bucket a priority free for more urgent requests, by the same lot. A relayed request is not decided upon again. entry.admission tells it by service and priority.

--- a/source/verbenacove/process/routing/route_traffic.cpp
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -2,6 +2,7 @@
 
 #include "verbenacove/core/event_log.hpp"
 
+#include <QJsonArray>
 #include <QRandomGenerator>
 
 #include <algorithm>
@@ -271,8 +272,37 @@
     return result;
 }
 
+void route_traffic::report_admission()
+{
+    for (auto const& each : pools_)
+    {
+        auto const& admission = each->admission;
+        qint64 refused = 0;
+        QJsonArray admitted_by_priority;
+        QJsonArray refused_by_priority;
+        for (auto const& counts : admission.decisions())
+        {
+            refused += counts.refused;
+            admitted_by_priority.append(counts.admitted);
+            refused_by_priority.append(counts.refused);
+        }
+        if (std::exchange(reported_refusals_[each->service], refused) !=
+            refused)
+        {
+            entry_log.note("entry.admission",
+                           {{"service", each->service.value()},
+                            {"room", admission.room()},
+                            {"queue", admission.queue()},
+                            {"teams", admission.team_count()},
+                            {"admitted", admitted_by_priority},
+                            {"refused", refused_by_priority}});
+        }
+    }
+}
+
 void route_traffic::report_load(process_load_meter::load const& used)
 {
+    report_admission();
     auto const link = link_.take_usage();
     entry_log.note(
         "entry.load",
--- a/source/verbenacove/process/routing/route_traffic.hpp
+++ b/source/verbenacove/process/routing/route_traffic.hpp
@@ -106,6 +106,9 @@
     /** Returns how many responses had a load that could not be read. */
     qint64 unreadable_loads() const;
     void record_result(routed_request_result const& result);
+    /** Reports the services for which requests were refused for want of room
+        since the previous report. */
+    void report_admission();
     void report_load(process_load_meter::load const& used);
 
     route_entry_settings settings_;
@@ -128,6 +131,8 @@
     routing_view_ptr view_ = std::make_shared<routing_view const>();
     bool is_refusing_ = false;
     QHash<service_name, std::shared_ptr<routed_pool>> pools_;
+    /** The refusals for want of room that were reported, by service. */
+    QHash<service_name, qint64> reported_refusals_;
     upstream_client upstream_client_;
     http_server caller_endpoint_;
     http_server readiness_endpoint_;
--- a/source/verbenacove/request/link_budget.cpp
+++ b/source/verbenacove/request/link_budget.cpp
@@ -40,7 +40,7 @@
     }
 }
 
-bool link_budget::admit(traffic const& expected)
+bool link_budget::admit(traffic const& expected, double kept_free)
 {
     if (!rate_)
     {
@@ -54,8 +54,9 @@
     // A request that is larger than the whole burst is admitted when the bucket
     // is full.
     auto const full = *rate_ * burst_seconds;
-    missing_ = std::max(std::min(received, full) - received_left_,
-                        std::min(sent, full) - sent_left_);
+    auto const kept = full * kept_free;
+    missing_ = std::max(std::min(received + kept, full) - received_left_,
+                        std::min(sent + kept, full) - sent_left_);
     if (missing_ > 0)
     {
         ++usage_.refused;
--- a/source/verbenacove/request/link_budget.hpp
+++ b/source/verbenacove/request/link_budget.hpp
@@ -55,10 +55,12 @@
 
     /** Reserves what a request is expected to take.
 
+        @param kept_free  the share of a full bucket that must stay for more
+                          urgent requests, 0 to 1
         @return  false if the link cannot carry it in time; nothing is reserved
                  then
     */
-    bool admit(traffic const& expected);
+    bool admit(traffic const& expected, double kept_free = 0);
 
     /** Corrects a reservation once it is known what the request has taken, or
         counts what was not reserved. */
--- a/source/verbenacove/request/routed_pool.hpp
+++ b/source/verbenacove/request/routed_pool.hpp
@@ -1,6 +1,7 @@
 #ifndef VERBENACOVE_REQUEST_ROUTED_POOL_HPP
 #define VERBENACOVE_REQUEST_ROUTED_POOL_HPP
 
+#include "verbenacove/request/overload_admission.hpp"
 #include "verbenacove/request/retry_budget.hpp"
 #include "verbenacove/request/upstream_pool.hpp"
 
@@ -58,6 +59,7 @@
     response_size_average response_size;
     upstream_pool upstreams;
     retry_budget retries;
+    overload_admission admission;
     /** Number of responses with a load that could not be read. */
     qint64 unreadable_loads = 0;
 
--- a/source/verbenacove/request/routed_request.cpp
+++ b/source/verbenacove/request/routed_request.cpp
@@ -33,6 +33,8 @@
 
 /** The reason of refusals for want of room on the VM's link. */
 constexpr char link_full[] = "link full";
+/** The reason of refusals for want of room at the upstreams. */
+constexpr char no_room[] = "no room";
 
 qint64 size_of(std::vector<http_header> const& headers)
 {
@@ -129,6 +131,11 @@
         services_.sample_one_in);
     span_.note("route", route_.name);
     exchange_->on_cancelled([self = shared_from_this()] { self->cancel(); });
+    if (!has_room())
+    {
+        respond_not_run(no_room);
+        return;
+    }
     if (!reserve_link())
     {
         respond_not_run(link_full);
@@ -137,13 +144,37 @@
     try_next();
 }
 
+double routed_request::admission_lot() const
+{
+    constexpr quint64 lots = 10007;
+    return static_cast<double>(stable_hash(metadata_.id, no_room) % lots) /
+           lots;
+}
+
+bool routed_request::has_room()
+{
+    // The entry that has relayed the request has admitted it.
+    if (relayed_from_ || should_relay())
+    {
+        return true;
+    }
+    auto const decision = pool_->admission.decide(
+        {route_.priority, {}, route_.objective, admission_lot()},
+        arrival_time_);
+    return_delay_ = decision.retry_after;
+    return decision.is_admitted;
+}
+
 bool routed_request::reserve_link()
 {
     auto const& request = exchange_->request();
     request_bytes_ = size_of(request.headers) + request.path.size() +
                      request.query.size() + request.body.size();
     auto const expected = pool_->response_size.bytes();
-    if (!services_.link.admit({expected, request_bytes_ + expected}))
+    auto const kept_free =
+        relayed_from_ ? 0
+                      : share_kept_for_urgent(route_.priority, admission_lot());
+    if (!services_.link.admit({expected, request_bytes_ + expected}, kept_free))
     {
         return false;
     }
@@ -164,6 +195,10 @@
 // not return together.
 milliseconds routed_request::retry_delay_after(char const* reason) const
 {
+    if (qstrcmp(reason, no_room) == 0)
+    {
+        return return_delay_;
+    }
     auto const delay = fixed_retry_delay(reason);
     if (qstrcmp(reason, link_full) != 0)
     {
--- a/source/verbenacove/request/routed_request.hpp
+++ b/source/verbenacove/request/routed_request.hpp
@@ -141,6 +141,11 @@
                    request_metadata metadata, request_destination destination);
 
     void begin();
+    /** Returns a number from 0 to 1 that is uniform over requests. */
+    double admission_lot() const;
+    /** Returns whether the upstreams have room for the request. If not, sets
+        when it may come back. */
+    bool has_room();
     /** Reserves what the request is expected to take of the VM's link; returns
         false if there is no room. */
     bool reserve_link();
@@ -226,6 +231,8 @@
     /** Size of the response that the link's reservation assumes, in bytes; 0
         without a reservation. */
     qint64 reserved_response_bytes_ = 0;
+    /** When a request may come back for which there is no room. */
+    milliseconds return_delay_{0};
     /** Number of attempts that may have reached an upstream. */
     int sent_attempts_ = 0;
     /** Number of attempts started, including failed connections. */
--- a/source/verbenacove/request/routed_request_attempt.cpp
+++ b/source/verbenacove/request/routed_request_attempt.cpp
@@ -309,6 +309,14 @@
     auto const stages = std::exchange(stages_, {});
     pool_->unreadable_loads += report.response.is_load_unreadable ? 1 : 0;
     auto const& load = report.response.load;
+    if (load)
+    {
+        auto const now = services_.clock.now();
+        bool const was_run = outcome == upstream_outcome::success;
+        pool_->admission.record_load(
+            *load, was_run ? elapsed(choice->started, now) : milliseconds(0),
+            now);
+    }
     auto const& named_limit = report.response.rate_limit;
     auto const& rate_limit = choice->member.rate_limit;
     pool_->upstreams.finish(
--- a/tests/unit/link_budget_test.cpp
+++ b/tests/unit/link_budget_test.cpp
@@ -1,8 +1,10 @@
 #include "verbenacove/request/link_budget.hpp"
+#include "verbenacove/request/overload_admission.hpp"
 
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <array>
 
 using namespace verbenacove;
 
@@ -167,3 +169,36 @@
     }
     CHECK(link.time_until_room() == milliseconds(0));
 }
+
+// Load pattern: a burst of requests of all priorities that is more than the
+// link carries.
+TEST_CASE_FIXTURE(link_fixture,
+                  "link budget: a burst of all priorities: the more urgent are "
+                  "admitted more often, and each of them sometimes")
+{
+    constexpr int priorities = 3;
+    constexpr int lots = 10;
+    std::array<int, priorities> admitted{};
+    for (int i = 0; i < 600; ++i)
+    {
+        clock.advance(milliseconds(8));
+        auto const priority = i % priorities;
+        auto const lot = (i / priorities) % lots / double(lots);
+        admitted.at(static_cast<std::size_t>(priority)) +=
+            link.admit(request, share_kept_for_urgent(priority, lot)) ? 1 : 0;
+    }
+    CHECK(admitted[0] > 180);
+    CHECK(admitted[0] > admitted[1]);
+    CHECK(admitted[1] > admitted[2]);
+    CHECK(admitted[2] > 20);
+}
+
+TEST_CASE_FIXTURE(link_fixture,
+                  "link budget: room for all priorities: all admitted")
+{
+    for (int i = 0; i < 300; ++i)
+    {
+        clock.advance(milliseconds(20));
+        CHECK(link.admit(request, share_kept_for_urgent(i % 4, 0.99)));
+    }
+}
