--- a/source/verbenacove/process/routing/route_traffic.hpp
+++ b/source/verbenacove/process/routing/route_traffic.hpp
@@ -142,6 +142,9 @@
     /** Returns how many responses had a load that could not be read. */
     qint64 unreadable_loads() const;
     void record_result(routed_request_result const& result);
+    /** Reports the services for which requests were refused for want of room
+        since the previous report. */
+    void report_admission();
     void report_load(process_load_meter::load const& used);
 
     route_entry_settings settings_;
@@ -171,6 +174,8 @@
     key_lease_gate key_gate_;
     bool is_refusing_ = false;
     QHash<service_name, std::shared_ptr<routed_pool>> pools_;
+    /** The refusals for want of room that were reported, by service. */
+    QHash<service_name, qint64> reported_refusals_;
     upstream_client upstream_client_;
     caller_budget caller_budget_;
     http_server caller_endpoint_;
