--- a/source/verbenacove/process/routing/route_traffic.cpp
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -1,6 +1,7 @@
 #include "verbenacove/process/routing/route_traffic.hpp"
 
 #include "verbenacove/core/event_log.hpp"
+#include "verbenacove/core/stable_hash.hpp"
 
 #include <QJsonArray>
 #include <QRandomGenerator>
@@ -24,6 +25,9 @@
 constexpr double bytes_per_megabit = 125000;
 /** The retry delay that a 503 response asks of the caller. */
 constexpr milliseconds refusal_delay{250};
+/** The same from an entry that knows no routes yet, before it is spread: after
+   a loss of power most entries start together and need about this long. */
+constexpr milliseconds start_up_delay{1200};
 
 /** Returns the limits of the readiness and metrics endpoints. Their clients may
     stay idle for longer than callers. */
@@ -238,7 +242,12 @@
     auto response = not_run_response(status, code, "It was not run.");
     if (status == 503)
     {
-        header_codec_.set_retry_after(response.headers, refusal_delay);
+        constexpr quint64 lots = 10007;
+        auto const lot =
+            static_cast<double>(stable_hash(metadata.id, code) % lots) / lots;
+        header_codec_.set_retry_after(
+            response.headers,
+            view_->routes ? refusal_delay : spread_return(start_up_delay, lot));
     }
     if (read_relay_request(exchange->request()))
     {
--- a/source/verbenacove/request/link_budget.cpp
+++ b/source/verbenacove/request/link_budget.cpp
@@ -60,6 +60,7 @@
     if (missing_ > 0)
     {
         ++usage_.refused;
+        shortage_.note_refusal(refilled_);
         return false;
     }
     ++usage_.admitted;
@@ -124,6 +125,11 @@
         static_cast<qint64>(missing_ / (*rate_ * share(clock_.now())) * 1000));
 }
 
+milliseconds link_budget::return_delay(double lot) const
+{
+    return shortage_.return_delay(time_until_room(), lot, clock_.now());
+}
+
 void link_budget::count(traffic const& bytes)
 {
     usage_.bytes.received += bytes.received;
--- a/source/verbenacove/request/link_budget.hpp
+++ b/source/verbenacove/request/link_budget.hpp
@@ -3,6 +3,7 @@
 
 #include "verbenacove/core/clock.hpp"
 #include "verbenacove/core/ids.hpp"
+#include "verbenacove/request/shortage.hpp"
 
 #include <optional>
 #include <utility>
@@ -77,6 +78,13 @@
         that was not admitted. */
     milliseconds time_until_room() const;
 
+    /** Returns when the caller of the request that was refused last should come
+        back.
+
+        @param lot  a number from 0 to 1 that is uniform over requests
+    */
+    milliseconds return_delay(double lot) const;
+
     /** Returns the usage since the previous call. */
     usage take_usage() { return std::exchange(usage_, {}); }
 
@@ -95,6 +103,7 @@
     milliseconds delay_{0};
     monotonic_time delay_observed_{};
     usage usage_;
+    shortage shortage_;
 };
 
 } // namespace verbenacove
--- a/source/verbenacove/request/overload_admission.cpp
+++ b/source/verbenacove/request/overload_admission.cpp
@@ -47,12 +47,6 @@
 constexpr double negligible_demand = 0.01;
 /** The greatest share of a resource that each further priority leaves free. */
 constexpr double share_kept_per_priority = 0.25;
-/** The range of the time to come back. */
-constexpr milliseconds shortest_return{150};
-constexpr milliseconds longest_return{1500};
-/** The time without refusals after which a shortage has ended. */
-constexpr milliseconds shortage_gap{1000};
-
 double decay(double seconds, double half_life_s)
 {
     return std::exp2(-seconds / half_life_s);
@@ -86,39 +80,15 @@
     demand += 1;
     bool const is_admitted =
         room_ >= 1 || subject.lot * demand < levels_.at(priority);
-    note_shortage(is_admitted, now);
     auto& counted = decisions_.at(priority);
     ++(is_admitted ? counted.admitted : counted.refused);
     if (is_admitted)
     {
         return {};
     }
-    return {false, return_delay(subject, now)};
-}
-
-void overload_admission::note_shortage(bool is_admitted, monotonic_time now)
-{
-    if (is_admitted)
-    {
-        return;
-    }
-    if (elapsed(last_refusal_, now) > shortage_gap)
-    {
-        shortage_since_ = now;
-    }
-    last_refusal_ = now;
-}
-
-// A shortage that has lasted for some time is expected to last as long again.
-// Spread, so that callers which were refused together do not return together.
-milliseconds overload_admission::return_delay(admission_subject const& subject,
-                                              monotonic_time now) const
-{
-    auto const expected = std::clamp(
-        elapsed(shortage_since_, now),
-        std::max(subject.objective / 2, shortest_return), longest_return);
-    return milliseconds(static_cast<qint64>(
-        static_cast<double>(expected.count()) * (1 + subject.lot)));
+    shortage_.note_refusal(now);
+    return {false,
+            shortage_.return_delay(subject.objective / 2, subject.lot, now)};
 }
 
 void overload_admission::record_load(upstream_load const& load,
--- a/source/verbenacove/request/overload_admission.hpp
+++ b/source/verbenacove/request/overload_admission.hpp
@@ -3,6 +3,7 @@
 
 #include "verbenacove/core/clock.hpp"
 #include "verbenacove/request/route_header_codec.hpp"
+#include "verbenacove/request/shortage.hpp"
 
 #include <QHash>
 #include <QString>
@@ -112,9 +113,6 @@
 private:
     using demand_by_priority = std::array<double, priority_count>;
 
-    void note_shortage(bool is_admitted, monotonic_time now);
-    milliseconds return_delay(admission_subject const& subject,
-                              monotonic_time now) const;
     /** Updates all shares if the last update is old enough. */
     void update(milliseconds objective, monotonic_time now);
     void update_room(milliseconds objective);
@@ -139,9 +137,7 @@
     monotonic_time updated_{};
     /** The decaying number of responses, over the same time as the demand. */
     double responses_ = 0;
-    /** When the present shortage began, and the last refusal. */
-    monotonic_time shortage_since_{};
-    monotonic_time last_refusal_{};
+    shortage shortage_;
     /** The decaying numbers of requests. */
     QHash<QString, demand_by_priority> demand_;
     /** For each priority, the demand up to which a team is served in full. */
--- a/source/verbenacove/request/routed_request.cpp
+++ b/source/verbenacove/request/routed_request.cpp
@@ -199,16 +199,9 @@
     {
         return return_delay_;
     }
-    auto const delay = fixed_retry_delay(reason);
-    if (qstrcmp(reason, link_full) != 0)
-    {
-        return delay;
-    }
-    auto const spread =
-        static_cast<double>(stable_hash(metadata_.id, reason) % 1000) / 1000;
-    auto const longest = std::max(delay, services_.link.time_until_room());
-    return milliseconds(static_cast<qint64>(
-        static_cast<double>(longest.count()) * (1 + spread)));
+    return qstrcmp(reason, link_full) == 0
+               ? services_.link.return_delay(admission_lot())
+               : fixed_retry_delay(reason);
 }
 
 milliseconds routed_request::time_left() const
