--- a/source/verbenacove/process/routing/route_traffic.cpp
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -1,6 +1,7 @@
 #include "verbenacove/process/routing/route_traffic.hpp"
 
 #include "verbenacove/core/event_log.hpp"
+#include "verbenacove/core/stable_hash.hpp"
 
 #include <QJsonArray>
 #include <QRandomGenerator>
@@ -25,6 +26,10 @@
 constexpr double bytes_per_megabit = 125000;
 /** The interval between reports of the use of allowances. */
 constexpr milliseconds allowance_report_interval{250};
+/** The retry delay of an entry that knows no routes yet, before it is spread:
+    after a loss of power most entries start together and need about this
+    long. */
+constexpr milliseconds start_up_delay{1200};
 
 /** Returns the limits of the readiness and metrics endpoints. Their clients may
     stay idle for longer than callers. */
@@ -322,7 +327,12 @@
     auto response = not_run_response(status, code, "It was not run.");
     if (status == 503 || status == 429)
     {
-        header_codec_.set_retry_after(response.headers, delay);
+        constexpr quint64 lots = 10007;
+        auto const lot =
+            static_cast<double>(stable_hash(metadata.id, code) % lots) / lots;
+        header_codec_.set_retry_after(
+            response.headers,
+            view_->routes ? delay : spread_return(start_up_delay, lot));
     }
     if (status == 401)
     {
