--- a/source/verbenacove/process/routing/route_traffic.cpp
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -243,15 +243,7 @@
         {
             return;
         }
-        request_services.on_result =
-            [this, team = *destination->team](routed_request_result const& end)
-        {
-            if (end.verdict == run_verdict::not_run)
-            {
-                allowance_gate_.refund(team, clock_.now());
-            }
-            record_result(end);
-        };
+        refund_if_not_run(request_services, *destination->team);
     }
     routed_request::start(request_services, exchange, std::move(metadata),
                           std::move(*destination));
--- a/source/verbenacove/process/routing/route_traffic.hpp
+++ b/source/verbenacove/process/routing/route_traffic.hpp
@@ -111,6 +111,10 @@
     bool is_within_allowance(exchange_ptr const& exchange,
                              request_metadata const& metadata,
                              team_name const& team);
+    /** Makes a request give its token back when it ends without having
+        run. */
+    void refund_if_not_run(routed_request_services& services,
+                           team_name const& team);
     void report_allowances();
     void handle_readiness(exchange_ptr const& exchange);
     void handle_metrics(exchange_ptr const& exchange);
--- a/source/verbenacove/process/routing/route_traffic_allowances.cpp
+++ b/source/verbenacove/process/routing/route_traffic_allowances.cpp
@@ -24,6 +24,19 @@
     return !delay;
 }
 
+void route_traffic::refund_if_not_run(routed_request_services& services,
+                                      team_name const& team)
+{
+    services.on_result = [this, team](routed_request_result const& result)
+    {
+        if (result.verdict == run_verdict::not_run)
+        {
+            allowance_gate_.refund(team, clock_.now());
+        }
+        record_result(result);
+    };
+}
+
 void route_traffic::report_allowances()
 {
     if (is_reporting_allowances_ || !calls_.allowances)
@@ -44,7 +57,7 @@
     is_reporting_allowances_ = false;
     if (answer)
     {
-        allowance_gate_.confirm(number, *answer);
+        allowance_gate_.confirm(number, *answer, clock_.now());
     }
 }
 
--- a/source/verbenacove/teams/allowance_gate.cpp
+++ b/source/verbenacove/teams/allowance_gate.cpp
@@ -10,9 +10,13 @@
 namespace
 {
 
-/** Time without confirmation after which an entry's own account counts. The
-    leader usually confirms within 0.5 s. */
-constexpr milliseconds unconfirmed_after{550};
+/** Time without confirmation after which an entry's own account counts: a
+    multiple of the usual time, within these limits. */
+constexpr double unconfirmed_factor = 1.4;
+constexpr milliseconds earliest_unconfirmed{550};
+constexpr milliseconds latest_unconfirmed{900};
+/** Weight of one confirmation in the usual time. */
+constexpr double confirmation_weight = 0.1;
 /** Time without confirmation after which only the floor is admitted. */
 constexpr milliseconds cut_off_after{3000};
 /** Interval of the reports of an entry that has nothing to tell. */
@@ -198,12 +202,20 @@
 }
 
 void allowance_gate::confirm(allowance_report_number number,
-                             allowance_answer const& answer)
+                             allowance_answer const& answer, monotonic_time now)
 {
     if (number != number_)
     {
         return;
     }
+    if (reported_since_)
+    {
+        auto const taken =
+            std::min(elapsed(*reported_since_, now), cut_off_after);
+        usual_confirmation_ms_ +=
+            (static_cast<double>(taken.count()) - usual_confirmation_ms_) *
+            confirmation_weight;
+    }
     reported_since_.reset();
     confirmed_until_ = report_taken_;
     is_settled_ = answer.is_settled;
@@ -238,8 +250,12 @@
     {
         return mode::cut_off;
     }
-    return age >= unconfirmed_after || !is_settled_ ? mode::unconfirmed
-                                                    : mode::confirmed;
+    auto const patience =
+        std::clamp(milliseconds(static_cast<qint64>(usual_confirmation_ms_ *
+                                                    unconfirmed_factor)),
+                   earliest_unconfirmed, latest_unconfirmed);
+    return age >= patience || !is_settled_ ? mode::unconfirmed
+                                           : mode::confirmed;
 }
 
 double allowance_gate::random_phase()
--- a/source/verbenacove/teams/allowance_gate.hpp
+++ b/source/verbenacove/teams/allowance_gate.hpp
@@ -84,8 +84,8 @@
     std::optional<allowance_report> take_report(monotonic_time now);
 
     /** Applies the answer to a report; ignored unless it is the latest. */
-    void confirm(allowance_report_number number,
-                 allowance_answer const& answer);
+    void confirm(allowance_report_number number, allowance_answer const& answer,
+                 monotonic_time now);
 
     /** Returns the rule in force. */
     mode current_mode(monotonic_time now) const;
@@ -142,6 +142,8 @@
         confirmed. */
     monotonic_time report_taken_{};
     monotonic_time confirmed_until_{};
+    /** Usual time from the first request in a report to the confirmation. */
+    double usual_confirmation_ms_ = 0;
     /** Time of the first request since the latest report; absent if there is
         none. */
     std::optional<monotonic_time> unreported_since_;
--- a/source/verbenacove/teams/allowance_ledger.cpp
+++ b/source/verbenacove/teams/allowance_ledger.cpp
@@ -16,11 +16,11 @@
 /** Time constants of the two estimates of demand, in seconds. The lower one
     counts: the slow one does not take a burst for lasting demand, and the fast
     one forgets it soon. */
-constexpr double fast_seconds = 0.25;
-constexpr double slow_seconds = 1;
+constexpr double fast_seconds = 0.2;
+constexpr double slow_seconds = 0.4;
 /** Time for which a balance has to last, in seconds: longer than it takes
     until a restriction is in force at the entries. */
-constexpr double horizon_seconds = 0.8;
+constexpr double horizon_seconds = 1;
 /** Number of requests beyond the burst that a team may run, so that the chance
     variation of few requests is not refused. */
 constexpr double tolerated_requests = 6;
--- a/tests/unit/allowance_model.hpp
+++ b/tests/unit/allowance_model.hpp
@@ -321,7 +321,7 @@
                 back.waiting_until = now_;
                 if (answer)
                 {
-                    back.gate.confirm(number, *answer);
+                    back.gate.confirm(number, *answer, now_);
                 }
             });
     }
--- a/tests/unit/allowance_test.cpp
+++ b/tests/unit/allowance_test.cpp
@@ -441,7 +441,8 @@
     REQUIRE_FALSE(gate.admit(team.name, 0, now));
     auto const report = gate.take_report(now);
     REQUIRE(report);
-    gate.confirm(report->number, {{{team.name, 0, milliseconds(1500)}}, true});
+    gate.confirm(report->number, {{{team.name, 0, milliseconds(1500)}}, true},
+                 now);
     auto const earliest = gate.admit(team.name, 0, now);
     auto const latest = gate.admit(team.name, 65535, now);
     REQUIRE(earliest);
