Replica: no line about missing confirmations when teams have just come

Seen in a run with real processes: each replica logged keys.unconfirmed with age_ms -1 and, 100 ms later, keys.confirmed, each time teams came into force or it started. The 2.5 s now count from when there are teams. 26 cases of key *, and key_withdrawal_test 4 of 4 (data folders in memory): passed; no such line in a run.

--- a/source/verbenacove/teams/key_confirmation_service.cpp
+++ b/source/verbenacove/teams/key_confirmation_service.cpp
@@ -129,8 +129,9 @@
 void key_confirmation_service::log_changes(bool has_teams, boot_time now)
 {
     auto const& known = confirmer_.latest();
-    bool const is_stale =
-        has_teams && (!known || now - known->as_of > stale_age);
+    teams_since_ = has_teams ? teams_since_.value_or(now) : now;
+    auto const latest = known ? known->as_of : *teams_since_;
+    bool const is_stale = has_teams && now - latest > stale_age;
     if (is_stale == stale_since_.has_value())
     {
         return;
--- a/source/verbenacove/teams/key_confirmation_service.hpp
+++ b/source/verbenacove/teams/key_confirmation_service.hpp
@@ -70,6 +70,9 @@
     control_server& server_;
     key_confirmer confirmer_;
     std::vector<waiting_replica> waiting_;
+    /** Time since which there have been teams; that of the last tick while
+       there are none. */
+    std::optional<boot_time> teams_since_;
     /** Time since which the latest confirmation has been too old. */
     std::optional<boot_time> stale_since_;
     timer_service timers_;
