Allowances of teams: reports run only where a team has an allowance

Cause: the timer of the reports also ran where nothing is to report. It starts with the first configuration that has an allowance, and ends without one.

--- a/source/verbenacove/process/routing/route_traffic.cpp
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -20,8 +20,6 @@
 /** The interval between crash reports. Crashes within one interval are
     reported together. */
 constexpr milliseconds crash_report_interval{250};
-/** The interval between reports of the use of allowances. */
-constexpr milliseconds allowance_report_interval{250};
 
 /** Returns the limits of the readiness and metrics endpoints. Their clients may
     stay idle for longer than callers. */
@@ -86,8 +84,6 @@
     probe_timer_ = timers_.call_every(probe_interval, [this] { probe(); });
     crash_report_timer_ =
         timers_.call_every(crash_report_interval, [this] { report_crashes(); });
-    allowance_timer_ = timers_.call_every(allowance_report_interval,
-                                          [this] { report_allowances(); });
     return {};
 }
 
@@ -109,8 +105,7 @@
     }
     if (has_new_allowances && view_->routes)
     {
-        allowance_gate_.set_teams(view_->routes->teams, view_->live_entries,
-                                  clock_.now());
+        set_allowances();
     }
     relays_.set_entries(view_->relays, view_->remote_relays);
     request_quarantine_.set_trial_turns(settings_.callers.text().toUtf8(),
--- a/source/verbenacove/process/routing/route_traffic.hpp
+++ b/source/verbenacove/process/routing/route_traffic.hpp
@@ -105,6 +105,8 @@
                 int status, char const* code,
                 milliseconds delay = refusal_delay);
     // Allowances; see route_traffic_allowances.cpp.
+    /** Applies the view's allowances. */
+    void set_allowances();
     bool has_allowance(request_destination const& destination) const;
     /** Refuses a request of a team that has used up its allowance; returns
         whether it is admitted. */
--- a/source/verbenacove/process/routing/route_traffic_allowances.cpp
+++ b/source/verbenacove/process/routing/route_traffic_allowances.cpp
@@ -4,6 +4,30 @@
 namespace verbenacove
 {
 
+namespace
+{
+
+/** The interval between reports of the use of allowances. */
+constexpr milliseconds allowance_report_interval{250};
+
+} // namespace
+
+void route_traffic::set_allowances()
+{
+    allowance_gate_.set_teams(view_->routes->teams, view_->live_entries,
+                              clock_.now());
+    bool const has_allowances = allowance_gate_.has_allowances();
+    if (has_allowances && !allowance_timer_.is_active())
+    {
+        allowance_timer_ = timers_.call_every(allowance_report_interval,
+                                              [this] { report_allowances(); });
+    }
+    else if (!has_allowances)
+    {
+        allowance_timer_.cancel();
+    }
+}
+
 bool route_traffic::has_allowance(request_destination const& destination) const
 {
     return allowance_gate_.has_allowances() && destination.team &&
