--- a/source/verbenacove/process/routing/route_traffic.cpp
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -24,8 +24,6 @@
 /** The interval at which the end of the lease of the keys is looked for. */
 constexpr milliseconds lease_log_interval{200};
 constexpr double bytes_per_megabit = 125000;
-/** The interval between reports of the use of allowances. */
-constexpr milliseconds allowance_report_interval{250};
 /** The retry delay of an entry that knows no routes yet, before it is spread:
     after a loss of power most entries start together and need about this
     long. */
@@ -111,8 +109,6 @@
         lease_log_timer_ = timers_.call_every(lease_log_interval, [this]
                                               { key_gate_.log_changes(); });
     }
-    allowance_timer_ = timers_.call_every(allowance_report_interval,
-                                          [this] { report_allowances(); });
     return {};
 }
 
@@ -136,8 +132,7 @@
     }
     if (has_new_allowances && view_->routes)
     {
-        allowance_gate_.set_teams(view_->routes->teams, view_->live_entries,
-                                  clock_.now());
+        set_allowances();
     }
     relays_.set_entries(view_->relays, view_->remote_relays);
     request_quarantine_.set_trial_turns(settings_.callers.text().toUtf8(),
