--- a/source/verbenacove/process/routing/route_traffic.cpp
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -1,7 +1,6 @@
 #include "verbenacove/process/routing/route_traffic.hpp"
 
 #include "verbenacove/core/event_log.hpp"
-#include "verbenacove/core/stable_hash.hpp"
 
 #include <QJsonArray>
 #include <QRandomGenerator>
@@ -242,12 +241,11 @@
     auto response = not_run_response(status, code, "It was not run.");
     if (status == 503)
     {
-        constexpr quint64 lots = 10007;
-        auto const lot =
-            static_cast<double>(stable_hash(metadata.id, code) % lots) / lots;
         header_codec_.set_retry_after(
             response.headers,
-            view_->routes ? refusal_delay : spread_return(start_up_delay, lot));
+            view_->routes
+                ? refusal_delay
+                : spread_return(start_up_delay, admission_lot(metadata.id)));
     }
     if (read_relay_request(exchange->request()))
     {
--- a/source/verbenacove/request/overload_admission.cpp
+++ b/source/verbenacove/request/overload_admission.cpp
@@ -1,5 +1,7 @@
 #include "verbenacove/request/overload_admission.hpp"
 
+#include "verbenacove/core/stable_hash.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <numeric>
@@ -65,6 +67,13 @@
 
 } // namespace
 
+double admission_lot(QByteArray const& request_id)
+{
+    constexpr quint64 lots = 10007;
+    return static_cast<double>(stable_hash(request_id, "admission") % lots) /
+           lots;
+}
+
 double share_kept_for_urgent(int priority, double lot)
 {
     return share_kept_per_priority * static_cast<double>(index_of(priority)) *
--- a/source/verbenacove/request/overload_admission.hpp
+++ b/source/verbenacove/request/overload_admission.hpp
@@ -5,6 +5,7 @@
 #include "verbenacove/request/route_header_codec.hpp"
 #include "verbenacove/request/shortage.hpp"
 
+#include <QByteArray>
 #include <QHash>
 #include <QString>
 
@@ -36,6 +37,10 @@
     milliseconds retry_after{0};
 };
 
+/** Returns a number from 0 to 1 that is uniform over requests and always the
+   same for one of them. */
+double admission_lot(QByteArray const& request_id);
+
 /** Returns the share of a resource that a request must leave free for more
     urgent ones, 0 to 1. It depends on the request's lot, so that requests of no
     priority are refused together.
--- a/source/verbenacove/request/routed_request.cpp
+++ b/source/verbenacove/request/routed_request.cpp
@@ -144,13 +144,6 @@
     try_next();
 }
 
-double routed_request::admission_lot() const
-{
-    constexpr quint64 lots = 10007;
-    return static_cast<double>(stable_hash(metadata_.id, no_room) % lots) /
-           lots;
-}
-
 bool routed_request::has_room()
 {
     // The entry that has relayed the request has admitted it.
@@ -159,7 +152,7 @@
         return true;
     }
     auto const decision = pool_->admission.decide(
-        {route_.priority, {}, route_.objective, admission_lot()},
+        {route_.priority, {}, route_.objective, admission_lot(metadata_.id)},
         arrival_time_);
     return_delay_ = decision.retry_after;
     return decision.is_admitted;
@@ -173,7 +166,8 @@
     auto const expected = pool_->response_size.bytes();
     auto const kept_free =
         relayed_from_ ? 0
-                      : share_kept_for_urgent(route_.priority, admission_lot());
+                      : share_kept_for_urgent(route_.priority,
+                                              admission_lot(metadata_.id));
     if (!services_.link.admit({expected, request_bytes_ + expected}, kept_free))
     {
         return false;
@@ -200,7 +194,7 @@
         return return_delay_;
     }
     return qstrcmp(reason, link_full) == 0
-               ? services_.link.return_delay(admission_lot())
+               ? services_.link.return_delay(admission_lot(metadata_.id))
                : fixed_retry_delay(reason);
 }
 
--- a/source/verbenacove/request/routed_request.hpp
+++ b/source/verbenacove/request/routed_request.hpp
@@ -141,8 +141,6 @@
                    request_metadata metadata, request_destination destination);
 
     void begin();
-    /** Returns a number from 0 to 1 that is uniform over requests. */
-    double admission_lot() const;
     /** Returns whether the upstreams have room for the request. If not, sets
         when it may come back. */
     bool has_room();
