Requests sent ahead leave descriptors to callers that wait for answers

Seen in two of three runs of uncontrolled_callers_fields_test: beside callers that send ahead to a slow upstream, five tries of an ordinary request weren't served. By reading: the crowd's requests took all that callers and upstream connections may have together. A request with more sent behind it now gets three quarters of that at most.

--- a/source/verbenacove/connection/caller_budget.cpp
+++ b/source/verbenacove/connection/caller_budget.cpp
@@ -61,7 +61,13 @@
 bool caller_budget::is_scarce() const
 {
     return charged_bytes_ > limits_.memory_bytes / 4 * 3 ||
-           used_connections() > maximum_used_connections() / 4 * 3;
+           used_connections() > maximum_used_connections() * 3 / 4;
+}
+
+bool caller_budget::has_upstream_room(bool is_followed) const
+{
+    auto const maximum = maximum_used_connections();
+    return used_connections() < (is_followed ? maximum * 3 / 4 : maximum);
 }
 
 int caller_budget::open_connections() const
--- a/source/verbenacove/connection/caller_budget.hpp
+++ b/source/verbenacove/connection/caller_budget.hpp
@@ -104,11 +104,11 @@
     bool is_scarce() const;
 
     /** Returns whether descriptors are left for one more request to an
-        upstream. */
-    bool has_upstream_room() const
-    {
-        return used_connections() < maximum_used_connections();
-    }
+        upstream; a quarter is kept for callers that wait for each response.
+
+        @param is_followed  whether the caller has sent more behind it
+    */
+    bool has_upstream_room(bool is_followed) const;
 
     /** Makes room in memory for a connection by releasing others.
 
--- a/source/verbenacove/connection/http_connection.cpp
+++ b/source/verbenacove/connection/http_connection.cpp
@@ -370,6 +370,7 @@
         request_overhead + parser_->held_bytes() * 2 - slot.body_bytes;
     auto request = parser_->take_request();
     request.remote = socket_->peerAddress();
+    request.is_followed = !input_.isEmpty() || socket_->bytesAvailable() > 0;
     slot.form.is_head = request.method == "HEAD";
     auto exchange = std::make_shared<http_exchange>(
         std::move(request), this, first_sequence_ + pending_.size());
--- a/source/verbenacove/connection/http_message.hpp
+++ b/source/verbenacove/connection/http_message.hpp
@@ -58,6 +58,8 @@
     QByteArray body;
     /** The caller's address. */
     QHostAddress remote;
+    /** Whether the caller had already sent more behind it. */
+    bool is_followed = false;
 
     /** Returns a header's value; the name's case does not matter. */
     QByteArray header(QByteArrayView name) const;
--- a/source/verbenacove/process/routing/route_traffic.cpp
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -225,7 +225,7 @@
         refuse(exchange, metadata, 404, "no-route");
         return;
     }
-    if (!caller_budget_.has_upstream_room())
+    if (!caller_budget_.has_upstream_room(request.is_followed))
     {
         refuse(exchange, metadata, 503, "overloaded");
         return;
--- a/tests/unit/caller_budget_test.cpp
+++ b/tests/unit/caller_budget_test.cpp
@@ -166,10 +166,13 @@
                   "descriptors: requests have no room, and none goes ahead")
 {
     callers.in_hand = 6;
-    CHECK(budget.has_upstream_room());
+    CHECK(budget.has_upstream_room(true));
     CHECK(!budget.is_scarce());
+    upstreams = 2;
+    CHECK(!budget.has_upstream_room(true));
+    CHECK(budget.has_upstream_room(false));
     upstreams = 4;
-    CHECK(!budget.has_upstream_room());
+    CHECK(!budget.has_upstream_room(false));
     CHECK(budget.is_scarce());
 }
 
