--- a/source/verbenacove/connection/caller_budget.hpp
+++ b/source/verbenacove/connection/caller_budget.hpp
@@ -59,8 +59,14 @@
         virtual int open_connections() const = 0;
 
         /** Returns when the connection without progress for longest last made
-            some; nothing if none can be released. */
-        virtual std::optional<monotonic_time> longest_stalled() const = 0;
+            some; nothing if none can be released.
+
+            @param for_connections  whether a descriptor is needed; otherwise
+                                    memory, of which idle connections hold next
+                                    to nothing
+        */
+        virtual std::optional<monotonic_time>
+        longest_stalled(bool for_connections) const = 0;
 
         /** Refuses the request of that connection, or closes it.
 
@@ -104,11 +110,11 @@
     bool is_scarce() const;
 
     /** Returns whether descriptors are left for one more request to an
-        upstream. */
-    bool has_upstream_room() const
-    {
-        return used_connections() < maximum_used_connections();
-    }
+        upstream; a quarter is kept for callers that wait for each response.
+
+        @param is_followed  whether the caller has sent more behind it
+    */
+    bool has_upstream_room(bool is_followed) const;
 
     /** Makes room in memory for a connection by releasing others.
 
--- a/source/verbenacove/connection/http_connection.cpp
+++ b/source/verbenacove/connection/http_connection.cpp
@@ -92,13 +92,18 @@
     send_answers();
     hold_bytes();
     charge();
-    bool const is_read = waiting_answer_bytes_ == 0 && !unsent_since_;
-    if ((waiting_answer_bytes_ > 0 && listener_.holds_too_much()) ||
-        (!is_read && !listener_.make_room(charged_bytes_)))
+    if (waiting_answer_bytes_ > 0 && listener_.holds_too_much())
     {
         abort();
         return;
     }
+    // The answer is delivered in any case; others make room for it.
+    if (waiting_answer_bytes_ > 0 || unsent_since_)
+    {
+        is_answering_ = true;
+        listener_.make_room(charged_bytes_);
+        is_answering_ = false;
+    }
     read();
 }
 
@@ -362,6 +367,10 @@
         refuse_for_memory();
         return;
     }
+    if (is_finished_)
+    {
+        return;
+    }
     pending_answer slot;
     slot.form.is_http_1_1 = parser_->is_http_1_1();
     slot.form.closes = !parser_->keeps_alive() || listener_.is_stopping();
@@ -373,6 +382,7 @@
     request.remote = socket_->peerAddress();
     request.reading_time =
         elapsed(reading_since_, std::chrono::steady_clock::now());
+    request.is_followed = !input_.isEmpty() || socket_->bytesAvailable() > 0;
     slot.form.is_head = request.method == "HEAD";
     auto exchange = std::make_shared<http_exchange>(
         std::move(request), this, first_sequence_ + pending_.size());
--- a/source/verbenacove/connection/http_connection.hpp
+++ b/source/verbenacove/connection/http_connection.hpp
@@ -185,6 +185,8 @@
     monotonic_time reading_since_{};
     std::optional<monotonic_time> unsent_since_;
     bool is_reading_ = false;
+    /** Whether room is being made for an answer. */
+    bool is_answering_ = false;
     bool awaits_input_ = false;
     bool takes_requests_ = true;
     bool has_sent_continue_ = false;
--- a/source/verbenacove/connection/http_connection_memory.cpp
+++ b/source/verbenacove/connection/http_connection_memory.cpp
@@ -7,12 +7,17 @@
 namespace verbenacove
 {
 
+// A connection that asks for room is in the middle of a request or an answer. A
+// caller that sends ahead waits for this process, not the other way round.
 std::optional<monotonic_time> http_connection::stalled_since() const
 {
+    bool const is_asking = is_reading_ || is_answering_;
     bool const waits_for_caller =
-        is_idle() || unsent_since_ || phase_ != progress::nothing;
-    return !is_finished_ && waits_for_caller ? std::optional(progress_.last())
-                                             : std::nullopt;
+        is_idle() || unsent_since_ ||
+        (phase_ != progress::nothing && may_take_more());
+    return !is_finished_ && !is_asking && waits_for_caller
+               ? std::optional(progress_.last())
+               : std::nullopt;
 }
 
 void http_connection::release(bool is_closed_at_once)
--- a/source/verbenacove/connection/http_message.hpp
+++ b/source/verbenacove/connection/http_message.hpp
@@ -61,6 +61,8 @@
     QHostAddress remote;
     /** Time from its first byte to its last, as they were read. */
     std::chrono::milliseconds reading_time{0};
+    /** Whether the caller had already sent more behind it. */
+    bool is_followed = false;
 
     /** Returns a header's value; the name's case does not matter. */
     QByteArray header(QByteArrayView name) const;
--- a/source/verbenacove/connection/http_server.cpp
+++ b/source/verbenacove/connection/http_server.cpp
@@ -165,10 +165,12 @@
         return static_cast<int>(connection_count());
     }
 
-    std::optional<monotonic_time> longest_stalled() const override
+    std::optional<monotonic_time>
+    longest_stalled(bool for_connections) const override
     {
-        auto result = parked_.longest_idle_since();
-        if (auto const* const stalled = most_stalled())
+        auto result =
+            for_connections ? parked_.longest_idle_since() : std::nullopt;
+        if (auto const* const stalled = most_stalled(for_connections))
         {
             auto const since = stalled->stalled_since();
             result = result ? std::min(result, since) : since;
@@ -178,8 +180,9 @@
 
     void release_longest_stalled(bool is_closed_at_once) override
     {
-        auto const parked = parked_.longest_idle_since();
-        auto* const stalled = most_stalled();
+        auto const parked =
+            is_closed_at_once ? parked_.longest_idle_since() : std::nullopt;
+        auto* const stalled = most_stalled(is_closed_at_once);
         if (stalled == nullptr ||
             (parked && *parked <= stalled->stalled_since()))
         {
@@ -272,12 +275,17 @@
         return result;
     }
 
-    http_connection* most_stalled() const
+    http_connection* most_stalled(bool for_connections) const
     {
         http_connection* result = nullptr;
         for (auto* const connection : connections_)
         {
-            auto const since = connection->stalled_since();
+            // One that is closed at once would lose the answers in hand.
+            bool const is_kept = for_connections
+                                     ? connection->open_exchanges() > 0
+                                     : connection->is_idle();
+            auto const since =
+                is_kept ? std::nullopt : connection->stalled_since();
             if (since && (result == nullptr || since < result->stalled_since()))
             {
                 result = connection;
--- a/source/verbenacove/connection/upstream_attempt.hpp
+++ b/source/verbenacove/connection/upstream_attempt.hpp
@@ -80,6 +80,9 @@
     /** Calls back with the result. */
     void call_back(attempt_result result);
 
+    /** Returns whether its body is sent in slices. */
+    bool is_paced() const;
+
 private:
     /** Why the request was kept back when the connection was open. */
     enum class hold_back
@@ -98,7 +101,6 @@
     static size_t give_body(char* buffer, size_t size, size_t count,
                             void* attempt);
     size_t next_slice(char* buffer, size_t size);
-    bool is_paced() const;
     static size_t take_header(char* bytes, size_t size, size_t count,
                               void* attempt);
     static size_t take_body(char* bytes, size_t size, size_t count,
--- a/source/verbenacove/connection/upstream_client.cpp
+++ b/source/verbenacove/connection/upstream_client.cpp
@@ -27,6 +27,8 @@
 constexpr long kept_descriptor_share = 8;
 constexpr std::size_t maximum_attempts = 4096;
 constexpr milliseconds stall_check_interval{250};
+/** On a link that sends a slice in less, a large body holds up nothing. */
+constexpr milliseconds shortest_slice_time{3};
 
 long kept_connections()
 {
@@ -86,9 +88,11 @@
 
     void pace_bodies(double link_bytes_per_second)
     {
-        pacer_.emplace(link_bytes_per_second);
-        slice_timer_ = timers_.call_every(pacer_->slice_time(),
-                                          [this] { continue_bodies(); });
+        body_pacer const pacer(link_bytes_per_second);
+        if (pacer.slice_time() >= shortest_slice_time)
+        {
+            pacer_ = pacer;
+        }
     }
 
     attempt_id start(attempt_request request, callback call)
@@ -99,6 +103,11 @@
             std::move(request), std::move(call), open_sockets_, memory_,
             pacer_ ? &*pacer_ : nullptr, clock_.now());
         auto& started = *attempt;
+        if (started.is_paced() && !slice_timer_.is_active())
+        {
+            slice_timer_ = timers_.call_every(pacer_->slice_time(),
+                                              [this] { continue_bodies(); });
+        }
         attempts_.emplace(id.value(), std::move(attempt));
         if (attempts_.size() > maximum_attempts)
         {
@@ -271,13 +280,19 @@
     // The oldest first, so that it ends soonest.
     void continue_bodies()
     {
+        bool has_paced = false;
         for (auto const& [id, attempt] : attempts_)
         {
+            has_paced = has_paced || attempt->is_paced();
             if (ids_.contains(attempt->handle()))
             {
                 attempt->continue_body();
             }
         }
+        if (!has_paced)
+        {
+            slice_timer_.cancel();
+        }
     }
 
     void end_stalled()
--- a/source/verbenacove/request/overload_admission.cpp
+++ b/source/verbenacove/request/overload_admission.cpp
@@ -16,10 +16,13 @@
 /** The time between two updates of the shares. */
 constexpr milliseconds update_interval{50};
 /** The half-lives of reports of queues and of the counted demand. */
-constexpr double queue_half_life_s = 0.2;
+constexpr double queue_half_life_s = 0.4;
 constexpr double demand_half_life_s = 0.7;
 /** With fewer reports the queue is not known, and nothing is refused. */
 constexpr double minimum_reports = 1.5;
+/** The part of the upstreams that must report a queue: a few slow ones are no
+    shortage while the others have free slots. */
+constexpr double least_queued_part = 0.5;
 /** The weight of a new response in the mean processing time. */
 constexpr double processing_weight = 0.05;
 /** The part of the objective that processing and queueing may take together.
@@ -86,9 +89,11 @@
     update(subject.objective, now);
     auto const priority = index_of(subject.priority);
     auto& demand = demand_of(subject.team).at(priority);
+    // Without this request, which would make rare ones look frequent.
+    auto const others = std::max(1.0, demand);
     demand += 1;
     bool const is_admitted =
-        room_ >= 1 || subject.lot * demand < levels_.at(priority);
+        room_ >= 1 || subject.lot * others < levels_.at(priority);
     auto& counted = decisions_.at(priority);
     ++(is_admitted ? counted.admitted : counted.refused);
     if (is_admitted)
@@ -112,6 +117,7 @@
     queue_at_ = now;
     queue_weight_ += 1;
     queue_ += (queue - queue_) / queue_weight_;
+    queued_part_ += ((load.waiting > 0 ? 1 : 0) - queued_part_) / queue_weight_;
     if (duration <= milliseconds(0))
     {
         return;
@@ -143,7 +149,10 @@
 void overload_admission::update_room(milliseconds objective)
 {
     auto const excess = queue_ / tolerable_queue(objective);
-    if (queue_weight_ < minimum_reports || excess < short_queue_part)
+    bool const is_short = queue_weight_ >= minimum_reports &&
+                          excess >= short_queue_part &&
+                          queued_part_ >= least_queued_part;
+    if (!is_short)
     {
         room_ = 1;
         return;
--- a/source/verbenacove/request/overload_admission.hpp
+++ b/source/verbenacove/request/overload_admission.hpp
@@ -133,6 +133,8 @@
 
     double room_ = 1;
     double queue_ = 0;
+    /** The part of the reports that tell of waiting requests. */
+    double queued_part_ = 0;
     /** The decaying number of reports in `queue_`. */
     double queue_weight_ = 0;
     monotonic_time queue_at_{};
