--- a/source/verbenacove/connection/http_connection.cpp
+++ b/source/verbenacove/connection/http_connection.cpp
@@ -196,15 +196,6 @@
                                           }));
 }
 
-bool http_connection::may_take_more() const
-{
-    return pending_.size() <
-               static_cast<std::size_t>(limits_.maximum_pipelined) &&
-           waiting_answer_bytes_ < limits_.maximum_unsent_bytes &&
-           !unsent_since_ &&
-           (pending_.empty() || !listener_.is_memory_scarce());
-}
-
 bool http_connection::is_unread_too_long(monotonic_time now) const
 {
     return unsent_since_ &&
--- a/source/verbenacove/connection/http_connection_memory.cpp
+++ b/source/verbenacove/connection/http_connection_memory.cpp
@@ -7,6 +7,15 @@
 namespace verbenacove
 {
 
+bool http_connection::may_take_more() const
+{
+    return pending_.size() <
+               static_cast<std::size_t>(limits_.maximum_pipelined) &&
+           waiting_answer_bytes_ < limits_.maximum_unsent_bytes &&
+           !unsent_since_ &&
+           (pending_.empty() || !listener_.is_memory_scarce());
+}
+
 // A connection that asks for room is in the middle of a request or an answer. A
 // caller that sends ahead waits for this process, not the other way round.
 std::optional<monotonic_time> http_connection::stalled_since() const
