--- a/review/support-3/harness.cpp
+++ b/review/support-3/harness.cpp
@@ -457,7 +457,10 @@
                << "\r\nContent-Length: 0\r\n\r\n";
         return result.str();
     }
-    ++run_count;
+    {
+        std::lock_guard const lock(mutex_);
+        ids_.insert(request_id);
+    }
     if (keeps_runs)
     {
         std::lock_guard const lock(mutex_);
@@ -552,6 +555,12 @@
     return runs_;
 }
 
+bool backend::has_run(std::string const& request_id) const
+{
+    std::lock_guard const lock(mutex_);
+    return ids_.count(request_id) > 0;
+}
+
 beats::beats(std::vector<backend*> backends, std::vector<address> replicas)
     : thread_(
           [this, backends = std::move(backends), replicas = std::move(replicas)]
--- a/review/support-3/harness.hpp
+++ b/review/support-3/harness.hpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -154,11 +155,12 @@
     /** How long it works on a request. */
     std::atomic<int> work_ms{20};
 
-    /** Whether it keeps the requests that it runs and writes them down. */
+    /** Whether it keeps the requests that it runs and writes them down; else it
+        keeps their ids only. */
     std::atomic<bool> keeps_runs{true};
 
-    /** How many requests it has run. */
-    std::atomic<int> run_count{0};
+    /** Returns whether it has run the request with this id. */
+    bool has_run(std::string const& request_id) const;
 
 private:
     bool send_check_in(std::vector<address> const& replicas,
@@ -181,6 +183,7 @@
     std::atomic<int> open_{0};
     mutable std::mutex mutex_;
     std::vector<request> runs_;
+    std::set<std::string> ids_;
     std::vector<arrival> arrivals_;
     std::thread thread_;
 };
