--- a/review/support-3/memory_case.cpp
+++ b/review/support-3/memory_case.cpp
@@ -88,17 +88,20 @@
         sleep_for(milliseconds(2));
     }
     sender.join();
-    int kills = 0;
+    int often_ended = 0;
     for (int i = 0; i < system.replica_count(); ++i)
     {
         auto const& each = system.replica(i);
-        kills += each.kills;
+        often_ended += each.kills >= 3 ? 1 : 0;
         log.line(each.name + ": memory of the machine " +
                  std::to_string(each.memory_mb) + " MB, most used " +
                  std::to_string(each.peak_kb / 1000) + " MB, killed " +
                  std::to_string(each.kills) + " times");
     }
-    return kills > 0 ? rule_broken : rule_held;
+    // The rule: on half of the core, processes end three times in the day.
+    log.line("replicas that ended three times or more: " +
+             std::to_string(often_ended));
+    return often_ended * 2 >= system.replica_count() ? rule_broken : rule_held;
 }
 
 } // namespace
