Review: scripts that are ended from outside leave no process

Cause: the harness was to tie its processes to the script, but that line was never in it; seven processes of a broken-off run stayed for an hour.

--- a/review/support-3/harness.cpp
+++ b/review/support-3/harness.cpp
@@ -756,6 +756,8 @@
     pid_t const child = ::fork();
     if (child == 0)
     {
+        // No process is left when the case itself is ended.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         int const file =
             ::open(log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         ::dup2(file, STDOUT_FILENO);
