Teams: an empty table is told from none, so the withdrawal of the last key opens nothing

Two checks are replaced, as strict: a configuration without a table after one with teams goes no more to an entry that reads no teams (it would pass withdrawn keys on), and confirmations go on after the last team (they are what a lease of the routes without it needs).

--- a/source/verbenacove/process/control_state.cpp
+++ b/source/verbenacove/process/control_state.cpp
@@ -33,6 +33,14 @@
 /** A change of more items is packed. */
 constexpr std::size_t maximum_plain_items = 64;
 
+QCborMap route_change_of(QCborMap const& command)
+{
+    return command.contains(route_key)
+               ? command.value(route_key).toMap()
+               : unpack_cbor(command.value(packed_route_key).toByteArray())
+                     .value_or(QCborMap());
+}
+
 } // namespace
 
 QCborMap control_state::form_command(form used)
@@ -85,10 +93,11 @@
     {
         return form::first;
     }
-    auto const packed = command.value(packed_route_key).toByteArray();
-    auto const change = command.contains(route_key)
-                            ? command.value(route_key).toMap()
-                            : unpack_cbor(packed).value_or(QCborMap());
+    auto const change = route_change_of(command);
+    if (change.contains(QLatin1String("team_table")))
+    {
+        return form::team_tables;
+    }
     auto const routes = cbor_array(change, "routes");
     bool const has_public_route =
         std::any_of(routes.begin(), routes.end(),
@@ -99,6 +108,18 @@
                : form::first;
 }
 
+control_state::form control_state::needed_form(QCborMap const& command) const
+{
+    auto const lowest = lowest_form(command);
+    if (form_ >= form::team_tables || !is_route_command(command))
+    {
+        return lowest;
+    }
+    auto const change = parse_route_change(route_change_of(command));
+    return change && routes_.may_leave_no_team(*change) ? form::team_tables
+                                                        : lowest;
+}
+
 bool control_state::is_route_command(QCborMap const& command)
 {
     return command.contains(route_key) || command.contains(packed_route_key);
@@ -177,6 +198,11 @@
     {
         routes_.reset_evacuation_orders();
     }
+    // Replicas of earlier builds know teams alone, not their table.
+    if (form_ < form::team_tables && used >= form::team_tables)
+    {
+        routes_.reset_team_table();
+    }
     form_ = std::max(form_, used);
 }
 
--- a/source/verbenacove/process/control_state.hpp
+++ b/source/verbenacove/process/control_state.hpp
@@ -37,7 +37,10 @@
         /** Changes of the routes have teams and public routes, which earlier
             builds would leave out. */
         teams = 4,
-        latest = teams
+        /** An empty table of teams is told from none, and from one that was
+            removed. */
+        team_tables = 5,
+        latest = team_tables
     };
 
     /** Returns the log command that puts a form into use. */
@@ -56,9 +59,17 @@
     /** Returns a command of an operator in a form that may be used. */
     static QCborMap in_form(QCborMap const& command, form used);
 
-    /** Returns the lowest form in which a command may be proposed. */
+    /** Returns the lowest form in which a command may be proposed, whatever
+        the state is when it is applied.
+
+        @see needed_form
+    */
     static form lowest_form(QCborMap const& command);
 
+    /** Returns the lowest form in which a command may be proposed to the state
+        as it is. */
+    form needed_form(QCborMap const& command) const;
+
     /** Returns whether a log command is a change of the routes. */
     static bool is_route_command(QCborMap const& command);
 
--- a/source/verbenacove/process/discovery/discovery_service.cpp
+++ b/source/verbenacove/process/discovery/discovery_service.cpp
@@ -157,7 +157,7 @@
 {
     bool const reads_all = cbor_flag(request, "replica") ||
                            cbor_flag(request, "teams") ||
-                           server_.state().routes().current()->teams.isEmpty();
+                           !uses_keys(*server_.state().routes().current());
     return reads_all && is_current();
 }
 
--- a/source/verbenacove/process/discovery/discovery_service.hpp
+++ b/source/verbenacove/process/discovery/discovery_service.hpp
@@ -139,6 +139,10 @@
 
     membership_view const& membership() const { return membership_; }
 
+    /** Returns the number of heartbeats of upstreams that were not acknowledged
+        as what they say does not hold, since the start. */
+    qint64 refused_heartbeats() const { return refused_heartbeats_; }
+
     /** Returns whether the view of the entries is complete enough to answer
         look-ups. */
     bool has_settled_view() const;
@@ -165,7 +169,7 @@
 
     /** Returns whether the reader may use what this replica knows: as
         `is_current`, but an entry that cannot read teams has to serve nothing
-       of a configuration that has some. */
+        of a configuration that uses keys. */
     bool is_current_for(QCborMap const& request) const;
 
     /** Departure that is not stored yet. */
@@ -325,6 +329,7 @@
     bool is_stopping_ = false;
     /** Number of relayed changes of upstreams that were not logged yet. */
     int relayed_changes_ = 0;
+    qint64 refused_heartbeats_ = 0;
     monotonic_time last_relayed_log_{};
     timer_service::subscription tick_;
     timer_service::subscription response_timer_;
--- a/source/verbenacove/process/discovery/replica_link.cpp
+++ b/source/verbenacove/process/discovery/replica_link.cpp
@@ -223,7 +223,7 @@
     auto const sent_crashes =
         add_crashes(message, own_crashes_, confirmed_crashes_);
     rate_limits_.add_to(message, position_.view_id);
-    if (settings_.revocation && routes_ && !routes_->teams.isEmpty())
+    if (settings_.revocation && routes_ && uses_keys(*routes_))
     {
         add_age_to(message, confirmation_, read_sent_);
     }
--- a/source/verbenacove/process/metrics.cpp
+++ b/source/verbenacove/process/metrics.cpp
@@ -156,6 +156,12 @@
     , restricted_teams_(
           add("verbenacove_control_restricted_teams",
               "Teams that the leader restricts to their allowance."))
+    , refused_heartbeats_(
+          add("verbenacove_control_refused_heartbeats",
+              "Heartbeats of upstreams that were not acknowledged."))
+    , team_table_(add("verbenacove_control_team_table",
+                      "0: there has never been a table of teams, 1: there is "
+                      "one, 2: it was removed."))
 {
 }
 
@@ -172,6 +178,8 @@
     log_bytes_.Set(static_cast<double>(now.log_bytes));
     serving_entries_.Set(static_cast<double>(now.serving_entries));
     restricted_teams_.Set(static_cast<double>(now.restricted_teams));
+    refused_heartbeats_.Set(static_cast<double>(now.refused_heartbeats));
+    team_table_.Set(static_cast<double>(now.team_table));
     return metrics_text(registry_);
 }
 
--- a/source/verbenacove/process/metrics.hpp
+++ b/source/verbenacove/process/metrics.hpp
@@ -115,6 +115,11 @@
         qint64 serving_entries = 0;
         /** Teams that the replica restricts as leader. */
         qint64 restricted_teams = 0;
+        /** Heartbeats of upstreams that were not acknowledged, since the start,
+            as what they say does not hold here. */
+        qint64 refused_heartbeats = 0;
+        /** State of the table of teams: 0 never, 1 present, 2 removed. */
+        qint64 team_table = 0;
     };
 
     control_metrics();
@@ -139,6 +144,8 @@
     prometheus::Gauge& log_bytes_;
     prometheus::Gauge& serving_entries_;
     prometheus::Gauge& restricted_teams_;
+    prometheus::Gauge& refused_heartbeats_;
+    prometheus::Gauge& team_table_;
 };
 
 } // namespace verbenacove
--- a/source/verbenacove/process/route_service.cpp
+++ b/source/verbenacove/process/route_service.cpp
@@ -17,15 +17,23 @@
 event_log const route_log{"routes"};
 
 auto const order_method = QLatin1String("order");
-/** The same for a change that earlier builds would read only in part; they do
-    not know the method. */
+/** The same for changes that earlier builds would read only in part; they do
+    not know the method of their form. */
 auto const team_order_method = QLatin1String("team_order");
+auto const table_order_method = QLatin1String("table_order");
 /** Operators go to another replica after 1 s without an answer. */
 constexpr milliseconds longest_call{900};
 /** Added for each item of a change; operators wait longer for large ones. */
 constexpr milliseconds longest_call_per_item{3};
 /** Maximum number of calls that wait for the same order. */
 constexpr std::size_t maximum_waiting_calls = 256;
+
+QLatin1String method_for(control_state::form needed)
+{
+    return needed >= control_state::form::team_tables ? table_order_method
+           : needed >= control_state::form::teams     ? team_order_method
+                                                      : order_method;
+}
 constexpr milliseconds retry_interval{30};
 /** Time after which the end of a caller's connection has been read: a partition
     that has held up both lets the call through one round trip earlier. */
@@ -40,7 +48,8 @@
     : server_(server)
     , changed_(std::move(changed))
 {
-    for (auto const& method : {order_method, team_order_method})
+    for (auto const& method :
+         {order_method, team_order_method, table_order_method})
     {
         server_.add_handler(
             method, [this](QCborMap const& request, reply_function const& reply)
@@ -62,10 +71,12 @@
             if (std::exchange(seen_revision_, revision) != revision)
             {
                 auto const& routes = server_.state().routes();
-                route_log.note("routes.in_force",
-                               {{"revision", revision},
-                                {"version", routes.current()->version.value()},
-                                {"evacuated", routes.evacuated().size()}});
+                route_log.note(
+                    "routes.in_force",
+                    {{"revision", revision},
+                     {"version", routes.current()->version.value()},
+                     {"team_table", to_word(team_table_of(*routes.current()))},
+                     {"evacuated", routes.evacuated().size()}});
                 changed_();
             }
         });
@@ -160,11 +171,8 @@
 {
     auto call = std::make_shared<pending_call>();
     auto const received = clock_.now();
-    bool const is_for_later_builds =
-        control_state::lowest_form(command) >= control_state::form::teams;
     call->request = {
-        {QLatin1String("m"),
-         is_for_later_builds ? team_order_method : order_method},
+        {QLatin1String("m"), method_for(server_.state().needed_form(command))},
         {QLatin1String("reads"), static_cast<int>(control_state::form::latest)},
         {QLatin1String("command"), std::move(command)}};
     call->until = until;
@@ -352,8 +360,8 @@
     server_.submit(command, answer);
 }
 
-// Earlier builds leave teams out: of what they read from the log, and of what
-// operators send them.
+// Earlier builds leave out what they do not know: of what they read from the
+// log, and of what operators send them.
 bool route_service::is_readable_by_all(QCborMap const& request,
                                        QCborMap const& command,
                                        control_state::form used)
@@ -361,15 +369,20 @@
     auto constexpr teams = control_state::form::teams;
     if (used >= teams)
     {
-        return !control_state::is_route_command(command) ||
-               cbor_number(request, "reads", 1) >= static_cast<int>(teams);
+        bool const is_whole_to_sender =
+            !control_state::is_route_command(command) ||
+            cbor_number(request, "reads", 1) >= static_cast<int>(used);
+        if (!is_whole_to_sender)
+        {
+            return false;
+        }
     }
-    auto const lowest = control_state::lowest_form(command);
-    if (lowest > used)
+    auto const needed = server_.state().needed_form(command);
+    if (needed > used)
     {
-        server_.request_form(lowest);
+        server_.request_form(needed);
     }
-    return lowest <= used;
+    return needed <= used;
 }
 
 // An evacuation that is ordered, ended and ordered again is not one that is
--- a/source/verbenacove/process/routing/replica_process.cpp
+++ b/source/verbenacove/process/routing/replica_process.cpp
@@ -360,4 +360,7 @@
     return metrics_.text(state);
 }
 
+    state.refused_heartbeats = discovery_->refused_heartbeats();
+    state.team_table = static_cast<qint64>(
+        team_table_of(*server_->state().routes().current()));
 } // namespace verbenacove
--- a/source/verbenacove/process/routing/route_traffic.cpp
+++ b/source/verbenacove/process/routing/route_traffic.cpp
@@ -118,12 +118,13 @@
         has_new_routes || view->live_entries != view_->live_entries;
     view_ = std::move(view);
     key_gate_.set_routes(view_->routes_revision,
-                         view_->routes && !view_->routes->teams.isEmpty());
+                         view_->routes && uses_keys(*view_->routes));
     if (has_new_routes && view_->routes)
     {
         auto const age = elapsed(view_->published_at, clock_.now());
         entry_log.note("routes.applied",
                        {{"version", view_->routes->version.value()},
+                        {"team_table", to_word(team_table_of(*view_->routes))},
                         {"queued_ms", qint64{age.count()}}});
         apply_limits();
         team_gate_.set_configuration(*view_->routes);
@@ -281,7 +282,8 @@
                               route_record const& route)
 {
     // Before the key: that it is unknown here may no longer be true.
-    if (!route.is_public && !key_gate_.permits_request())
+    if (team_gate_.depends_on_keys(exchange->request(), route) &&
+        !key_gate_.permits_request())
     {
         metrics_.count_key_refusal("keys-unconfirmed");
         refuse(exchange, metadata, 503, "keys-unconfirmed");
@@ -299,7 +301,7 @@
     request_destination result{
         team != nullptr ? team_gate::route_for(*team, route) : route,
         view_->routes->version, pool(split_chooser_.choose(route))};
-    if (team_gate_.has_teams())
+    if (team_gate_.uses_keys())
     {
         result.team = team != nullptr ? team->name : team_name();
     }
--- a/source/verbenacove/request/routed_request.hpp
+++ b/source/verbenacove/request/routed_request.hpp
@@ -74,7 +74,7 @@
     /** Upstreams of the service that the route's split selected. */
     std::shared_ptr<routed_pool> pool;
     /** Team whose key the request bears, empty on a public route; absent if the
-        configuration has no teams. */
+        configuration uses no keys. */
     std::optional<team_name> team = std::nullopt;
 };
 
--- a/source/verbenacove/request/team_gate.cpp
+++ b/source/verbenacove/request/team_gate.cpp
@@ -24,13 +24,25 @@
 
 void team_gate::set_configuration(route_configuration const& configuration)
 {
+    table_ = team_table_of(configuration);
     keys_ = key_table(configuration.teams);
 }
 
+bool team_gate::depends_on_keys(http_request const& request,
+                                route_record const& route) const
+{
+    if (!uses_keys() || route.is_public)
+    {
+        return false;
+    }
+    return table_ == team_table_state::present ||
+           read_bearer_key(request.headers).found != bearer_key::state::missing;
+}
+
 team_gate::decision team_gate::decide(http_request const& request,
                                       route_record const& route) const
 {
-    if (!has_teams() || route.is_public)
+    if (!depends_on_keys(request, route))
     {
         return {};
     }
--- a/source/verbenacove/request/team_gate.hpp
+++ b/source/verbenacove/request/team_gate.hpp
@@ -12,8 +12,11 @@
 
 /** Decides by a request's key which team it belongs to, and whether it may run.
 
-    Where the configuration has no teams, every request may run and its
-    `Authorization` header means nothing here.
+    Where there has never been a table of teams, every request may run and its
+    `Authorization` header means nothing here. Where the table was removed, a
+    request without that header may run, and no key has a holder.
+
+    @see team_table_state
 */
 class team_gate
 {
@@ -33,16 +36,22 @@
     {
         /** Absent if it may run. */
         std::optional<refusal> refused;
-        /** Holder of its key; null on a public route, and without teams. Valid
-            until the configuration is replaced. */
+        /** Holder of its key; null if it needs none. Valid until the
+            configuration is replaced. */
         team_record const* team = nullptr;
     };
 
     /** Replaces the teams. */
     void set_configuration(route_configuration const& configuration);
 
-    /** Returns whether the configuration has teams. */
-    bool has_teams() const { return keys_.has_teams(); }
+    /** Returns whether there is, or was, a table of teams: upstreams then get
+        no keys. */
+    bool uses_keys() const { return table_ != team_table_state::never; }
+
+    /** Returns whether the decision on a request depends on who holds which
+        key. */
+    bool depends_on_keys(http_request const& request,
+                         route_record const& route) const;
 
     decision decide(http_request const& request,
                     route_record const& route) const;
@@ -60,6 +69,7 @@
                                 route_record const& route);
 
 private:
+    team_table_state table_ = team_table_state::never;
     key_table keys_;
 };
 
--- a/source/verbenacove/teams/key_confirmation_service.cpp
+++ b/source/verbenacove/teams/key_confirmation_service.cpp
@@ -42,17 +42,17 @@
 void key_confirmation_service::handle_tick()
 {
     work_meter::scope const scope(server_.work(), work_kind::housekeeping);
-    bool const has_teams = !server_.state().routes().current()->teams.isEmpty();
+    bool const has_keys = uses_keys(*server_.state().routes().current());
     auto const now = boot_clock::now();
-    if (auto const due = confirmer_.start_due(has_teams, respondent(), now))
+    if (auto const due = confirmer_.start_due(has_keys, respondent(), now))
     {
         server_.node().is_leader() ? ask_voters(*due) : ask_leader(*due);
     }
-    if (!has_teams || !server_.node().is_leader())
+    if (!has_keys || !server_.node().is_leader())
     {
         answer_waiting();
     }
-    log_changes(has_teams, now);
+    log_changes(has_keys, now);
 }
 
 QString key_confirmation_service::respondent() const
@@ -126,12 +126,12 @@
     }
 }
 
-void key_confirmation_service::log_changes(bool has_teams, boot_time now)
+void key_confirmation_service::log_changes(bool has_keys, boot_time now)
 {
     auto const& known = confirmer_.latest();
-    teams_since_ = has_teams ? teams_since_.value_or(now) : now;
-    auto const latest = known ? known->as_of : *teams_since_;
-    bool const is_stale = has_teams && now - latest > stale_age;
+    keys_since_ = has_keys ? keys_since_.value_or(now) : now;
+    auto const latest = known ? known->as_of : *keys_since_;
+    bool const is_stale = has_keys && now - latest > stale_age;
     if (is_stale == stale_since_.has_value())
     {
         return;
--- a/source/verbenacove/teams/key_confirmation_service.hpp
+++ b/source/verbenacove/teams/key_confirmation_service.hpp
@@ -11,7 +11,7 @@
 {
 
 /** Lets a control replica know up to which time its keys are confirmed, as
-    long as there are teams.
+    long as keys are used.
 
     The leader asks a majority of the voters about every 300 ms. Each other
     replica asks the leader as often, which answers with its next confirmation:
@@ -38,8 +38,8 @@
         latest confirmation at once. */
     static constexpr std::size_t maximum_waiting = 64;
 
-    /** Returns the latest confirmation; nothing without any, or without
-        teams. */
+    /** Returns the latest confirmation; nothing without any, or while
+        no keys are used. */
     std::optional<key_confirmation> const& latest() const
     {
         return confirmer_.latest();
@@ -65,14 +65,14 @@
     void answer(waiting_replica const& waiting) const;
     void answer_waiting();
     /** Logs that confirmations no longer come, or come again. */
-    void log_changes(bool has_teams, boot_time now);
+    void log_changes(bool has_keys, boot_time now);
 
     control_server& server_;
     key_confirmer confirmer_;
     std::vector<waiting_replica> waiting_;
-    /** Time since which there have been teams; that of the last tick while
-       there are none. */
-    std::optional<boot_time> teams_since_;
+    /** Time since which keys are used; that of the last tick while they are
+        not. */
+    std::optional<boot_time> keys_since_;
     /** Time since which the latest confirmation has been too old. */
     std::optional<boot_time> stale_since_;
     timer_service timers_;
--- a/source/verbenacove/teams/key_confirmer.cpp
+++ b/source/verbenacove/teams/key_confirmer.cpp
@@ -4,11 +4,11 @@
 {
 
 std::optional<key_confirmer::question>
-key_confirmer::start_due(bool has_teams, QString const& respondent,
+key_confirmer::start_due(bool uses_keys, QString const& respondent,
                          boot_time now)
 {
-    has_teams_ = has_teams;
-    if (!has_teams)
+    uses_keys_ = uses_keys;
+    if (!uses_keys)
     {
         open_.reset();
         latest_.reset();
@@ -40,7 +40,7 @@
     {
         open_.reset();
     }
-    if (answer && has_teams_)
+    if (answer && uses_keys_)
     {
         advance(latest_, *answer);
     }
--- a/source/verbenacove/teams/key_confirmer.hpp
+++ b/source/verbenacove/teams/key_confirmer.hpp
@@ -15,7 +15,7 @@
     the latest one.
 
     A leader asks a majority of the voters, the others ask the leader. Nothing
-    is asked, and nothing is known, while there are no teams.
+    is asked, and nothing is known, while no keys are used.
 
     @see key_confirmation_service
 */
@@ -39,11 +39,12 @@
 
     /** Returns the question that is to be asked now, if any.
 
-        @param has_teams   whether the routes in force have teams
+        @param uses_keys   whether requests may need keys
+                           (verbenacove::uses_keys)
         @param respondent  whom it would be asked; empty for nobody. One that is
                            under way is given up when this changes.
     */
-    std::optional<question> start_due(bool has_teams, QString const& respondent,
+    std::optional<question> start_due(bool uses_keys, QString const& respondent,
                                       boot_time now);
 
     /** Records the answer to a question.
@@ -57,7 +58,7 @@
     std::optional<key_confirmation> const& latest() const { return latest_; }
 
 private:
-    bool has_teams_ = false;
+    bool uses_keys_ = false;
     qint64 last_number_ = 0;
     QString respondent_;
     std::optional<question> open_;
--- a/source/verbenacove/teams/key_lease_gate.cpp
+++ b/source/verbenacove/teams/key_lease_gate.cpp
@@ -22,9 +22,9 @@
     }
 }
 
-void key_lease_gate::set_routes(qint64 revision, bool has_teams)
+void key_lease_gate::set_routes(qint64 revision, bool uses_keys)
 {
-    has_teams_ = has_teams;
+    uses_keys_ = uses_keys;
     revision_ = revision;
     if (lease_)
     {
@@ -43,7 +43,7 @@
 bool key_lease_gate::permits_request()
 {
     bool const permits =
-        !lease_ || !has_teams_ || lease_->is_valid(boot_clock::now());
+        !lease_ || !uses_keys_ || lease_->is_valid(boot_clock::now());
     refused_ += permits ? 0 : 1;
     return permits;
 }
@@ -55,7 +55,7 @@
         return;
     }
     auto const now = boot_clock::now();
-    bool const has_ended = has_teams_ && !lease_->is_valid(now);
+    bool const has_ended = uses_keys_ && !lease_->is_valid(now);
     if (has_ended == ended_.has_value())
     {
         return;
@@ -78,7 +78,7 @@
 
 std::optional<milliseconds> key_lease_gate::remaining() const
 {
-    return lease_ && has_teams_
+    return lease_ && uses_keys_
                ? std::optional(lease_->remaining(boot_clock::now()))
                : std::nullopt;
 }
--- a/source/verbenacove/teams/key_lease_gate.hpp
+++ b/source/verbenacove/teams/key_lease_gate.hpp
@@ -11,7 +11,8 @@
 /** Decides for an entry whether its keys may be used now, and logs when that
     changes.
 
-    Without a revocation time, or without teams, they always may.
+    Without a revocation time, or where no keys are used, they always may. An
+    empty table of teams is watched like any other.
 
     Use it on one thread.
 */
@@ -27,7 +28,7 @@
 
     /** Must be called when the routes are replaced, before their keys are
         used. */
-    void set_routes(qint64 revision, bool has_teams);
+    void set_routes(qint64 revision, bool uses_keys);
 
     /** Extends the lease. */
     void confirm(key_confirmation const& confirmation);
@@ -46,7 +47,7 @@
 
 private:
     std::optional<key_lease> lease_;
-    bool has_teams_ = false;
+    bool uses_keys_ = false;
     qint64 revision_ = -1;
     /** Time at which the end of the lease was logged. */
     std::optional<boot_time> ended_;
--- a/source/verbenacove/version/route_configuration.cpp
+++ b/source/verbenacove/version/route_configuration.cpp
@@ -16,6 +16,8 @@
 constexpr milliseconds longest_objective_excess{60000};
 
 auto const source_key = QLatin1String("source");
+auto const teams_key = QLatin1String("teams");
+auto const team_table_key = QLatin1String("team_table");
 
 QCborArray regions_to_cbor(std::vector<region_name> const& regions)
 {
@@ -202,11 +204,39 @@
     return result;
 }
 
+// What a later build writes counts as a table, which refuses every key.
+team_table_state parse_team_table(QCborMap const& map)
+{
+    auto const word = cbor_text(map, "team_table");
+    return word.isEmpty() ? team_table_state::never
+           : word == to_word(team_table_state::removed)
+               ? team_table_state::removed
+               : team_table_state::present;
+}
+
 QCborMap to_cbor(team_record const& team, route_detail detail)
 {
     return verbenacove::to_cbor(team, detail == route_detail::with_source);
 }
 
+team_table_state next_team_table(route_configuration const& before,
+                                 route_change const& change)
+{
+    if (change.has_team_table || !change.teams.empty())
+    {
+        return team_table_state::present;
+    }
+    bool const leaves_out = change.is_whole && uses_keys(before);
+    return leaves_out ? team_table_state::removed : team_table_of(before);
+}
+
+// Readers of earlier builds take an empty list for no teams and would let all
+// requests run, so they get a team without keys: they refuse every key.
+QCborArray teams_without_keys()
+{
+    return {verbenacove::to_cbor(team_record(), false)};
+}
+
 template <class Items>
 QCborArray items_to_cbor(Items const& items, route_detail detail)
 {
@@ -220,6 +250,24 @@
 
 } // namespace
 
+team_table_state team_table_of(route_configuration const& configuration)
+{
+    return configuration.teams.isEmpty() ? configuration.team_table
+                                         : team_table_state::present;
+}
+
+bool uses_keys(route_configuration const& configuration)
+{
+    return team_table_of(configuration) != team_table_state::never;
+}
+
+QLatin1String to_word(team_table_state state)
+{
+    return QLatin1String(state == team_table_state::never     ? "never"
+                         : state == team_table_state::present ? "present"
+                                                              : "removed");
+}
+
 QString invalid_reason(route_configuration const& configuration)
 {
     for (auto const& route : configuration.routes)
@@ -238,6 +286,7 @@
 {
     auto result = change.is_whole ? route_configuration() : before;
     result.version = change.version;
+    result.team_table = next_team_table(before, change);
     for (auto const& name : change.removed_routes)
     {
         result.routes.remove(name);
@@ -340,8 +389,12 @@
         {QLatin1String("limits"), to_cbor(configuration.limits, detail)}};
     if (!configuration.teams.isEmpty())
     {
-        result[QLatin1String("teams")] =
-            items_to_cbor(configuration.teams, detail);
+        result[teams_key] = items_to_cbor(configuration.teams, detail);
+    }
+    else if (uses_keys(configuration))
+    {
+        result[teams_key] = teams_without_keys();
+        result[team_table_key] = to_word(configuration.team_table);
     }
     return result;
 }
@@ -360,7 +413,11 @@
         {QLatin1String("signature"), change.signature}};
     if (!change.teams.empty())
     {
-        result[QLatin1String("teams")] = items_to_cbor(change.teams, detail);
+        result[teams_key] = items_to_cbor(change.teams, detail);
+    }
+    else if (change.has_team_table)
+    {
+        result[team_table_key] = true;
     }
     if (!change.removed_teams.empty())
     {
@@ -392,10 +449,14 @@
         auto service = parse_service(item.toMap());
         result.services[service.name.value()] = std::move(service);
     }
-    for (auto const& item : cbor_array(map, "teams"))
+    result.team_table = parse_team_table(map);
+    if (!map.contains(team_table_key))
     {
-        auto team = parse_team(item.toMap());
-        result.teams[team.name.value()] = std::move(team);
+        for (auto const& item : cbor_array(map, "teams"))
+        {
+            auto team = parse_team(item.toMap());
+            result.teams[team.name.value()] = std::move(team);
+        }
     }
     result.limits = parse_limits(cbor_map(map, "limits"));
     return result;
@@ -423,6 +484,7 @@
     {
         change.teams.push_back(parse_team(item.toMap()));
     }
+    change.has_team_table = cbor_flag(map, "team_table");
     change.removed_teams = parse_names(cbor_array(map, "no_teams"));
     change.removed_routes = parse_names(cbor_array(map, "no_routes"));
     change.removed_services = parse_names(cbor_array(map, "no_services"));
--- a/source/verbenacove/version/route_configuration.hpp
+++ b/source/verbenacove/version/route_configuration.hpp
@@ -82,17 +82,45 @@
     QCborMap source;
 };
 
+/** Whether a configuration has a table of teams. One that has nobody in it is
+    not the same as none. */
+enum class team_table_state
+{
+    /** No version up to this one had a table: requests need no keys, and
+        `Authorization` is a header like any other. */
+    never,
+    /** There is a table, perhaps an empty one: each request needs a key of one
+        of its teams, unless its route is public. */
+    present,
+    /** An earlier version had a table: requests need no key, and one that
+        carries a key is refused, as nobody holds it. */
+    removed
+};
+
 /** All routes, services and limits of one version. */
 struct route_configuration
 {
     route_version version;
     QMap<QString, route_record> routes;
     QMap<QString, routed_service> services;
-    /** By name; empty where requests need no keys. */
+    /** By name; may be empty in each state of the table. */
     QMap<QString, team_record> teams;
+    /** Not read where there are teams. @see team_table_of */
+    team_table_state team_table = team_table_state::never;
     caller_limits limits;
 };
 
+/** Returns whether there is a table of teams. */
+team_table_state team_table_of(route_configuration const& configuration);
+
+/** Returns whether a request may be refused because of its key: there is a
+    table of teams, or there was one. */
+bool uses_keys(route_configuration const& configuration);
+
+/** Returns the word for a state of the table in logs: `never`, `present` or
+    `removed`. */
+QLatin1String to_word(team_table_state state);
+
 /** An immutable configuration that several parts use at the same time. */
 using route_configuration_ptr = std::shared_ptr<route_configuration const>;
 
@@ -107,6 +135,9 @@
     std::vector<route_record> routes;
     std::vector<routed_service> services;
     std::vector<team_record> teams;
+    /** Whether it is a whole configuration with a table of teams, perhaps an
+        empty one; not read where it has teams. */
+    bool has_team_table = false;
     std::optional<caller_limits> limits;
     std::vector<QString> removed_routes;
     std::vector<QString> removed_services;
--- a/source/verbenacove/version/route_store.cpp
+++ b/source/verbenacove/version/route_store.cpp
@@ -101,6 +101,28 @@
     last_forgotten_order_ = order_count();
 }
 
+bool route_store::may_leave_no_team(route_change const& change) const
+{
+    bool const removes = change.is_whole || !change.removed_teams.empty();
+    if (!removes || !change.teams.empty() || change.base < current_->version)
+    {
+        return false;
+    }
+    return change.base > current_->version ||
+           (!current_->teams.isEmpty() &&
+            changed(*current_, change).teams.isEmpty());
+}
+
+void route_store::reset_team_table()
+{
+    if (current_->team_table != team_table_state::never)
+    {
+        auto next = *current_;
+        next.team_table = team_table_state::never;
+        current_ = std::make_shared<route_configuration const>(std::move(next));
+    }
+}
+
 void route_store::remember(QByteArray const& signature)
 {
     accepted_.insert(signature, current_->version);
--- a/source/verbenacove/version/route_store.hpp
+++ b/source/verbenacove/version/route_store.hpp
@@ -84,6 +84,14 @@
         at all replicas, also at those that have not counted so far. */
     void reset_evacuation_orders();
 
+    /** Returns whether a change may take the last team away; true as well if it
+        builds on a version that is not in force yet. */
+    bool may_leave_no_team(route_change const& change) const;
+
+    /** Lets a table of teams without any count as none; what is known of it
+        must be the same at all replicas, also at those that do not know it. */
+    void reset_team_table();
+
     /** Returns how many orders changed the state; grows with each. */
     qint64 revision() const { return revision_; }
 
--- a/tests/platform/key_lease_relay_test.cpp
+++ b/tests/platform/key_lease_relay_test.cpp
@@ -149,6 +149,31 @@
     CHECK(call(right_key, "POST").is(200));
 }
 
+// The watch must go on: a key may have come with a table that is not here yet.
+TEST_CASE_FIXTURE(lease_fixture,
+                  "key lease: an empty table, or a removed one: keys need a "
+                  "lease, requests without a key only where there is a table")
+{
+    auto const without_teams = [](team_table_state table)
+    {
+        auto result = traffic_entry::configuration(version);
+        result->team_table = table;
+        return result;
+    };
+    use(without_teams(team_table_state::present));
+    CHECK(is_unconfirmed(call(right_key)));
+    CHECK(is_unconfirmed(call("X-None: 1")));
+    use(without_teams(team_table_state::removed));
+    CHECK(is_unconfirmed(call(right_key)));
+    CHECK(call("X-None: 1").is(200));
+    entry.confirm_keys(milliseconds(0), version);
+    CHECK(call(right_key).is(401));
+    CHECK(upstream.runs(last_request) == 0);
+    use(without_teams(team_table_state::present));
+    CHECK(call(right_key).is(401));
+    CHECK(call("X-None: 1").is(401));
+}
+
 TEST_CASE("key lease: settings without a revocation time: keys need no "
           "confirmation")
 {
--- a/tests/platform/team_documents_test.cpp
+++ b/tests/platform/team_documents_test.cpp
@@ -253,6 +253,64 @@
     CHECK(store.current()->teams.size() == 2);
 }
 
+// An empty table counted as none, and opened all routes.
+TEST_CASE_FIXTURE(documents_fixture,
+                  "team documents: an empty table: there is one, and it is "
+                  "read back")
+{
+    for (QByteArray const empty : {"{}", "[]"})
+    {
+        store = route_store();
+        REQUIRE(apply(whole_body(teams), change_form::whole).outcome ==
+                order_outcome::accepted);
+        auto const body =
+            whole_body(empty).replace(R"("Version":"r7")", R"("Version":"r8")");
+        REQUIRE(apply(body, change_form::whole).outcome ==
+                order_outcome::accepted);
+        CHECK(team_table_of(*store.current()) == team_table_state::present);
+        CHECK(QJsonDocument::fromJson(write_configuration(*store.current()))
+                  .object()[QStringLiteral("Tenants")] ==
+              QJsonValue(QJsonObject()));
+    }
+}
+
+TEST_CASE_FIXTURE(documents_fixture,
+                  "team documents: the last team is removed: the table stays; "
+                  "a configuration without one removes it")
+{
+    auto const form = change_form::items;
+    auto const table = [this]
+    {
+        return team_table_of(*store.current());
+    };
+    REQUIRE(apply(whole_body(teams), change_form::whole).outcome ==
+            order_outcome::accepted);
+    REQUIRE(apply(items_body(8, "{}", R"({"Tenants":["silk","wool"]})"), form)
+                .outcome == order_outcome::accepted);
+    CHECK(store.current()->teams.isEmpty());
+    CHECK(table() == team_table_state::present);
+    auto const without =
+        whole_body("{}").replace(R"("Tenants":{})", R"("Later":1)");
+    auto of_version = [&without](QByteArray const& version)
+    {
+        return QByteArray(without).replace("r7", version);
+    };
+    REQUIRE(apply(of_version("r9"), change_form::whole).outcome ==
+            order_outcome::accepted);
+    CHECK(table() == team_table_state::removed);
+    CHECK_FALSE(write_configuration(*store.current()).contains("Tenants"));
+    REQUIRE(apply(items_body(10, R"({"Tenants":{}})"), form).outcome ==
+            order_outcome::accepted);
+    CHECK(table() == team_table_state::removed);
+    REQUIRE(apply(of_version("r11"), change_form::whole).outcome ==
+            order_outcome::accepted);
+    CHECK(table() == team_table_state::removed);
+    REQUIRE(
+        apply(items_body(12, R"({"Tenants":{"flax":{"ApiKeys":["k"]}}})"), form)
+            .outcome == order_outcome::accepted);
+    CHECK(table() == team_table_state::present);
+}
+
 TEST_CASE_FIXTURE(documents_fixture,
                   "team documents: no teams: the bytes are as before")
 {
@@ -262,6 +320,10 @@
     REQUIRE(change);
     CHECK_FALSE(to_cbor(*change).contains(QLatin1String("teams")));
     auto const configuration = changed({}, *change);
+    CHECK(team_table_of(configuration) == team_table_state::never);
+    CHECK_FALSE(to_cbor(*change).contains(QLatin1String("team_table")));
+    CHECK_FALSE(to_cbor(configuration, route_detail::effective)
+                    .contains(QLatin1String("team_table")));
     CHECK_FALSE(to_cbor(configuration, route_detail::with_source)
                     .contains(QLatin1String("teams")));
     CHECK_FALSE(write_configuration(configuration).contains("Tenants"));
--- a/tests/unit/form_version_test.cpp
+++ b/tests/unit/form_version_test.cpp
@@ -147,6 +147,159 @@
               form_of_teams)) == control_state::form::first);
 }
 
+namespace
+{
+
+route_change change_to(int version, std::vector<team_record> const& teams)
+{
+    auto change = large_change();
+    change.base = route_version(version - 1);
+    change.version = route_version(version);
+    change.signature = QByteArray::number(version);
+    change.routes.resize(2);
+    change.teams = teams;
+    return change;
+}
+
+team_record wool()
+{
+    team_record team;
+    team.name = team_name(QStringLiteral("wool"));
+    team.key_digests = {key_digest("k-wool")};
+    return team;
+}
+
+order_outcome apply(control_state& state, route_change const& change)
+{
+    auto const result = state.apply(
+        control_state::route_command(change, state.used_form()), log_index(1));
+    return parse_order_result(result).outcome;
+}
+
+void raise_form(control_state& state, control_state::form used)
+{
+    state.apply(control_state::form_command(used), log_index(1));
+}
+
+team_table_state table_of(control_state const& state)
+{
+    return team_table_of(*state.routes().current());
+}
+
+} // namespace
+
+// Replicas of an earlier build would take what is left for a configuration
+// that asks for no keys.
+TEST_CASE("forms: a change that leaves no team, where there may be one: needs "
+          "the form of tables until it is in use")
+{
+    auto const tables = control_state::form::team_tables;
+    auto const needed =
+        [](control_state const& state, route_change const& change)
+    {
+        return state.needed_form(
+            control_state::route_command(change, state.used_form()));
+    };
+    auto empty = change_to(8, {});
+    empty.has_team_table = true;
+    auto removal = change_to(8, {});
+    removal.is_whole = false;
+    removal.removed_teams = {QStringLiteral("wool")};
+    control_state state;
+    raise_form(state, control_state::form::teams);
+    CHECK(needed(state, change_to(1, {})) == control_state::form::first);
+    CHECK(needed(state, empty) == tables);
+    // Perhaps a team comes with the version that it builds on.
+    CHECK(needed(state, change_to(8, {})) == tables);
+    REQUIRE(apply(state, change_to(1, {})) == order_outcome::accepted);
+    auto with_team = change_to(2, {wool()});
+    with_team.version = route_version(7);
+    REQUIRE(apply(state, with_team) == order_outcome::accepted);
+    for (auto const& change : {empty, removal, change_to(8, {})})
+    {
+        CHECK(needed(state, change) == tables);
+    }
+    CHECK(needed(state, change_to(8, {wool()})) == control_state::form::teams);
+    CHECK(needed(state, change_to(3, {})) == control_state::form::first);
+    raise_form(state, tables);
+    CHECK(needed(state, removal) == control_state::form::first);
+    CHECK(needed(state, empty) == tables);
+}
+
+TEST_CASE("forms: an empty table of teams, and one that was removed: told "
+          "apart after a snapshot")
+{
+    control_state state;
+    raise_form(state, control_state::form::latest);
+    REQUIRE(apply(state, change_to(1, {})) == order_outcome::accepted);
+    CHECK(table_of(state) == team_table_state::never);
+    REQUIRE(apply(state, change_to(2, {wool()})) == order_outcome::accepted);
+    auto empty = change_to(3, {});
+    empty.has_team_table = true;
+    REQUIRE(apply(state, empty) == order_outcome::accepted);
+    CHECK(table_of(state) == team_table_state::present);
+    control_state restored;
+    REQUIRE(restored.restore(state.snapshot()));
+    CHECK(restored.snapshot() == state.snapshot());
+    CHECK(table_of(restored) == team_table_state::present);
+    CHECK(restored.routes().current()->teams.isEmpty());
+    for (int const version : {4, 5})
+    {
+        REQUIRE(apply(restored, change_to(version, {})) ==
+                order_outcome::accepted);
+        CHECK(table_of(restored) == team_table_state::removed);
+        REQUIRE(state.restore(restored.snapshot()));
+        CHECK(table_of(state) == team_table_state::removed);
+    }
+    REQUIRE(apply(state, change_to(6, {wool()})) == order_outcome::accepted);
+    CHECK(table_of(state) == team_table_state::present);
+}
+
+TEST_CASE("forms: the form of tables is raised: replicas that knew of an empty "
+          "table and those that did not agree")
+{
+    control_state knowing;
+    raise_form(knowing, control_state::form::teams);
+    REQUIRE(apply(knowing, change_to(1, {wool()})) == order_outcome::accepted);
+    // From a leader of an earlier build.
+    REQUIRE(apply(knowing, change_to(2, {})) == order_outcome::accepted);
+    CHECK(table_of(knowing) == team_table_state::removed);
+    control_state unknowing;
+    raise_form(unknowing, control_state::form::teams);
+    REQUIRE(apply(unknowing, change_to(1, {})) == order_outcome::accepted);
+    REQUIRE(apply(unknowing, change_to(2, {})) == order_outcome::accepted);
+    for (auto* state : {&knowing, &unknowing})
+    {
+        raise_form(*state, control_state::form::team_tables);
+        CHECK(table_of(*state) == team_table_state::never);
+    }
+}
+
+// Such a reader knows teams, but neither an empty table nor a removed one.
+TEST_CASE("forms: an empty table or a removed one, read by an earlier build: a "
+          "team without keys, so that no key runs")
+{
+    for (auto const table :
+         {team_table_state::present, team_table_state::removed})
+    {
+        route_configuration configuration;
+        configuration.version = route_version(5);
+        configuration.team_table = table;
+        auto sent = to_cbor(configuration, route_detail::effective);
+        auto const read = parse_route_configuration(sent);
+        REQUIRE(read);
+        CHECK(read->teams.isEmpty());
+        CHECK(team_table_of(*read) == table);
+        sent.remove(QLatin1String("team_table"));
+        auto const earlier = parse_route_configuration(sent);
+        REQUIRE(earlier);
+        REQUIRE(earlier->teams.size() == 1);
+        CHECK(earlier->teams.first().key_digests.empty());
+    }
+    CHECK_FALSE(to_cbor(route_configuration(), route_detail::with_source)
+                    .contains(QLatin1String("team_table")));
+}
+
 TEST_CASE("forms: teams in force: all there after a snapshot")
 {
     control_state state;
