--- a/source/verbenacove/request/request_history.cpp
+++ b/source/verbenacove/request/request_history.cpp
@@ -1,5 +1,7 @@
 #include "verbenacove/request/request_history.hpp"
 
+#include "verbenacove/core/stable_hash.hpp"
+
 #include <algorithm>
 
 namespace verbenacove
@@ -14,6 +16,12 @@
 /** The weight of the newest value in the moving averages. */
 constexpr double newest_weight = 0.05;
 
+// Two objects with one digest only make an estimate less exact.
+quint64 digest_of(QByteArray const& key)
+{
+    return stable_hash(key, {});
+}
+
 } // namespace
 
 void object_history::record(QByteArray const& key)
@@ -22,7 +30,7 @@
     {
         return;
     }
-    latest_[key] = ++requests_;
+    latest_[digest_of(key)] = ++requests_;
     if (latest_.size() > maximum_keys)
     {
         auto const oldest = requests_ - maximum_keys / 2;
@@ -33,7 +41,7 @@
 
 recency_class object_history::classify(QByteArray const& key) const
 {
-    auto const found = latest_.constFind(key);
+    auto const found = latest_.constFind(digest_of(key));
     if (found == latest_.cend())
     {
         return never_handled;
--- a/source/verbenacove/request/request_history.hpp
+++ b/source/verbenacove/request/request_history.hpp
@@ -26,7 +26,8 @@
 inline recency_class const never_handled{recency_class_count - 1};
 
 /** Records which objects an upstream has handled recently, as far as this
-    entry's requests show. */
+    entry's requests show. Holds a digest of each key, as callers choose how
+    long keys are. */
 class object_history
 {
 public:
@@ -44,8 +45,9 @@
     recency_class classify(QByteArray const& key) const;
 
 private:
-    /** The sequence number of the latest request for each object. */
-    QHash<QByteArray, qint64> latest_;
+    /** The sequence number of the latest request for each object, by the digest
+        of its key. */
+    QHash<quint64, qint64> latest_;
     qint64 requests_ = 0;
 };
 
