Replicas: documents are counted in values before they are built, and each call has a bound of size

Cause: a value of few bytes takes up to some 200 as a QJsonDocument, which was built before anything was checked; every call took 8 MiB.

--- a/source/verbenacove/connection/http_limits.hpp
+++ b/source/verbenacove/connection/http_limits.hpp
@@ -3,7 +3,9 @@
 
 #include "verbenacove/core/clock.hpp"
 
-#include <QtGlobal>
+#include <QByteArray>
+
+#include <functional>
 
 namespace verbenacove
 {
@@ -13,6 +15,10 @@
 {
     /** The most bytes of one request's body. */
     qint64 maximum_body_bytes = qint64{1024} * 1024;
+    /** Returns the most bytes of the body of one kind of request, in addition
+        to that bound; may be empty. */
+    std::function<qint64(QByteArray const& method, QByteArray const& path)>
+        body_bytes_for;
     /** The most bytes of one request's first line and headers. */
     qint64 maximum_header_bytes = qint64{16} * 1024;
     /** The most headers of one request. */
--- a/source/verbenacove/connection/http_request_parser.cpp
+++ b/source/verbenacove/connection/http_request_parser.cpp
@@ -14,6 +14,7 @@
 #pragma GCC diagnostic pop
 #endif
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -220,6 +221,23 @@
         expects_continue_ = is_http_1_1_;
     }
 
+    // Before the body's first byte, where it has a length.
+    void set_body_limit(beast::error_code& error)
+    {
+        if (!limits_.body_bytes_for)
+        {
+            return;
+        }
+        maximum_body_bytes_ =
+            std::min(limits_.maximum_body_bytes,
+                     limits_.body_bytes_for(request_.method, request_.path));
+        auto const length = content_length();
+        if (length && *length > static_cast<std::uint64_t>(maximum_body_bytes_))
+        {
+            error = http::error::body_limit;
+        }
+    }
+
     void on_header_impl(beast::error_code& error) override
     {
         is_header_done_ = true;
@@ -233,7 +251,9 @@
         {
             reject(411, "length-required",
                    "Content-Length or chunked coding is needed.", error);
+            return;
         }
+        set_body_limit(error);
     }
 
     bool needs_length() const
@@ -264,8 +284,14 @@
     }
 
     std::size_t on_chunk_body_impl(std::uint64_t, beast::string_view bytes,
-                                   beast::error_code&) override
+                                   beast::error_code& error) override
     {
+        if (request_.body.size() + static_cast<qsizetype>(bytes.size()) >
+            maximum_body_bytes_)
+        {
+            error = http::error::body_limit;
+            return 0;
+        }
         request_.body.append(view_of(bytes));
         return bytes.size();
     }
@@ -278,6 +304,8 @@
     void on_finish_impl(beast::error_code&) override {}
 
     http_limits const& limits_;
+    /** That of requests of this kind. */
+    qint64 maximum_body_bytes_ = limits_.maximum_body_bytes;
     qint64 used_header_bytes_ = 0;
     qint64 header_bytes_ = 0;
     int header_count_ = 0;
--- a/source/verbenacove/process/routing/replica_process.cpp
+++ b/source/verbenacove/process/routing/replica_process.cpp
@@ -28,7 +28,10 @@
 constexpr milliseconds maximum_duration{60000};
 constexpr qint64 one_mebibyte = 1024 * 1024;
 /** The maximum size of a configuration in an operator request. */
-constexpr qint64 maximum_request_body_bytes = 8 * one_mebibyte;
+/** Bounds of bodies, in bytes: of calls that may bring a configuration, and of
+    look-ups and reads of metrics, which need none. */
+constexpr qint64 maximum_control_body_bytes = 8 * one_mebibyte;
+constexpr qint64 maximum_read_body_bytes = 1024;
 
 /** Returns the id of an initial voter. It is derived from the address, so all
     initial voters know the ids of the others. */
@@ -66,14 +69,6 @@
 constexpr int maximum_lookup_connections = 768;
 constexpr int maximum_metrics_connections = 16;
 
-http_limits endpoint_limits(int maximum_connections)
-{
-    http_limits limits;
-    limits.maximum_body_bytes = maximum_request_body_bytes;
-    limits.maximum_connections = maximum_connections;
-    return limits;
-}
-
 boost::leaf::result<void> create_replica(replica_settings const& settings)
 {
     bool const is_initial_voter =
@@ -218,12 +213,13 @@
         socket_address address;
         http_server::handler handle;
         int maximum_connections = 0;
+        qint64 maximum_body_bytes = maximum_read_body_bytes;
     };
     std::vector<endpoint> endpoints{
         {control_endpoint_, settings_.control,
          measured(work_kind::control_calls,
                   std::move(request_handlers.control)),
-         maximum_control_connections}};
+         maximum_control_connections, maximum_control_body_bytes}};
     if (settings_.directory)
     {
         endpoints.push_back({directory_endpoint_, *settings_.directory,
@@ -246,11 +242,18 @@
     }
     for (auto& each : endpoints)
     {
-        each.server = std::make_unique<http_server>(
-            endpoint_limits(each.maximum_connections), each.handle,
-            &caller_budget_);
+        bool const is_control = &each.server == &control_endpoint_;
+        http_limits limits;
+        limits.maximum_body_bytes = each.maximum_body_bytes;
+        limits.maximum_connections = each.maximum_connections;
+        if (is_control)
+        {
+            limits.body_bytes_for = request_handlers.control_body_bytes;
+        }
+        each.server =
+            std::make_unique<http_server>(limits, each.handle, &caller_budget_);
         // Orders and departures must not wait behind the reads of all entries.
-        if (each.server.get() == control_endpoint_.get())
+        if (is_control)
         {
             each.server->set_high_priority();
         }
@@ -357,10 +360,10 @@
     state.serving_entries =
         static_cast<qint64>(directory_->serving_entries().size());
     state.restricted_teams = allowances_->restricted_teams();
-    return metrics_.text(state);
-}
-
     state.refused_heartbeats = discovery_->refused_heartbeats();
     state.team_table = static_cast<qint64>(
         team_table_of(*server_->state().routes().current()));
+    return metrics_.text(state);
+}
+
 } // namespace verbenacove
--- a/source/verbenacove/process/routing/replica_process.hpp
+++ b/source/verbenacove/process/routing/replica_process.hpp
@@ -69,6 +69,9 @@
     {
         http_server::handler control;
         http_server::handler directory;
+        /** @see http_limits::body_bytes_for */
+        std::function<qint64(QByteArray const& method, QByteArray const& path)>
+            control_body_bytes;
     };
 
     explicit replica_process(replica_settings settings);
--- a/source/verbenacove/process/traffic_server.cpp
+++ b/source/verbenacove/process/traffic_server.cpp
@@ -1,6 +1,7 @@
 #include "verbenacove/process/traffic_server.hpp"
 
 #include "verbenacove/core/cbor.hpp"
+#include "verbenacove/core/json_bounds.hpp"
 #include "verbenacove/process/upstream_directory.hpp"
 
 #include <QJsonArray>
@@ -25,6 +26,7 @@
 constexpr milliseconds expiry_interval{20};
 constexpr milliseconds grant_interval{1000};
 constexpr qsizetype longest_announcement = 4096;
+constexpr json_bounds announcement_bounds{16, 256};
 QByteArray const call_prefix = "/v1/call/";
 
 http_response json_response(int status, QByteArray body)
@@ -273,11 +275,10 @@
 void traffic_server::handle_announcement(exchange_ptr const& exchange)
 {
     auto const& body = exchange->request().body;
-    QJsonParseError error;
-    auto const document = body.size() <= longest_announcement
-                              ? QJsonDocument::fromJson(body, &error)
-                              : QJsonDocument();
-    if (!document.isObject())
+    auto const document = parse_json_object(
+        body.size() <= longest_announcement ? body : QByteArray(),
+        announcement_bounds);
+    if (!document.error.isEmpty())
     {
         exchange->respond(not_run_response(
             400, "bad-announcement",
@@ -287,8 +288,8 @@
     boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<void>
         {
-            BOOST_LEAF_AUTO(
-                upstream, parse_announcement(document.object(), clock_.now()));
+            BOOST_LEAF_AUTO(upstream,
+                            parse_announcement(document.object, clock_.now()));
             metrics_.count_announcement();
             calls_.announced(std::move(upstream));
             QJsonArray entries;
--- a/source/verbenacove/process/upstream_watch.cpp
+++ b/source/verbenacove/process/upstream_watch.cpp
@@ -1,8 +1,8 @@
 #include "verbenacove/process/upstream_watch.hpp"
 
+#include "verbenacove/core/json_bounds.hpp"
 #include "verbenacove/process/upstream_directory.hpp"
 
-#include <QJsonDocument>
 #include <QJsonObject>
 
 #include <utility>
@@ -20,6 +20,7 @@
 /** An upstream silent for this many leases is asked no more. */
 constexpr int longest_silence_leases = 4;
 constexpr int maximum_questions = 64;
+constexpr json_bounds health_bounds{16, 256};
 constexpr milliseconds crash_interval{250};
 /** News are told this many times, since a datagram may be lost. */
 constexpr std::size_t crash_repeats = 12;
@@ -125,7 +126,7 @@
         [done = std::move(done)](attempt_result const& result)
         {
             auto const body =
-                QJsonDocument::fromJson(result.response.body).object();
+                parse_json_object(result.response.body, health_bounds).object;
             done(result,
                  incarnation(
                      body.value(QStringLiteral("incarnation")).toInteger()),
--- a/tests/platform/platform_documents_test.cpp
+++ b/tests/platform/platform_documents_test.cpp
@@ -8,6 +8,7 @@
 
 #include <doctest/doctest.h>
 
+#include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
 
@@ -247,6 +248,41 @@
     }
 }
 
+// A body of 8 MiB of short values took a replica over its VM's memory.
+TEST_CASE("platform documents: very many values: refused before a document is "
+          "built; many routes are not")
+{
+    auto const many = [](QByteArray const& value, int count)
+    {
+        return "{\"Later\":[" + (value + ',').repeated(count) + value + "]}";
+    };
+    CHECK_FALSE(heartbeat_of(many("0", 256)));
+    QString wrong;
+    for (QByteArray const value : {"{\"\":[0]}", "[[]]", "0"})
+    {
+        for (auto const form : {change_form::whole, change_form::items})
+        {
+            CHECK_FALSE(change_of(many(value, 200000), form, wrong));
+        }
+    }
+    QByteArray routes;
+    constexpr int route_count = 1400;
+    for (int number = 0; number < route_count; ++number)
+    {
+        routes += ",\"r-" + QByteArray::number(number + 10) +
+                  R"(":{"Hostname":"h.example","PathPrefix":"/p/",
+                  "Kind":"safe","Timeout":"1500ms","TargetLatency":"400ms",
+                  "Priority":2,"TrafficSplit":[{"Service":"a","Weight":90},
+                  {"Service":"b","Weight":10}],"MaxAttempts":2,"Public":false,
+                  "SessionAffinity":true,"HomeRegions":["casa","fes"]})";
+    }
+    auto body = whole_body;
+    body.replace("}},\n    \"Services\"", "}" + routes + "},\n \"Services\"");
+    auto const change = change_of(body, change_form::whole, wrong);
+    REQUIRE(change);
+    CHECK(change->routes.size() == route_count + 2);
+}
+
 // Replicas kept texts of any length and sent them to all entries.
 TEST_CASE("platform documents: heartbeats with long texts: refused")
 {
