--- a/tests/platform/platform_documents_test.cpp
+++ b/tests/platform/platform_documents_test.cpp
@@ -236,11 +236,6 @@
     CHECK_FALSE(heartbeat_of(heartbeat_with("State", QStringLiteral("odd"))));
     CHECK_FALSE(heartbeat_of(heartbeat_with("Address", QStringLiteral("x"))));
     CHECK_FALSE(heartbeat_of(heartbeat_with("born", 1.5)));
-    for (auto const* key : {"Service", "Address", "Zone", "State", "Sequence"})
-    {
-        CHECK_FALSE(heartbeat_of(heartbeat_with(key, QJsonValue::Undefined)));
-        CHECK_FALSE(heartbeat_of(heartbeat_with(key, QJsonObject())));
-    }
     for (auto const* key : {"Slots", "Sequence", "born", "ColdRemaining"})
     {
         CHECK_FALSE(heartbeat_of(heartbeat_with(key, true)));
@@ -248,6 +243,35 @@
     }
 }
 
+// Under the id of an upstream in use, one without Slots, ColdRemaining or
+// Version moved it to another service.
+TEST_CASE("platform documents: a heartbeat that lacks a field, or has one of "
+          "another type: refused")
+{
+    auto const texts = {"Service", "Address", "Zone",
+                        "Version", "State",   "ColdRemaining"};
+    auto const numbers = {"Slots", "Sequence", "born"};
+    auto const check_refused = [](char const* key, QJsonValue const& other)
+    {
+        CAPTURE(std::string(key));
+        for (auto const& value :
+             {QJsonValue(QJsonValue::Undefined), QJsonValue(), QJsonValue(true),
+              QJsonValue(QJsonArray()), QJsonValue(QJsonArray{1}),
+              QJsonValue(QJsonObject()), other})
+        {
+            CHECK_FALSE(heartbeat_of(heartbeat_with(key, value)));
+        }
+    };
+    for (auto const* key : texts)
+    {
+        check_refused(key, 4);
+    }
+    for (auto const* key : numbers)
+    {
+        check_refused(key, QStringLiteral("4"));
+    }
+}
+
 // A body of 8 MiB of short values took a replica over its VM's memory.
 TEST_CASE("platform documents: very many values: refused before a document is "
           "built; many routes are not")
