Heartbeats: acknowledged only if they hold, and no clock decides which start is the later one

Cause: of two starts under one id the one with the higher Unix time counted as the later one, so all that a start said whose clock had been set back was dropped; and what became of a heartbeat was not looked at.

Change: a heartbeat is acknowledged if its start, sequence and phase are in the view afterwards, else 503, heartbeat.refused and a metric; a voter that knows a later start is no copy of a departure. start_order goes by the order in which starts are seen; one that was replaced, or follows a departure, shows by a second heartbeat that it is alive. The same for addresses, entries and replicas.

--- a/source/verbenacove/process/discovery/discovery_push.cpp
+++ b/source/verbenacove/process/discovery/discovery_push.cpp
@@ -150,6 +150,13 @@
     record.receiver = cbor_text(request, "receiver");
     auto const stored = record;
     membership_.apply_relayed(std::move(record));
+    // A later start is known here, which the sender does not know.
+    bool const is_known = membership_.upstreams().find(stored.id) != nullptr;
+    if (is_known && !stored.is_of_unknown_start && !membership_.holds(stored))
+    {
+        reply({{QLatin1String("status"), QLatin1String("not-held")}});
+        return;
+    }
     if (cbor_flag(request, "is_notice"))
     {
         reply({{QLatin1String("status"), QLatin1String("ok")}});
--- a/source/verbenacove/process/discovery/discovery_service.cpp
+++ b/source/verbenacove/process/discovery/discovery_service.cpp
@@ -126,7 +126,19 @@
         return;
     }
     bool const is_leaving = update.phase != member_phase::serving;
+    auto const said = update;
     membership_.apply_heartbeat(std::move(update));
+    if (!membership_.holds(said))
+    {
+        ++refused_heartbeats_;
+        discovery_log.note("heartbeat.refused",
+                           {{"upstream", id},
+                            {"start", said.started.value()},
+                            {"sequence", said.sequence},
+                            {"phase", phase_name(said.phase)}});
+        done(false);
+        return;
+    }
     auto const* known = membership_.upstreams().find(id);
     if (is_leaving && known != nullptr)
     {
--- a/source/verbenacove/process/discovery/member_content.cpp
+++ b/source/verbenacove/process/discovery/member_content.cpp
@@ -21,13 +21,18 @@
 QCborMap header_to_cbor(member_record<Content> const& record,
                         monotonic_time now)
 {
-    return {{QLatin1String("id"), record.id},
-            {QLatin1String("started"), record.started.value()},
-            {QLatin1String("seq"), record.sequence},
-            {QLatin1String("phase"), static_cast<int>(record.phase)},
-            {QLatin1String("silent"), record.is_silent},
-            {QLatin1String("age"),
-             qint64{elapsed(record.last_heartbeat, now).count()}}};
+    QCborMap result{{QLatin1String("id"), record.id},
+                    {QLatin1String("started"), record.started.value()},
+                    {QLatin1String("seq"), record.sequence},
+                    {QLatin1String("phase"), static_cast<int>(record.phase)},
+                    {QLatin1String("silent"), record.is_silent},
+                    {QLatin1String("age"),
+                     qint64{elapsed(record.last_heartbeat, now).count()}}};
+    if (record.born)
+    {
+        result[QLatin1String("born")] = record.born->value();
+    }
+    return result;
 }
 
 template <class Content>
@@ -41,6 +46,10 @@
         return false;
     }
     record.started = incarnation(cbor_number(map, "started"));
+    if (map.contains(QLatin1String("born")))
+    {
+        record.born = incarnation(cbor_number(map, "born"));
+    }
     record.sequence = cbor_number(map, "seq");
     record.phase = static_cast<member_phase>(phase);
     record.is_silent = cbor_flag(map, "silent");
--- a/source/verbenacove/process/discovery/member_record.hpp
+++ b/source/verbenacove/process/discovery/member_record.hpp
@@ -6,6 +6,9 @@
 
 #include <QString>
 
+#include <optional>
+#include <vector>
+
 namespace verbenacove
 {
 
@@ -28,8 +31,15 @@
 struct member_record
 {
     QString id;
-    /** Incarnation of the process; a later one replaces an earlier one. */
+    /** Place of this start among those of the process: a higher one replaces a
+        lower one. What the process says of its start, unless that is not above
+        the place of an earlier start. */
     incarnation started;
+    /** What the process says of its start where that differs from its place. */
+    std::optional<incarnation> born;
+    /** What earlier starts that were seen here said of theirs, the latest one
+        last. */
+    std::vector<incarnation> former;
     /** Heartbeat number within the incarnation. */
     qint64 sequence = 0;
     member_phase phase = member_phase::starting;
@@ -60,6 +70,10 @@
     /** Identifier of the remote membership view that last contained this
         record; 0 when no remote view did. */
     qint64 source = 0;
+
+    /** Returns what the process says of its start; the same for each of its
+        heartbeats. */
+    incarnation own_start() const { return born.value_or(started); }
 };
 
 /** Effect of an update on a membership_table. */
--- a/source/verbenacove/process/discovery/membership_table.hpp
+++ b/source/verbenacove/process/discovery/membership_table.hpp
@@ -48,18 +48,19 @@
         }
         auto& known = *found;
         known.source = update.source;
-        if (update.started < known.started)
+        if (known.own_start() == update.own_start())
         {
-            return update_result::ignored;
+            // Two replicas may have given it different places.
+            known.started = std::max(known.started, update.started);
+            return merge_same_incarnation(known, std::move(update), origin,
+                                          now);
         }
-        if (known.started < update.started)
+        if (std::pair(update.started, update.own_start()) <
+            std::pair(known.started, known.own_start()))
         {
-            update.revision = known.revision;
-            update.known_since = now;
-            known = std::move(update);
-            return record_change(known, origin);
+            return update_result::ignored;
         }
-        return merge_same_incarnation(known, std::move(update), origin, now);
+        return replace(std::move(update), origin, now);
     }
 
     /** Replaces the record of an id, whichever started later. */
@@ -73,6 +74,7 @@
             return add(std::move(update), origin);
         }
         update.revision = found->revision;
+        update.former = starts_before(*found, update);
         *found = std::move(update);
         return record_change(*found, origin);
     }
@@ -300,6 +302,22 @@
     qint64 last_direct_since() const { return last_direct_since_; }
 
 private:
+    /** Maximum number of earlier starts of one process that are remembered. */
+    static constexpr std::size_t maximum_former = 4;
+
+    static std::vector<incarnation> starts_before(record const& known,
+                                                  record const& update)
+    {
+        auto result = known.former;
+        result.push_back(known.own_start());
+        std::erase(result, update.own_start());
+        if (result.size() > maximum_former)
+        {
+            result.erase(result.begin());
+        }
+        return result;
+    }
+
     update_result add(record update, update_origin origin)
     {
         if (records_.size() >= maximum_records)
--- a/source/verbenacove/process/discovery/membership_view.cpp
+++ b/source/verbenacove/process/discovery/membership_view.cpp
@@ -4,6 +4,7 @@
 #include "verbenacove/process/discovery/membership_delta.hpp"
 #include "verbenacove/process/discovery/membership_view_detail.hpp"
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -79,13 +80,18 @@
         keep_displaced(std::move(update));
         return update_result::ignored;
     }
+    auto const id = update.id;
+    auto const* known = upstreams_.find(id);
+    bool const is_placed = origin != update_origin::direct ||
+                           (known != nullptr && known->is_of_unknown_start) ||
+                           place_start(upstreams_, update);
     bool const holds_address = is_named(update.content.service);
-    if (holds_address && !mark_replaced_gone(update))
+    if (!is_placed || (holds_address && !mark_replaced_gone(update, origin)))
     {
         return update_result::ignored;
     }
-    auto const id = update.id;
-    auto const* known = upstreams_.find(id);
+    // The holder of the address may have been this one's record.
+    known = upstreams_.find(id);
     if (known != nullptr && known->is_of_unknown_start)
     {
         return apply_after_departure(std::move(update), origin);
@@ -127,10 +133,70 @@
     return change;
 }
 
+// A process whose heartbeats another replica receives counts as heard of until
+// that one says that it is silent.
+template <class Content>
+monotonic_time
+membership_view::last_heard(member_record<Content> const& known) const
+{
+    bool const is_heard_by_other = !known.receiver.isEmpty() &&
+                                   !known.is_silent &&
+                                   known.phase != member_phase::gone;
+    return is_heard_by_other ? clock_.now() : known.last_heartbeat;
+}
+
+template <class Content>
+bool membership_view::place_start(membership_table<Content> const& table,
+                                  member_record<Content>& update)
+{
+    auto const* known = table.find(update.id);
+    if (known == nullptr || known->started < update.started)
+    {
+        return true;
+    }
+    auto const start = update.own_start();
+    if (known->own_start() != start)
+    {
+        bool const has_replaced =
+            std::find(known->former.begin(), known->former.end(), start) !=
+            known->former.end();
+        if (!starts_.takes_over(update.id, start, update.sequence,
+                                {has_replaced,
+                                 known->phase > member_phase::serving,
+                                 last_heard(*known)},
+                                clock_.now()))
+        {
+            return false;
+        }
+        update.started = incarnation(known->started.value() + 1);
+        update.born = start;
+        return true;
+    }
+    update.started = known->started;
+    update.born = known->born;
+    return true;
+}
+
+bool membership_view::holds(upstream_member const& said) const
+{
+    auto const* known = upstreams_.find(said.id);
+    if (known == nullptr)
+    {
+        return false;
+    }
+    if (known->phase == member_phase::gone)
+    {
+        return said.phase > member_phase::serving;
+    }
+    return known->own_start() == said.own_start() &&
+           known->sequence >= said.sequence && known->phase >= said.phase;
+}
+
 // An address belongs to one process at a time, so a process with a later start
 // has replaced the earlier one, which is marked as gone. Returns false when the
-// update itself comes from the earlier one.
-bool membership_view::mark_replaced_gone(upstream_member const& update)
+// update itself comes from the earlier one, or may.
+bool membership_view::mark_replaced_gone(upstream_member const& update,
+                                         update_origin origin)
 {
     auto const* holder =
         upstreams_.find(address_holders_.value(update.content.address));
@@ -138,7 +204,15 @@
                           holder->phase != member_phase::gone &&
                           is_named(holder->content.service) &&
                           holder->content.address == update.content.address;
-    if (is_other && holder->started > update.started)
+    bool const is_doubted = is_other && holder->started > update.started;
+    bool const is_later =
+        !is_doubted || (origin == update_origin::direct &&
+                        (holder->is_silent ||
+                         starts_.takes_over(update.content.address.text(),
+                                            update.own_start(), update.sequence,
+                                            {true, false, last_heard(*holder)},
+                                            clock_.now())));
+    if (!is_later)
     {
         return false;
     }
@@ -169,6 +243,10 @@
 update_result membership_view::apply_heartbeat(entry_member update)
 {
     auto const id = update.id;
+    if (!place_start(entries_, update))
+    {
+        return update_result::ignored;
+    }
     auto const change =
         entries_.merge(std::move(update), update_origin::direct, clock_.now());
     if (change == update_result::changed)
@@ -181,6 +259,10 @@
 update_result membership_view::apply_heartbeat(replica_member update)
 {
     auto const id = update.id;
+    if (!place_start(replicas_, update))
+    {
+        return update_result::ignored;
+    }
     auto const change =
         replicas_.merge(std::move(update), update_origin::direct, clock_.now());
     if (change == update_result::changed)
--- a/source/verbenacove/process/discovery/membership_view.hpp
+++ b/source/verbenacove/process/discovery/membership_view.hpp
@@ -2,6 +2,7 @@
 #define VERBENACOVE_PROCESS_DISCOVERY_MEMBERSHIP_VIEW_HPP
 
 #include "verbenacove/process/discovery/member_content.hpp"
+#include "verbenacove/process/discovery/start_order.hpp"
 #include "verbenacove/process/discovery/sync_position.hpp"
 
 #include <QCborMap>
@@ -109,6 +110,10 @@
     update_result apply_heartbeat(entry_member update);
     update_result apply_heartbeat(replica_member update);
 
+    /** Returns whether what an upstream says, its phase included, is in the
+        view or has been overtaken by what the same start said later. */
+    bool holds(upstream_member const& said) const;
+
     /** Applies a rate limit that an upstream has named to an entry. */
     update_result apply_rate_limit(rate_limit_record update);
 
@@ -203,7 +208,17 @@
                          upstream_member const& known);
     static bool replaces_departure(upstream_member const& update,
                                    upstream_member const& known);
-    bool mark_replaced_gone(upstream_member const& update);
+    /** Gives a heartbeat's start its place among those of the process.
+
+        @return false if it is that of an earlier start, or may be
+    */
+    template <class Content>
+    bool place_start(membership_table<Content> const& table,
+                     member_record<Content>& update);
+    template <class Content>
+    monotonic_time last_heard(member_record<Content> const& known) const;
+    bool mark_replaced_gone(upstream_member const& update,
+                            update_origin origin);
     bool replaces_foreign(upstream_member const& update) const;
     void keep_displaced(upstream_member record);
     void restore_displaced();
@@ -225,6 +240,7 @@
     QHash<QString, replica_contact> contacts_;
     membership_table<upstream_content> upstreams_;
     std::optional<QSet<service_name>> named_services_;
+    start_order starts_;
     /** Id of the latest upstream of a named service at each address. May name
         records that were removed, or have moved to another address. */
     QHash<socket_address, QString> address_holders_;
--- a/tests/platform/departure_test.cpp
+++ b/tests/platform/departure_test.cpp
@@ -56,6 +56,17 @@
         return behind_.beat(control(1)).is(200);
     }
 
+    void restart_behind()
+    {
+        behind_.restart_with_clock_ahead(milliseconds(-60000));
+    }
+
+    /** Returns whether the report that it is draining is acknowledged. */
+    bool drain(int replica)
+    {
+        return leaving_.beat(control(replica), "draining").is(200);
+    }
+
     bool heartbeat_behind() { return behind_.beat(control(1)).is(200); }
 
     QByteArray behind_id() const { return behind_.id(); }
@@ -221,14 +232,25 @@
     CHECK(wait_until([&] { return depart(1, behind_id()).is(200); }));
     std::this_thread::sleep_for(contact);
     CHECK(requests_of_behind() == 0);
-    REQUIRE(start_behind());
-    CHECK(wait_until(
-        [&]
-        {
-            heartbeat_behind();
-            return requests_of_behind() > 0;
-        },
-        milliseconds(20000)));
+    restart_behind();
+    CHECK(wait_until([&]
+                     { return heartbeat_behind() && requests_of_behind() > 0; },
+                     milliseconds(20000)));
+}
+
+// What the second start said was acknowledged and dropped: its start was lower
+// than that of the first.
+TEST_CASE_FIXTURE(departure_fixture,
+                  "departure: an upstream starts again after its clock was set "
+                  "back: once its draining is acknowledged, no more requests")
+{
+    restart_with_clock_ahead(milliseconds(2000));
+    std::this_thread::sleep_for(milliseconds(1000));
+    restart_with_clock_ahead(milliseconds(0));
+    REQUIRE(requests_after_departure() > 0);
+    REQUIRE(wait_until([&] { return drain(0); }));
+    std::this_thread::sleep_for(milliseconds(1000));
+    CHECK(requests_after_departure() == 0);
 }
 
 int main(int argc, char** argv)
--- a/tests/unit/membership_view_test.cpp
+++ b/tests/unit/membership_view_test.cpp
@@ -58,10 +58,118 @@
     view_fixture,
     "discovery: late heartbeat of an earlier incarnation: ignored")
 {
+    CHECK(apply_heartbeat(upstream("a", 1000, 49)) == update_result::changed);
     CHECK(apply_heartbeat(upstream("a", 2000, 1)) == update_result::changed);
     CHECK(apply_heartbeat(upstream("a", 1000, 50)) == update_result::ignored);
     CHECK(membership.upstreams().find(QStringLiteral("a"))->started ==
           incarnation(2000));
+    CHECK_FALSE(membership.holds(upstream("a", 1000, 50)));
+    CHECK(membership.holds(upstream("a", 2000, 1)));
+}
+
+// After a step of its VM's clock all that the second start said, also that it
+// was draining, was acknowledged and ignored.
+TEST_CASE_FIXTURE(view_fixture,
+                  "discovery: a restart by a clock that was set back: its "
+                  "heartbeats and its departure count")
+{
+    apply_heartbeat(upstream("a", 2000, 50));
+    clock.advance(milliseconds(1000));
+    CHECK(apply_heartbeat(upstream("a", 1000, 1)) == update_result::changed);
+    CHECK(membership.holds(upstream("a", 1000, 1)));
+    auto draining = upstream("a", 1000, 2);
+    draining.phase = member_phase::draining;
+    CHECK(apply_heartbeat(draining) == update_result::changed);
+    CHECK(membership.holds(draining));
+    CHECK(phase("a") == member_phase::draining);
+    // Late, of the start before.
+    CHECK(apply_heartbeat(upstream("a", 2000, 51)) == update_result::ignored);
+    CHECK(phase("a") == member_phase::draining);
+    // By a clock that is right again.
+    CHECK(apply_heartbeat(upstream("a", 9000, 1)) == update_result::changed);
+    CHECK(phase("a") == member_phase::serving);
+}
+
+TEST_CASE_FIXTURE(view_fixture,
+                  "discovery: a restart by a clock that was set back after a "
+                  "departure: counts once it has shown that it is alive")
+{
+    apply_heartbeat(upstream("a", 2000, 50));
+    membership.mark_upstream_gone(upstream_id(QStringLiteral("a")));
+    clock.advance(milliseconds(2000));
+    CHECK(apply_heartbeat(upstream("a", 1000, 1)) == update_result::ignored);
+    CHECK_FALSE(membership.holds(upstream("a", 1000, 1)));
+    clock.advance(milliseconds(1500));
+    CHECK(apply_heartbeat(upstream("a", 1000, 2)) == update_result::changed);
+    CHECK(membership.holds(upstream("a", 1000, 2)));
+    CHECK(phase("a") == member_phase::serving);
+}
+
+TEST_CASE_FIXTURE(view_fixture,
+                  "discovery: a start is taken for the later one by mistake: "
+                  "the one that is alive comes back")
+{
+    apply_heartbeat(upstream("a", 2000, 1));
+    // Never seen, and delayed by a partition.
+    CHECK(apply_heartbeat(upstream("a", 1000, 7)) == update_result::changed);
+    clock.advance(milliseconds(500));
+    CHECK(apply_heartbeat(upstream("a", 2000, 2)) == update_result::ignored);
+    clock.advance(milliseconds(1500));
+    CHECK(apply_heartbeat(upstream("a", 2000, 3)) == update_result::changed);
+    CHECK(membership.holds(upstream("a", 2000, 3)));
+}
+
+TEST_CASE_FIXTURE(
+    view_fixture,
+    "discovery: a restart by a clock that was set back, read from "
+    "another replica: the later start, under what it says")
+{
+    apply_heartbeat(upstream("a", 2000, 50));
+    auto reader = make(8, failure_detector::self);
+    auto const position = reader.merge(membership.updates_since({}, changes));
+    apply_heartbeat(upstream("a", 1000, 1));
+    reader.merge(membership.updates_since(position, changes));
+    CHECK(reader.holds(upstream("a", 1000, 1)));
+    // The next heartbeat goes there.
+    CHECK(reader.apply_heartbeat(upstream("a", 1000, 2)) !=
+          update_result::ignored);
+    CHECK(reader.holds(upstream("a", 1000, 2)));
+    CHECK(reader.apply_heartbeat(upstream("a", 2000, 51)) ==
+          update_result::ignored);
+}
+
+TEST_CASE_FIXTURE(view_fixture,
+                  "discovery: an address reused by a start with a clock that "
+                  "was set back: taken once the former is not heard any more")
+{
+    apply_heartbeat(upstream("a", 2000, 1));
+    CHECK(apply_heartbeat(upstream("b", 1000, 1)) == update_result::ignored);
+    clock.advance(milliseconds(500));
+    apply_heartbeat(upstream("a", 2000, 2));
+    clock.advance(milliseconds(1000));
+    CHECK(apply_heartbeat(upstream("b", 1000, 2)) == update_result::ignored);
+    CHECK_FALSE(membership.holds(upstream("b", 1000, 2)));
+    clock.advance(milliseconds(1500));
+    CHECK(apply_heartbeat(upstream("b", 1000, 3)) == update_result::changed);
+    CHECK(phase("a") == member_phase::gone);
+}
+
+TEST_CASE_FIXTURE(view_fixture,
+                  "discovery: an entry restarts by a clock that was set back: "
+                  "its heartbeats count")
+{
+    entry_member entry;
+    entry.id = QStringLiteral("entry-1");
+    entry.started = incarnation(2000);
+    entry.sequence = 9;
+    entry.phase = member_phase::serving;
+    entry.last_heartbeat = clock.now();
+    membership.apply_heartbeat(entry);
+    entry.started = incarnation(1000);
+    entry.sequence = 1;
+    CHECK(membership.apply_heartbeat(entry) == update_result::changed);
+    entry.sequence = 2;
+    CHECK(membership.apply_heartbeat(entry) != update_result::ignored);
 }
 
 TEST_CASE_FIXTURE(view_fixture,
