Allowances: after the last allowance was taken away its team counts as free

Operators saw: a team stayed in verbenacove_control_restricted_teams for good, with no team.free line, if its allowance, the last one, was taken away while it was restricted.

Cause: the leader looked at its restrictions only while some team had an allowance; found while looking for lists whose emptiness is taken for absence (docs/design/0016).

Test: allowance_service_test failed before (restricted for over 10 s), passes now.

--- a/source/verbenacove/teams/allowance_service.cpp
+++ b/source/verbenacove/teams/allowance_service.cpp
@@ -65,7 +65,9 @@
         return;
     }
     auto const now = clock_.now();
-    if (ledger_.has_allowances() && elapsed(last_log_, now) >= log_interval)
+    // Also after the last allowance was taken away: its team is free.
+    bool const has_changes = ledger_.has_allowances() || !restricted_.isEmpty();
+    if (has_changes && elapsed(last_log_, now) >= log_interval)
     {
         last_log_ = now;
         log_changes(now);
