Operator client: no further try is begun that cannot end

Operators saw (a case of unit beside load): a change that no replica had taken ended as undecided.

Cause: the last try had whatever time was left, was cut off, and may have run.

Change: none is begun with less than 250 ms left.

--- a/source/verbenacove/process/operator_client.cpp
+++ b/source/verbenacove/process/operator_client.cpp
@@ -18,6 +18,9 @@
 /** What is kept of a try for the server's answer to come back in. */
 constexpr milliseconds return_time{500};
 constexpr milliseconds shortest_try{50};
+/** Time left below which no further try is begun. One that is cut off may have
+    run, so a change that no replica took would count as undecided. */
+constexpr milliseconds shortest_further_try{250};
 
 /** How often in a row it goes where a replica says that the leader is. */
 constexpr int most_follows = 2;
@@ -93,7 +96,7 @@
 {
     request.end = clock_.now() + settings_.timeout;
     std::size_t tries = 0;
-    while (clock_.now() < request.end)
+    do
     {
         auto const address = next_address();
         auto const answer = try_once(request, address);
@@ -113,7 +116,7 @@
             QThread::msleep(
                 std::clamp<qint64>(left.count(), 0, settings_.pause.count()));
         }
-    }
+    } while (elapsed(clock_.now(), request.end) >= shortest_further_try);
     return give_up(request);
 }
 
--- a/tests/unit/operator_service_test.cpp
+++ b/tests/unit/operator_service_test.cpp
@@ -255,6 +255,21 @@
     CHECK(first.backend.submissions < 200);
 }
 
+// The last try was cut off by the time that was left, so that a change that no
+// replica had taken counted as undecided.
+TEST_CASE_FIXTURE(operator_fixture,
+                  "operator client: replicas that refuse are slow: no try is "
+                  "begun that cannot end")
+{
+    set_fault(fault::follower, 1000);
+    second.backend.next = fault::follower;
+    second.backend.faults = 1000;
+    second.backend.leader = first.address();
+    first.backend.delay = milliseconds(160);
+    second.backend.delay = milliseconds(160);
+    CHECK(ending_of(create("c1")) == QStringLiteral("unreachable"));
+}
+
 TEST_CASE_FIXTURE(operator_fixture,
                   "operator client: answer lost: resends and gets the result")
 {
