Heartbeats: a start with another service or address has to show that it is alive

It now needs a second heartbeat while the known start is silent; a restart at the same place counts at once, as before.

--- a/source/verbenacove/process/discovery/member_content.cpp
+++ b/source/verbenacove/process/discovery/member_content.cpp
@@ -99,6 +99,11 @@
            difference < cold_tolerance;
 }
 
+bool upstream_content::is_same_place(upstream_content const& other) const
+{
+    return service == other.service && address == other.address;
+}
+
 bool entry_content::is_equivalent(entry_content const& other) const
 {
     return address == other.address && zone == other.zone &&
--- a/source/verbenacove/process/discovery/member_content.hpp
+++ b/source/verbenacove/process/discovery/member_content.hpp
@@ -34,6 +34,9 @@
     /** Returns whether the two differ in nothing that must be propagated;
         small differences of `cold_until` are ignored. */
     bool is_equivalent(upstream_content const& other) const;
+
+    /** Returns whether the two name one service at one address. */
+    bool is_same_place(upstream_content const& other) const;
 };
 
 /** Attributes that an entry reports about itself. */
@@ -47,6 +50,10 @@
     bool reaches_upstreams = true;
 
     bool is_equivalent(entry_content const& other) const;
+    bool is_same_place(entry_content const& other) const
+    {
+        return address == other.address;
+    }
 };
 
 /** Attributes that a control replica reports about itself. */
@@ -58,6 +65,10 @@
     region_name region;
 
     bool is_equivalent(replica_content const& other) const;
+    bool is_same_place(replica_content const& other) const
+    {
+        return address == other.address;
+    }
 };
 
 /** The rate limit that an incarnation of an upstream has named in a
--- a/source/verbenacove/process/discovery/membership_view.cpp
+++ b/source/verbenacove/process/discovery/membership_view.cpp
@@ -82,25 +82,25 @@
     }
     auto const id = update.id;
     auto const* known = upstreams_.find(id);
-    bool const is_placed = origin != update_origin::direct ||
-                           (known != nullptr && known->is_of_unknown_start) ||
-                           place_start(upstreams_, update);
+    // Which of two services will be named is not known before the first
+    // configuration.
+    bool const is_undecided = !named_services_ && known != nullptr &&
+                              known->content.service != update.content.service;
+    bool const needs_place = origin == update_origin::direct && !is_undecided &&
+                             !replaces_foreign(update) &&
+                             !(known != nullptr && known->is_of_unknown_start);
+    bool const is_placed = !needs_place || place_start(upstreams_, update);
     bool const holds_address = is_named(update.content.service);
     if (!is_placed || (holds_address && !mark_replaced_gone(update, origin)))
     {
         return update_result::ignored;
     }
-    // The holder of the address may have been this one's record.
     known = upstreams_.find(id);
     if (known != nullptr && known->is_of_unknown_start)
     {
         return apply_after_departure(std::move(update), origin);
     }
     bool const is_replacement = replaces_foreign(update);
-    // Which of two services will be named is not known before the first
-    // configuration.
-    bool const is_undecided = !named_services_ && known != nullptr &&
-                              known->content.service != update.content.service;
     if (is_replacement || is_undecided)
     {
         bool const is_older = update.started < known->started;
@@ -163,6 +163,7 @@
         if (!starts_.takes_over(update.id, start, update.sequence,
                                 {has_replaced,
                                  known->phase > member_phase::serving,
+                                 !known->content.is_same_place(update.content),
                                  last_heard(*known)},
                                 clock_.now()))
         {
@@ -206,12 +207,13 @@
                           holder->content.address == update.content.address;
     bool const is_doubted = is_other && holder->started > update.started;
     bool const is_later =
-        !is_doubted || (origin == update_origin::direct &&
-                        (holder->is_silent ||
-                         starts_.takes_over(update.content.address.text(),
-                                            update.own_start(), update.sequence,
-                                            {true, false, last_heard(*holder)},
-                                            clock_.now())));
+        !is_doubted ||
+        (origin == update_origin::direct &&
+         (holder->is_silent ||
+          starts_.takes_over(update.content.address.text(), update.own_start(),
+                             update.sequence,
+                             {false, false, true, last_heard(*holder)},
+                             clock_.now())));
     if (!is_later)
     {
         return false;
--- a/source/verbenacove/process/discovery/start_order.cpp
+++ b/source/verbenacove/process/discovery/start_order.cpp
@@ -6,8 +6,7 @@
 namespace
 {
 
-/** Time after which a first heartbeat without a second one is forgotten;
-   several times the interval of heartbeats. */
+/** Time after which a first heartbeat without a second one is forgotten. */
 constexpr milliseconds claim_retention{10000};
 
 } // namespace
@@ -16,7 +15,7 @@
                              qint64 sequence, known_start const& known,
                              monotonic_time now)
 {
-    if (!known.has_replaced && !known.is_leaving)
+    if (!known.has_replaced && !known.is_leaving && !known.is_elsewhere)
     {
         claims_.remove(id);
         return true;
--- a/source/verbenacove/process/discovery/start_order.hpp
+++ b/source/verbenacove/process/discovery/start_order.hpp
@@ -13,10 +13,11 @@
 /** Decides whether a start that claims an earlier time than the known one is
     the later one all the same: clocks may be set back between two starts.
 
-    A start that was never seen is the later one. One that has been replaced, or
-    that would take the place of a process which has said that it leaves, has to
-    show that it is alive: by a second heartbeat with a higher number, while the
-    known one is not heard. A delayed heartbeat does not do that.
+    A start that was never seen is the later one. It has to show that it is
+   alive if it has been replaced before, if the known one has said that it
+   leaves, or if it claims another service or address: by a second heartbeat
+   with a higher number, while the known one is not heard. A delayed heartbeat
+   does not do that.
 */
 class start_order
 {
@@ -28,6 +29,8 @@
         bool has_replaced = false;
         /** Whether the process is leaving or has left. */
         bool is_leaving = false;
+        /** Whether it has another service or address than the start at hand. */
+        bool is_elsewhere = false;
         /** Time of its latest heartbeat or departure. */
         monotonic_time last_heard;
     };
--- a/source/verbenacove/version/route_store.hpp
+++ b/source/verbenacove/version/route_store.hpp
@@ -88,8 +88,9 @@
         builds on a version that is not in force yet. */
     bool may_leave_no_team(route_change const& change) const;
 
-    /** Lets a table of teams without any count as none; what is known of it
-        must be the same at all replicas, also at those that do not know it. */
+    /** Treats an empty table of teams, and a removed one, as if there had never
+        been one; the state must be the same at all replicas, also at those that
+        have not kept it so far. */
     void reset_team_table();
 
     /** Returns how many orders changed the state; grows with each. */
--- a/tests/unit/membership_view_test.cpp
+++ b/tests/unit/membership_view_test.cpp
@@ -154,6 +154,23 @@
     CHECK(phase("a") == member_phase::gone);
 }
 
+// Another writer must not move an upstream by one heartbeat.
+TEST_CASE_FIXTURE(
+    view_fixture,
+    "discovery: a start never seen before, by an earlier clock and "
+    "with another service: does not take the id of one in use")
+{
+    apply_heartbeat(upstream("a", 2000, 1));
+    auto other = upstream("a", 1000, 1);
+    other.content.service = service_name(QStringLiteral("dispatch"));
+    CHECK(apply_heartbeat(other) == update_result::ignored);
+    clock.advance(milliseconds(1500));
+    apply_heartbeat(upstream("a", 2000, 2));
+    other.sequence = 2;
+    CHECK(apply_heartbeat(other) == update_result::ignored);
+    CHECK(membership.holds(upstream("a", 2000, 2)));
+}
+
 TEST_CASE_FIXTURE(view_fixture,
                   "discovery: an entry restarts by a clock that was set back: "
                   "its heartbeats count")
