Evacuation test: wait until the entry has the evacuation

The entry had the second order of the evacuation only after the test had gone on: the test took one refusal for the evacuation. It was a refusal for want of warm-up tokens, since the upstreams of a zone that was reopened count as cold (one request in 250 ms from one entry). The order was acknowledged less than 100 ms before; entries may need longer.

Change: the test goes on once no request has been served for a second, four times that interval. What is checked afterwards is as before.

--- a/tests/platform/evacuation_order_test.cpp
+++ b/tests/platform/evacuation_order_test.cpp
@@ -19,6 +19,9 @@
 /** Time after which an order of a replica that runs again has reached the
     entries. */
 constexpr milliseconds observation_time{1500};
+/** Time within which an entry serves at least one request of a zone that was
+    reopened, though its upstreams count as cold. */
+constexpr milliseconds longest_pause{1000};
 
 /** An operator that evacuates the zone of the only upstream, with one replica
     frozen. */
@@ -60,6 +63,13 @@
         return wait_until([&] { return is_served(); }, time);
     }
 
+    /** Waits until the entry has the evacuation. A single refusal does not show
+        that: a zone that was reopened gets few requests. */
+    bool becomes_evacuated()
+    {
+        return wait_until([&] { return !is_served_within(longest_pause); });
+    }
+
     void freeze(int replica)
     {
         replica_process(replica).freeze();
@@ -109,7 +119,7 @@
               call_error::timed_out);
         order_elsewhere(replica, "DELETE");
         order_elsewhere(replica, "POST");
-        REQUIRE(wait_until([&] { return !is_served(); }));
+        REQUIRE(becomes_evacuated());
         thaw();
         CHECK_FALSE(is_served_within(observation_time));
         order_elsewhere(replica, "DELETE");
