--- a/tests/platform/last_key_test.cpp
+++ b/tests/platform/last_key_test.cpp
@@ -26,6 +26,7 @@
 constexpr int rounds = 5;
 
 char const one_team[] = R"({"wool":{"ApiKeys":["k-1"]}})";
+char const team_without_keys[] = R"({"wool":{"ApiKeys":[]}})";
 char const new_key[] = R"({"wool":{"ApiKeys":["k-2"]}})";
 
 /** Returns a configuration with a public route besides.
@@ -234,6 +235,25 @@
     check_no_key_runs(false);
 }
 
+// The table is not empty, and nobody in it holds a key.
+TEST_CASE_FIXTURE(last_key_cluster,
+                  "last key: the team stays with an empty list of keys: no key "
+                  "runs, and requests need one")
+{
+    begin_with_team();
+    send("PUT", whole(5, team_without_keys), "r3");
+    std::this_thread::sleep_for(revocation);
+    check_no_key_runs(false);
+    CHECK(read_teams()[QStringLiteral("wool")][QStringLiteral("ApiKeys")] ==
+          QJsonValue(QJsonArray()));
+    restart_all();
+    check_no_key_runs(false);
+    send("PUT", whole(7, new_key), "r5");
+    CHECK(wait_until(
+        [this] { return call(0, "k-2").is(200) && call(1, "k-2").is(200); }));
+    CHECK(call(0, "k-1").is(401));
+}
+
 // Keys are withdrawn for good, while the configuration asks for none.
 TEST_CASE_FIXTURE(last_key_cluster,
                   "last key: a configuration without a table after one with "
