Callers that have left: the socket is asked before work is begun for them

Cause: an entry that has used up its share of the processor reads a request when it runs again, begins the attempt and pauses again before it reads the end of the connection, which came long before. Whether a caller is there was known only by what the event loop had read.

--- a/source/verbenacove/connection/http_connection.cpp
+++ b/source/verbenacove/connection/http_connection.cpp
@@ -4,7 +4,6 @@
 
 #include <QTcpSocket>
 
-#include <fcntl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -160,34 +159,12 @@
             !awaits_input_ && phase_ == progress::nothing);
 }
 
-bool http_connection::can_be_parked() const
+bool http_connection::has_caller_left() const
 {
-    return is_idle() && !is_lingering_ && input_.isEmpty() &&
-           socket_->state() == QAbstractSocket::ConnectedState &&
-           socket_->bytesAvailable() == 0;
-}
-
-bool http_connection::is_socket_quiet() const
-{
-    return upstream_sockets::is_quiet(
+    return upstream_sockets::has_ended(
         static_cast<int>(socket_->socketDescriptor()));
 }
 
-int http_connection::release_socket()
-{
-    auto const original = static_cast<int>(socket_->socketDescriptor());
-    auto const result = ::fcntl(original, F_DUPFD_CLOEXEC, 0);
-    if (result >= 0)
-    {
-        // Only Qt's descriptor closes; the connection lives on in the other.
-        socket_->disconnect(this);
-        socket_->abort();
-        is_finished_ = true;
-        charge();
-    }
-    return result;
-}
-
 int http_connection::open_exchanges() const
 {
     return static_cast<int>(std::count_if(pending_.begin(), pending_.end(),
--- a/source/verbenacove/connection/http_connection.hpp
+++ b/source/verbenacove/connection/http_connection.hpp
@@ -112,6 +112,10 @@
     */
     bool can_be_parked() const;
 
+    /** Returns whether the caller has closed its connection or its sending
+        side, also if that has not been read yet. */
+    bool has_caller_left() const;
+
     /** Returns whether no bytes wait in the socket, and it is open. */
     bool is_socket_quiet() const;
 
--- a/source/verbenacove/connection/http_connection_memory.cpp
+++ b/source/verbenacove/connection/http_connection_memory.cpp
@@ -2,8 +2,12 @@
 
 #include "verbenacove/connection/http_connection.hpp"
 
+#include "verbenacove/connection/upstream_sockets.hpp"
+
 #include <QTcpSocket>
 
+#include <fcntl.h>
+
 namespace verbenacove
 {
 
@@ -49,6 +53,34 @@
                             "There are too many large requests."));
 }
 
+bool http_connection::can_be_parked() const
+{
+    return is_idle() && !is_lingering_ && input_.isEmpty() &&
+           socket_->state() == QAbstractSocket::ConnectedState &&
+           socket_->bytesAvailable() == 0;
+}
+
+bool http_connection::is_socket_quiet() const
+{
+    return upstream_sockets::is_quiet(
+        static_cast<int>(socket_->socketDescriptor()));
+}
+
+int http_connection::release_socket()
+{
+    auto const original = static_cast<int>(socket_->socketDescriptor());
+    auto const result = ::fcntl(original, F_DUPFD_CLOEXEC, 0);
+    if (result >= 0)
+    {
+        // Only Qt's descriptor closes; the connection lives on in the other.
+        socket_->disconnect(this);
+        socket_->abort();
+        is_finished_ = true;
+        charge();
+    }
+    return result;
+}
+
 void http_connection::hold_bytes()
 {
     auto const bytes = pending_body_bytes_ + waiting_answer_bytes_ +
--- a/source/verbenacove/connection/http_exchange.cpp
+++ b/source/verbenacove/connection/http_exchange.cpp
@@ -58,6 +58,15 @@
     return is_cancelled_;
 }
 
+bool http_exchange::check_caller()
+{
+    if (connection_ && connection_->has_caller_left())
+    {
+        connection_->abort();
+    }
+    return !is_cancelled_;
+}
+
 void http_exchange::on_cancelled(std::function<void()> call)
 {
     if (is_cancelled_)
--- a/source/verbenacove/connection/http_exchange.hpp
+++ b/source/verbenacove/connection/http_exchange.hpp
@@ -42,9 +42,18 @@
     */
     void respond(http_response const& response);
 
-    /** Returns true when the caller's connection has closed. */
+    /** Returns true when the end of the caller's connection has been read. */
     bool is_cancelled() const;
 
+    /** Looks whether the caller has closed its connection, and cancels the
+        exchange if so. The end may have come long before it is read: a loop
+        that is late reads the request first. To be called before work is begun
+        that is of use only to a caller which waits.
+
+        @return whether the caller still waits
+    */
+    bool check_caller();
+
     /** Sets what is called when the caller's connection closes before the
         answer, once; at once when it has closed already. */
     void on_cancelled(std::function<void()> call);
--- a/source/verbenacove/connection/upstream_sockets.cpp
+++ b/source/verbenacove/connection/upstream_sockets.cpp
@@ -2,6 +2,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -67,4 +68,10 @@
     return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool upstream_sockets::has_ended(descriptor socket)
+{
+    pollfd watched{socket, POLLRDHUP, 0};
+    return ::poll(&watched, 1, 0) > 0;
+}
+
 } // namespace verbenacove
--- a/source/verbenacove/connection/upstream_sockets.hpp
+++ b/source/verbenacove/connection/upstream_sockets.hpp
@@ -49,6 +49,10 @@
     /** Returns true when the socket is open and no byte waits in it. */
     static bool is_quiet(descriptor socket);
 
+    /** Returns true when the other side has closed the connection or its
+        sending side, whether or not bytes wait before that end. */
+    static bool has_ended(descriptor socket);
+
 private:
     QHash<connection_ends, descriptor> sockets_;
     QHash<descriptor, connection_ends> names_;
--- a/source/verbenacove/request/request_flow.cpp
+++ b/source/verbenacove/request/request_flow.cpp
@@ -116,7 +116,7 @@
 
 void request_flow::request_admission()
 {
-    if (exchange_->is_cancelled())
+    if (!exchange_->check_caller())
     {
         return;
     }
@@ -254,6 +254,11 @@
 
 void request_flow::send_idempotent()
 {
+    if (!exchange_->check_caller())
+    {
+        leave_admission();
+        return;
+    }
     auto const loop = attempt_loop::start(
         make_outgoing_request(), pool_, services_.attempts,
         [self = shared_from_this()](attempt_loop_result const& result)
--- a/source/verbenacove/request/request_flow_claim.cpp
+++ b/source/verbenacove/request/request_flow_claim.cpp
@@ -91,7 +91,7 @@
 
 void request_flow::send_claimed()
 {
-    if (exchange_->is_cancelled())
+    if (!exchange_->check_caller())
     {
         // Nothing was sent, so the claim is released: a resend may claim the
         // key.
@@ -129,7 +129,7 @@
 
 void request_flow::wait_for_holder()
 {
-    if (exchange_->is_cancelled() || time_left() <= claim_poll_interval)
+    if (!exchange_->check_caller() || time_left() <= claim_poll_interval)
     {
         respond_in_progress();
         return;
--- a/source/verbenacove/request/routed_request.cpp
+++ b/source/verbenacove/request/routed_request.cpp
@@ -207,6 +207,10 @@
 
 void routed_request::try_next()
 {
+    if (!exchange_->check_caller())
+    {
+        return;
+    }
     auto const left = time_left();
     // What this VM's own queue holds up for longer would come too late.
     if (left < minimum_attempt_time + services_.path_delay.delay())
--- a/tests/platform/traffic_entry.hpp
+++ b/tests/platform/traffic_entry.hpp
@@ -9,9 +9,12 @@
 #include <doctest/doctest.h>
 
 #include <QThread>
+#include <QTimer>
 
 #include <atomic>
+#include <future>
 #include <memory>
+#include <thread>
 #include <vector>
 
 namespace verbenacove::support
@@ -51,7 +54,12 @@
 
     ~traffic_entry()
     {
-        run([this] { traffic_.reset(); });
+        run(
+            [this]
+            {
+                slow_.reset();
+                traffic_.reset();
+            });
         thread_.quit();
         thread_.wait();
     }
@@ -148,6 +156,38 @@
 
     bool is_cut_off() const { return is_cut_off_; }
 
+    socket_address const& address() const { return address_; }
+
+    /** Lets its event loop pause for so long in each round, as a process does
+        that uses up its share of the processor. */
+    void slow_down(milliseconds pause)
+    {
+        run(
+            [this, pause]
+            {
+                slow_ = std::make_unique<QTimer>();
+                QObject::connect(slow_.get(), &QTimer::timeout, &context_,
+                                 [pause]
+                                 { std::this_thread::sleep_for(pause); });
+                slow_->start(0);
+            });
+    }
+
+    /** Keeps its thread busy for a while; returns once that has begun. */
+    void stall(milliseconds time)
+    {
+        auto const began = std::make_shared<std::promise<void>>();
+        QMetaObject::invokeMethod(
+            &context_,
+            [began, time]
+            {
+                began->set_value();
+                std::this_thread::sleep_for(time);
+            },
+            Qt::QueuedConnection);
+        began->get_future().wait();
+    }
+
     /** Returns a configuration with an idempotent route and another one. */
     static std::shared_ptr<route_configuration> configuration(qint64 version)
     {
@@ -185,6 +225,7 @@
     std::atomic<bool> is_cut_off_ = false;
     QThread thread_;
     QObject context_;
+    std::unique_ptr<QTimer> slow_;
     std::unique_ptr<route_traffic> traffic_;
 };
 
--- a/tests/unit/http_server_test.cpp
+++ b/tests/unit/http_server_test.cpp
@@ -331,6 +331,40 @@
     CHECK(caller.received.count("HTTP/1.1 200 OK") == 40);
 }
 
+// A handler that is told of the end of a connection only by the event loop acts
+// for a caller that left before the loop was stalled.
+TEST_CASE_FIXTURE(server_fixture,
+                  "http server: the caller has left and the end of its "
+                  "connection is not read yet: no longer waits")
+{
+    keep_exchanges();
+    int calls = 0;
+    for (auto const* unread : {"", "GET /half", get_x})
+    {
+        CAPTURE(unread);
+        kept.clear();
+        auto caller = std::make_unique<blocking_caller>(server.port());
+        REQUIRE(caller->send(get_x));
+        REQUIRE(waits_for_kept(1));
+        auto const exchange = kept.front();
+        exchange->on_cancelled([&calls] { ++calls; });
+        CHECK(exchange->check_caller());
+        REQUIRE(caller->send(unread));
+        CHECK(exchange->check_caller());
+        CHECK(calls == 0);
+        caller.reset();
+        CHECK_FALSE(exchange->is_cancelled());
+        CHECK_FALSE(exchange->check_caller());
+        CHECK(exchange->is_cancelled());
+        CHECK(calls == 1);
+        CHECK_FALSE(exchange->check_caller());
+        run_for(milliseconds(20));
+        CHECK(calls == 1);
+        calls = 0;
+    }
+    CHECK(server.connection_count() == 0);
+}
+
 TEST_CASE_FIXTURE(server_fixture, "http server: the caller leaves: cancelled "
                                   "once, and the answer ignored")
 {
