--- a/tests/uncontrolled/caller_crowd.hpp
+++ b/tests/uncontrolled/caller_crowd.hpp
@@ -295,12 +295,13 @@
             {
                 return true;
             }
-            auto const pause = std::chrono::seconds(
-                answer.headers.value("retry-after").toInt());
-            MESSAGE("refused: " << answer.status << ' '
-                                << answer.message.toStdString() << ' '
+            // In seconds, which may be a fraction.
+            milliseconds const pause(qRound64(
+                answer.headers.value("retry-after").toDouble() * 1000));
+            MESSAGE("refused: " << answer.status << " "
+                                << answer.message.toStdString() << " "
                                 << answer.body.left(200).toStdString()
-                                << ", pause " << pause.count() << " s");
+                                << ", pause " << pause.count() << " ms");
             if (std::chrono::steady_clock::now() + pause > end)
             {
                 return false;
